--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint demo clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+lint:
+	@unformatted=$$(gofmt -l cmd pkg test); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/peppertraild/main.go
@@ -0,0 +1,4 @@
+// Command peppertraild is the router daemon, the same on every host.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/budget/record.go
@@ -0,0 +1,75 @@
+// Package budget decides about prepaid budgets: grants taken from them,
+// reservations made from grants and the settlement of what was used.
+//
+// It does no I/O. Table rows, time and messages are its inputs.
+package budget
+
+// Record is the table row of a budget, at key BudgetKey. All amounts are tokens.
+//
+// Invariant: Settled + Granted <= Limit.
+type Record struct {
+	ID       string           `json:"id"`
+	Customer string           `json:"customer"`
+	Limit    int64            `json:"limit"`   // sum of all top-ups
+	Granted  int64            `json:"granted"` // sum of the amounts of open grants
+	Settled  int64            `json:"settled"` // spend of closed grants, written-off amounts included
+	TopUps   map[string]int64 `json:"top_ups"` // amount by top-up id, makes a top-up idempotent
+}
+
+// Free returns the tokens that no grant holds and no request spent.
+func (r Record) Free() int64 {
+	return r.Limit - r.Granted - r.Settled
+}
+
+// GrantState tells whether a grant may still be spent from.
+type GrantState string
+
+// States of a grant.
+const (
+	GrantOpen   GrantState = "open"
+	GrantClosed GrantState = "closed"
+)
+
+// GrantRecord is the table row of a grant, at key GrantKey. All amounts are tokens.
+//
+// Invariant: Used + WrittenOff <= Amount; equality does not hold for a grant
+// whose remainder went back to the budget.
+type GrantRecord struct {
+	ID         string     `json:"id"`
+	Holder     string     `json:"holder"` // incarnation of the daemon
+	Budget     string     `json:"budget"`
+	Amount     int64      `json:"amount"`
+	Used       int64      `json:"used"`        // sum of the durable lines settled from it
+	WrittenOff int64      `json:"written_off"` // charged without a line when the holder died
+	State      GrantState `json:"state"`
+}
+
+// Line is a bill line, at key LineKey. There is one per request.
+type Line struct {
+	Customer  string `json:"customer"`
+	Budget    string `json:"budget"`
+	Request   string `json:"request"`
+	Grant     string `json:"grant"`
+	Stream    string `json:"stream"` // stream that was answered, or the last one tried
+	Target    string `json:"target"`
+	Tokens    int64  `json:"tokens"`    // total charged, failed attempts included
+	Attempts  int    `json:"attempts"`  // attempts charged by this line
+	Outcome   string `json:"outcome"`   // home.AttemptOutcome of the last attempt
+	BilledAt  int64  `json:"billed_at"` // Unix time, milliseconds
+	Estimated bool   `json:"estimated"` // a bound was charged because a target did not report its usage
+}
+
+// BudgetKey returns the table key of a budget.
+func BudgetKey(id string) string { return "budget/" + id }
+
+// GrantPrefix returns the key prefix of all grants of a holder.
+func GrantPrefix(holder string) string { return "grant/" + holder + "/" }
+
+// GrantKey returns the table key of a grant.
+func GrantKey(holder, id string) string { return GrantPrefix(holder) + id }
+
+// LinePrefix returns the key prefix of all bill lines of a customer.
+func LinePrefix(customer string) string { return "bill/" + customer + "/" }
+
+// LineKey returns the table key of the bill line of a request.
+func LineKey(customer, request string) string { return LinePrefix(customer) + request }
--- /dev/null
+++ b/pkg/lease/record.go
@@ -0,0 +1,35 @@
+// Package lease holds the rows that say which daemon incarnations may write
+// and which daemon holds a role, with their fencing numbers.
+package lease
+
+// HolderRecord is the table row of a daemon incarnation, at key HolderKey.
+// Every commit of the incarnation requires and rewrites it, so that a commit
+// is also a renewal and a fenced incarnation cannot write.
+type HolderRecord struct {
+	Incarnation   string `json:"incarnation"`
+	Host          string `json:"host"`
+	PeerAddr      string `json:"peer_addr"` // JSON-RPC address, by IP number
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	Renewals      uint64 `json:"renewals"`
+	Fenced        bool   `json:"fenced"`  // set by the repair role; the incarnation may not write again
+	Stopped       bool   `json:"stopped"` // set by a graceful stop after every grant was closed
+	BundleVersion uint64 `json:"bundle_version"`
+}
+
+// HolderPrefix is the key prefix of all holder rows.
+const HolderPrefix = "holder/"
+
+// HolderKey returns the table key of a daemon incarnation.
+func HolderKey(incarnation string) string { return HolderPrefix + incarnation }
+
+// RoleRecord is the table row of a role that one daemon holds at a time.
+type RoleRecord struct {
+	Role     string `json:"role"`
+	Holder   string `json:"holder"`   // incarnation
+	Fencing  uint64 `json:"fencing"`  // goes up with each take-over
+	Renewals uint64 `json:"renewals"` // goes up with each renewal
+}
+
+// RoleKey returns the table key of a role.
+func RoleKey(role string) string { return "lease/" + role }
--- /dev/null
+++ b/pkg/platform/table.go
@@ -0,0 +1,61 @@
+// Package platform declares the narrow interfaces through which daemons use
+// the platform: a transactional table, an object store and a membership list.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+)
+
+// ErrUnavailable means that the platform did not answer in time or refused the
+// call. The effect of a commit that returns it is unknown until the same
+// transaction id is submitted again.
+var ErrUnavailable = errors.New("platform unavailable")
+
+// Row is a table row. Version is the table revision that wrote it; 0 means absent.
+type Row struct {
+	Key     string          `json:"key"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Version uint64          `json:"version"`
+}
+
+// Condition requires that a row has exactly this version; 0 requires that it is absent.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Put writes one row.
+type Put struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Txn is an atomic set of conditions and writes. ID makes a resubmission idempotent.
+type Txn struct {
+	ID         string      `json:"id"`
+	Conditions []Condition `json:"conditions,omitempty"`
+	Puts       []Put       `json:"puts,omitempty"`
+	Deletes    []string    `json:"deletes,omitempty"`
+}
+
+// Outcome is the result of a transaction.
+type Outcome struct {
+	Committed bool   `json:"committed"`
+	Revision  uint64 `json:"revision"`            // version of every row that it wrote
+	Conflicts []Row  `json:"conflicts,omitempty"` // current rows behind the failed conditions
+}
+
+// Table is the transactional table service.
+type Table interface {
+	// Commit applies txn if all its conditions hold. Resubmitting an id that
+	// was already decided returns the first outcome. It returns ErrUnavailable
+	// (wrapped) when the outcome is unknown.
+	Commit(ctx context.Context, txn Txn) (Outcome, error)
+	// Get returns one row per key in order, with Version 0 for absent rows.
+	Get(ctx context.Context, keys ...string) ([]Row, error)
+	// Scan returns up to limit rows with the prefix and a key greater than
+	// after, in key order.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+}
--- /dev/null
+++ b/pkg/verdict/error.go
@@ -0,0 +1,42 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Error is a refusal. It travels between daemons and to callers as JSON.
+type Error struct {
+	Verdict    Verdict       `json:"verdict"`
+	Reason     Reason        `json:"reason"`
+	Message    string        `json:"message"`
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"` // zero: a retry does not help or may start at once
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Verdict, e.Reason, e.Message)
+}
+
+// New returns a refusal with a formatted message.
+func New(v Verdict, r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: r, Message: fmt.Sprintf(format, args...)}
+}
+
+// After returns a copy of e that asks the caller to come back after d.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// From extracts the refusal from err. An error without one becomes
+// MayHaveRun with reason Internal, the weakest claim that is always true.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(MayHaveRun, Internal, "%v", err)
+}
