--- /dev/null
+++ b/pkg/budget/account.go
@@ -0,0 +1,43 @@
+package budget
+
+import "time"
+
+// account is what the ledger holds of one budget.
+type account struct {
+	grants   map[string]*grant
+	spend    rate
+	reserved int64 // sum over the grants
+}
+
+func newAccount() *account {
+	return &account{grants: make(map[string]*grant)}
+}
+
+func (a *account) available() int64 {
+	var sum int64
+	for _, g := range a.grants {
+		sum += g.available()
+	}
+	return sum
+}
+
+// pick returns the fullest-used grant that still covers bound, so that grants
+// run out one after the other and can be closed.
+func (a *account) pick(bound int64) *grant {
+	var best *grant
+	for _, g := range a.grants {
+		if g.available() < bound {
+			continue
+		}
+		if best == nil || g.available() < best.available() || (g.available() == best.available() && g.record.ID < best.record.ID) {
+			best = g
+		}
+	}
+	return best
+}
+
+// wanted returns the tokens that the open grants should have available.
+func (a *account) wanted(now time.Time, p Policy) int64 {
+	covered := int64(a.spend.perSecond(now) * p.Cover.Seconds())
+	return max(covered+a.reserved, p.MinTokens)
+}
--- /dev/null
+++ b/pkg/budget/ledger.go
@@ -0,0 +1,265 @@
+package budget
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Errors of the ledger.
+var (
+	// ErrUnknownStream means that no reservation has this stream id.
+	ErrUnknownStream = errors.New("unknown stream")
+	// ErrUnknownGrant means that the grant is not open in this ledger.
+	ErrUnknownGrant = errors.New("unknown grant")
+)
+
+// Reservation is the bound of one attempt, taken from a grant.
+type Reservation struct {
+	Budget string
+	Grant  string
+	Stream string // "<grant>.<n>"
+	Bound  int64  // tokens
+}
+
+// Ledger authorises spending from the open grants of one daemon.
+//
+// It is not safe for concurrent use; one goroutine owns it.
+type Ledger struct {
+	accounts     map[string]*account
+	grants       map[string]*grant
+	reservations map[string]Reservation
+}
+
+// NewLedger returns a ledger without grants.
+func NewLedger() *Ledger {
+	return &Ledger{
+		accounts:     make(map[string]*account),
+		grants:       make(map[string]*grant),
+		reservations: make(map[string]Reservation),
+	}
+}
+
+// Reserve takes bound tokens from an open grant of the budget. It returns false
+// if no single grant covers the bound.
+func (l *Ledger) Reserve(now time.Time, budget string, bound int64) (Reservation, bool) {
+	acct := l.account(budget)
+	g := acct.pick(bound)
+	if g == nil {
+		return Reservation{}, false
+	}
+	r := Reservation{
+		Budget: budget,
+		Grant:  g.record.ID,
+		Stream: StreamID(g.record.ID, g.next),
+		Bound:  bound,
+	}
+	g.next++
+	g.reserved += bound
+	g.reservations++
+	g.lastUse = now
+	acct.reserved += bound
+	l.reservations[r.Stream] = r
+	return r, true
+}
+
+// Settle replaces the bound of a reservation by the tokens used. Tokens above
+// the bound are not charged: the bound is what the customer's budget covers.
+// It returns the tokens charged, whose line is pending until Durable.
+func (l *Ledger) Settle(now time.Time, stream string, tokens int64) (int64, error) {
+	r, ok := l.reservations[stream]
+	if !ok {
+		return 0, fmt.Errorf("settle %s: %w", stream, ErrUnknownStream)
+	}
+	delete(l.reservations, stream)
+	charged := min(max(tokens, 0), r.Bound)
+	g := l.grants[r.Grant]
+	g.reserved -= r.Bound
+	g.reservations--
+	g.pending += charged
+	g.lastUse = now
+	acct := l.account(r.Budget)
+	acct.reserved -= r.Bound
+	acct.spend.add(now, charged)
+	return charged, nil
+}
+
+// Reservation returns the open reservation of a stream.
+func (l *Ledger) Reservation(stream string) (Reservation, bool) {
+	r, ok := l.reservations[stream]
+	return r, ok
+}
+
+// Durable moves pending tokens of a grant to its durable use.
+func (l *Ledger) Durable(grantID string, tokens int64) error {
+	g, ok := l.grants[grantID]
+	if !ok {
+		return fmt.Errorf("mark %s durable: %w", grantID, ErrUnknownGrant)
+	}
+	g.pending -= tokens
+	g.record.Used += tokens
+	return nil
+}
+
+// Open adds a grant whose debit is durable.
+func (l *Ledger) Open(now time.Time, record GrantRecord) {
+	g := &grant{record: record, lastUse: now}
+	l.grants[record.ID] = g
+	l.account(record.Budget).grants[record.ID] = g
+}
+
+// Demand returns the tokens that a further grant should bring, 0 if the open
+// grants are enough. need is the bound of a waiting request, 0 for none.
+func (l *Ledger) Demand(now time.Time, budget string, p Policy, need int64) int64 {
+	acct := l.account(budget)
+	wanted := acct.wanted(now, p)
+	available := acct.available()
+	if need > 0 && acct.pick(need) == nil {
+		return max(wanted-available, need)
+	}
+	if float64(available) >= refillShare*float64(wanted) {
+		return 0
+	}
+	return wanted - available
+}
+
+// Available returns the tokens of a budget that may still be reserved.
+func (l *Ledger) Available(budget string) int64 {
+	acct, ok := l.accounts[budget]
+	if !ok {
+		return 0
+	}
+	return acct.available()
+}
+
+// Record returns the row of an open grant as it would be written now.
+func (l *Ledger) Record(grantID string) (GrantRecord, bool) {
+	g, ok := l.grants[grantID]
+	if !ok {
+		return GrantRecord{}, false
+	}
+	return g.record, true
+}
+
+// Closable returns, in order of id, the grants that nothing runs on and that
+// are used up (fewer than spent tokens available) or were not used for idle.
+func (l *Ledger) Closable(now time.Time, idle time.Duration, spent int64) []string {
+	var ids []string
+	for id, g := range l.grants {
+		if !g.idle() {
+			continue
+		}
+		if g.available() < spent || now.Sub(g.lastUse) >= idle {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Quiesce returns every grant that nothing runs on, for a graceful stop.
+func (l *Ledger) Quiesce() []string {
+	var ids []string
+	for id, g := range l.grants {
+		if g.idle() {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Idle reports whether nothing runs on a grant and all its lines are durable.
+func (l *Ledger) Idle(grantID string) bool {
+	g, ok := l.grants[grantID]
+	return ok && g.idle()
+}
+
+// Remove takes a grant out of the ledger before its close is written, so that
+// nothing is reserved from it any more.
+func (l *Ledger) Remove(grantID string) (GrantRecord, error) {
+	g, ok := l.grants[grantID]
+	if !ok {
+		return GrantRecord{}, fmt.Errorf("remove %s: %w", grantID, ErrUnknownGrant)
+	}
+	delete(l.grants, grantID)
+	delete(l.account(g.record.Budget).grants, grantID)
+	return g.record, nil
+}
+
+// OpenGrants returns the number of open grants.
+func (l *Ledger) OpenGrants() int {
+	return len(l.grants)
+}
+
+// Running returns the number of open reservations.
+func (l *Ledger) Running() int {
+	return len(l.reservations)
+}
+
+func (l *Ledger) account(budget string) *account {
+	acct, ok := l.accounts[budget]
+	if !ok {
+		acct = newAccount()
+		l.accounts[budget] = acct
+	}
+	return acct
+}
+
+// GrantsOf returns the open grants of a budget in order of id.
+func (l *Ledger) GrantsOf(budget string) []string {
+	acct, ok := l.accounts[budget]
+	if !ok {
+		return nil
+	}
+	ids := make([]string, 0, len(acct.grants))
+	for id := range acct.grants {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// RunningOn returns the number of open reservations on a budget.
+func (l *Ledger) RunningOn(budget string) int {
+	acct, ok := l.accounts[budget]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, g := range acct.grants {
+		n += g.reservations
+	}
+	return n
+}
+
+// StreamID returns the id of the nth stream of a grant.
+func StreamID(grantID string, n int64) string {
+	return grantID + "." + strconv.FormatInt(n, 10)
+}
+
+// GrantOfStream returns the grant id in a stream id, "" if it has none.
+func GrantOfStream(stream string) string {
+	i := strings.LastIndexByte(stream, '.')
+	if i < 0 {
+		return ""
+	}
+	return stream[:i]
+}
+
+// GrantID returns the id of the nth grant of a holder.
+func GrantID(holder string, n uint64) string {
+	return holder + "-" + strconv.FormatUint(n, 10)
+}
+
+// HolderOfGrant returns the holder in a grant id, "" if it has none.
+func HolderOfGrant(grantID string) string {
+	i := strings.LastIndexByte(grantID, '-')
+	if i < 0 {
+		return ""
+	}
+	return grantID[:i]
+}
--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -45,18 +45,42 @@
 }
 
 // Line is a bill line, at key LineKey. There is one per request.
+//
+// Tokens is what the customer is billed for the answer. ExtraTokens is what
+// further attempts of the same request used; it is debited from the budget
+// because it ran, and shown apart because it gave no answer.
 type Line struct {
-	Customer  string `json:"customer"`
-	Budget    string `json:"budget"`
-	Request   string `json:"request"`
-	Grant     string `json:"grant"`
-	Stream    string `json:"stream"` // stream that was answered, or the last one tried
-	Target    string `json:"target"`
-	Tokens    int64  `json:"tokens"`    // total charged, failed attempts included
-	Attempts  int    `json:"attempts"`  // attempts charged by this line
-	Outcome   string `json:"outcome"`   // home.AttemptOutcome of the last attempt
-	BilledAt  int64  `json:"billed_at"` // Unix time, milliseconds
-	Estimated bool   `json:"estimated"` // a bound was charged because a target did not report its usage
+	Customer    string `json:"customer"`
+	Budget      string `json:"budget"`
+	Request     string `json:"request"`
+	Stream      string `json:"stream"` // stream that was answered, or the last one tried
+	Target      string `json:"target"`
+	Tokens      int64  `json:"tokens"`
+	ExtraTokens int64  `json:"extra_tokens,omitempty"`
+	Attempts    int    `json:"attempts"` // attempts charged by this line
+	Completed   bool   `json:"completed"`
+	Estimated   bool   `json:"estimated,omitempty"` // a bound was charged because a target did not report its usage
+	BilledAt    int64  `json:"billed_at"`           // Unix time, milliseconds
+}
+
+// Merge adds a later attempt of the same request to the line. The first
+// completed attempt is billed; every other one counts as extra.
+func (l Line) Merge(next Line) Line {
+	merged := l
+	if next.Completed && !l.Completed {
+		merged = next
+		merged.ExtraTokens += l.Tokens + l.ExtraTokens
+	} else {
+		merged.ExtraTokens += next.Tokens + next.ExtraTokens
+	}
+	merged.Attempts = l.Attempts + next.Attempts
+	merged.Estimated = l.Estimated || next.Estimated
+	return merged
+}
+
+// Total returns every token that the line debits from the budget.
+func (l Line) Total() int64 {
+	return l.Tokens + l.ExtraTokens
 }
 
 // BudgetKey returns the table key of a budget.
--- /dev/null
+++ b/pkg/claim/registry.go
@@ -0,0 +1,202 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+const (
+	// retention is how long a settled request is remembered. Durable claims
+	// of non-idempotent requests outlast it in the table.
+	retention = 10 * time.Minute
+	// claimingRetry is when a caller may ask again while a claim is being written.
+	claimingRetry = time.Second
+)
+
+// Registry knows the requests of one home.
+//
+// It is not safe for concurrent use; one goroutine owns it.
+type Registry struct {
+	crashLimit int
+	entries    map[string]*Entry
+	streams    map[string]*Entry
+	crashes    map[string][]string // distinct targets by fingerprint
+}
+
+// NewRegistry returns an empty registry. A request is refused after crashLimit
+// distinct targets died under it.
+func NewRegistry(crashLimit int) *Registry {
+	return &Registry{
+		crashLimit: crashLimit,
+		entries:    make(map[string]*Entry),
+		streams:    make(map[string]*Entry),
+		crashes:    make(map[string][]string),
+	}
+}
+
+// Decide tells whether an attempt may run, attaches to a stream or is refused.
+func (r *Registry) Decide(a Attempt) Decision {
+	if n := len(r.crashes[a.Fingerprint]); n >= r.crashLimit {
+		return refuse(verdict.MayHaveRun, verdict.RequestCrashesTargets, "%d targets died while they ran this request; it is not tried again", n)
+	}
+	e, ok := r.entries[entryKey(a.Customer, a.Request)]
+	if !ok {
+		return run()
+	}
+	if e.Fingerprint != a.Fingerprint {
+		return refuse(verdict.NotRun, verdict.KeyReused, "the idempotency key %q was used with another body; use a new key", a.Request)
+	}
+	if e.NonIdempotent || a.NonIdempotent {
+		return decideOnce(e, a)
+	}
+	return decideIdempotent(e, a)
+}
+
+// decideIdempotent answers a request that may run again, but need not.
+func decideIdempotent(e *Entry, a Attempt) Decision {
+	if a.LostStream != "" && a.LostStream == e.Stream {
+		return run()
+	}
+	switch e.State {
+	case Running:
+		if e.Daemon == a.Daemon && a.Number > 1 {
+			return run() // the entry daemon gave up its own stream
+		}
+		return attach(e)
+	case Finished:
+		return attach(e)
+	default:
+		return run()
+	}
+}
+
+// decideOnce answers a request that runs at most once.
+func decideOnce(e *Entry, a Attempt) Decision {
+	lost := a.LostStream != "" && a.LostStream == e.Stream
+	switch {
+	case e.State == Released:
+		return run()
+	case e.State == Claiming:
+		d := refuse(verdict.MayHaveRun, verdict.ClaimHeld, "the same request is being dispatched by another daemon")
+		d.Refusal = d.Refusal.After(claimingRetry)
+		return d
+	case e.State == Finished && lost:
+		return refuse(verdict.Ran, verdict.ClaimHeld, "the request ran, its target no longer keeps the answer; it is not run again")
+	case e.State == Failed, lost:
+		return refuse(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched and may have run; it is not run again")
+	case e.Daemon == a.Daemon && a.Number > 1:
+		return refuse(verdict.MayHaveRun, verdict.ClaimHeld, "an earlier attempt may have run; it is not run again")
+	default:
+		return attach(e)
+	}
+}
+
+// Begin records an attempt under a stream id.
+func (r *Registry) Begin(now time.Time, a Attempt, stream string, state State) *Entry {
+	e, ok := r.entries[entryKey(a.Customer, a.Request)]
+	if !ok {
+		e = &Entry{Customer: a.Customer, Request: a.Request, Fingerprint: a.Fingerprint}
+		r.entries[e.key()] = e
+	}
+	delete(r.streams, e.Stream)
+	e.Daemon = a.Daemon
+	e.Target = a.Target
+	e.Stream = stream
+	e.NonIdempotent = e.NonIdempotent || a.NonIdempotent
+	e.State = state
+	e.Updated = now
+	r.streams[stream] = e
+	return e
+}
+
+// Adopt records a durable claim that another home wrote.
+func (r *Registry) Adopt(now time.Time, record Record, version uint64) *Entry {
+	a := Attempt{
+		Customer:      record.Customer,
+		Request:       record.Request,
+		Fingerprint:   record.Fingerprint,
+		Daemon:        record.Entry,
+		Target:        record.Target,
+		NonIdempotent: true,
+	}
+	e := r.Begin(now, a, record.Stream, Running)
+	e.Fingerprint = record.Fingerprint
+	e.ClaimVersion = version
+	return e
+}
+
+// Find returns the entry of a request.
+func (r *Registry) Find(customer, request string) (*Entry, bool) {
+	e, ok := r.entries[entryKey(customer, request)]
+	return e, ok
+}
+
+// Stream returns the entry whose last attempt has this stream id.
+func (r *Registry) Stream(stream string) (*Entry, bool) {
+	e, ok := r.streams[stream]
+	return e, ok
+}
+
+// Move sets the state of the request whose last attempt has this stream id.
+// An older attempt does not change the state of a later one.
+func (r *Registry) Move(now time.Time, stream string, state State) {
+	e, ok := r.streams[stream]
+	if !ok || e.State == Finished {
+		return
+	}
+	e.State = state
+	e.Updated = now
+}
+
+// Forget removes a request.
+func (r *Registry) Forget(customer, request string) {
+	e, ok := r.entries[entryKey(customer, request)]
+	if !ok {
+		return
+	}
+	delete(r.entries, e.key())
+	delete(r.streams, e.Stream)
+}
+
+// Crashed counts a target that died under a request. It returns the distinct
+// targets so far and whether this one was new.
+func (r *Registry) Crashed(fingerprint, target string) ([]string, bool) {
+	seen := r.crashes[fingerprint]
+	if slices.Contains(seen, target) {
+		return seen, false
+	}
+	r.crashes[fingerprint] = append(seen, target)
+	return r.crashes[fingerprint], true
+}
+
+// Sweep forgets requests that were settled longer than the retention ago and
+// returns the keys of the forgotten ones as customer and request pairs.
+func (r *Registry) Sweep(now time.Time) []Entry {
+	var gone []Entry
+	for _, e := range r.entries {
+		settled := e.State != Running && e.State != Claiming
+		if settled && now.Sub(e.Updated) > retention {
+			gone = append(gone, *e)
+		}
+	}
+	for _, e := range gone {
+		r.Forget(e.Customer, e.Request)
+	}
+	return gone
+}
+
+// Len returns the number of requests known.
+func (r *Registry) Len() int {
+	return len(r.entries)
+}
+
+// Entries calls f for each request until it returns false.
+func (r *Registry) Entries(f func(Entry) bool) {
+	for _, e := range r.entries {
+		if !f(*e) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/home/closing.go
@@ -0,0 +1,134 @@
+package home
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// closeGrants closes grants that are used up or were not used for a while.
+func (l *Local) closeGrants(now time.Time) {
+	ids := l.ledger.Closable(now, l.opts.GrantIdle, spentTokens)
+	if l.leaving {
+		ids = l.ledger.Quiesce()
+	}
+	for _, id := range ids {
+		l.closeGrant(now, id)
+	}
+}
+
+// mayGainRoom reports whether a budget without room for bound may get it
+// before the waiter's deadline: a running attempt may settle below its bound,
+// or the remainders of several grants together cover it. It starts closing
+// those grants so that one new grant can replace them.
+func (l *Local) mayGainRoom(now time.Time, b *budgetState, bound int64) bool {
+	if b.outstanding(l) > 0 {
+		return true
+	}
+	if b.record.Free()+l.ledger.Available(b.id) < bound {
+		return false
+	}
+	for _, id := range l.ledger.GrantsOf(b.id) {
+		l.closeGrant(now, id)
+	}
+	return true
+}
+
+// closeGrant returns the unused part of a grant to its budget.
+func (l *Local) closeGrant(now time.Time, id string) {
+	g := l.grants[id]
+	if g == nil || g.closing || len(g.queued)+len(g.inFlight) > 0 {
+		return
+	}
+	record, ok := l.ledger.Record(id)
+	if !ok || !l.ledger.Idle(id) {
+		return
+	}
+	b := l.budget(record.Budget)
+	if b.busy {
+		return
+	}
+	if b.version == 0 {
+		b.busy = true
+		l.async(func() { l.readBudget(b.id, budget.Policy{}, 0) })
+		return
+	}
+	if _, err := l.ledger.Remove(id); err != nil {
+		return
+	}
+	g.closing = true
+	b.busy = true
+	l.submitClose(b, g, record)
+}
+
+func (l *Local) submitClose(b *budgetState, g *grantState, record budget.GrantRecord) {
+	next := b.record
+	next.Granted -= record.Amount
+	next.Settled += record.Used
+	record.State = budget.GrantClosed
+	op := commit.Op{
+		Conditions: []platform.Condition{
+			{Key: budget.BudgetKey(b.id), Version: b.version},
+			{Key: budget.GrantKey(record.Holder, record.ID), Version: g.version},
+		},
+		Puts: []platform.Put{
+			{Key: budget.BudgetKey(b.id), Value: encode(next)},
+			{Key: budget.GrantKey(record.Holder, record.ID), Value: encode(record)},
+		},
+	}
+	op.Done = func(r commit.Result) {
+		l.post(&grantClosed{holder: l.opts.Holder, budget: next, record: record, result: r})
+	}
+	l.opts.Committer.Submit(op)
+}
+
+// grantClosed carries the outcome of submitClose to the control goroutine.
+type grantClosed struct {
+	holder string
+	budget budget.Record
+	record budget.GrantRecord
+	result commit.Result
+}
+
+func (m *grantClosed) handle(l *Local, now time.Time) {
+	if m.holder != l.opts.Holder {
+		return
+	}
+	b := l.budget(m.budget.ID)
+	b.busy = false
+	g := l.grants[m.record.ID]
+	if m.result.Err == nil {
+		b.record = m.budget
+		b.version = m.result.Revision
+		l.forgetGrant(m.record.ID, g)
+		l.opts.Observer.GrantClosed(m.budget.ID, m.record.Amount-m.record.Used)
+		l.wake(b.id)
+		return
+	}
+	l.retryClose(b, g, m)
+}
+
+func (l *Local) forgetGrant(id string, g *grantState) {
+	for _, stream := range g.streams {
+		delete(l.settled, stream)
+	}
+	delete(l.grants, id)
+}
+
+// retryClose submits the close again after another daemon changed the budget row.
+func (l *Local) retryClose(b *budgetState, g *grantState, m *grantClosed) {
+	for _, row := range m.result.Conflicts {
+		if row.Key != budget.BudgetKey(b.id) {
+			continue
+		}
+		if err := b.load(row); err != nil || b.version == 0 {
+			return
+		}
+		b.busy = true
+		m.record.State = budget.GrantOpen
+		l.submitClose(b, g, m.record)
+		return
+	}
+}
--- /dev/null
+++ b/pkg/home/crashes.go
@@ -0,0 +1,100 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/claim"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	crashPrefix      = "crash/"
+	crashPage        = 500 // rows read at a time
+	crashLoadTimeout = time.Second
+)
+
+// loadCrashes reads the crash records of earlier homes. A table that does not
+// answer leaves the counts at zero; they are then learned again, at the price
+// of at most the crash limit of targets per request.
+func (l *Local) loadCrashes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, crashLoadTimeout)
+	defer cancel()
+	after := ""
+	for {
+		rows, err := l.opts.Table.Scan(ctx, crashPrefix, after, crashPage)
+		if err != nil || len(rows) == 0 {
+			return
+		}
+		for _, row := range rows {
+			l.adoptCrash(row)
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// adoptCrash adds the targets of a crash row to the registry.
+func (l *Local) adoptCrash(row platform.Row) {
+	var record claim.CrashRecord
+	if json.Unmarshal(row.Value, &record) != nil {
+		return
+	}
+	for _, target := range record.Targets {
+		l.registry.Crashed(record.Fingerprint, target)
+	}
+	l.crashRows[record.Fingerprint] = row.Version
+}
+
+// countCrash records that a target died under a request.
+func (l *Local) countCrash(now time.Time, fingerprint, target string) {
+	targets, added := l.registry.Crashed(fingerprint, target)
+	if !added {
+		return
+	}
+	if len(targets) == l.opts.CrashLimit {
+		l.opts.Observer.RequestStopped(fingerprint, targets)
+	}
+	l.writeCrash(now, fingerprint, targets)
+}
+
+func (l *Local) writeCrash(now time.Time, fingerprint string, targets []string) {
+	key := claim.CrashKey(fingerprint)
+	record := claim.CrashRecord{Fingerprint: fingerprint, Targets: targets, LastSeen: now.UnixMilli()}
+	holder := l.opts.Holder
+	l.opts.Committer.Submit(commit.Op{
+		Conditions: []platform.Condition{{Key: key, Version: l.crashRows[fingerprint]}},
+		Puts:       []platform.Put{{Key: key, Value: encode(record)}},
+		Done: func(r commit.Result) {
+			l.post(&crashWritten{holder: holder, record: record, result: r})
+		},
+	})
+}
+
+// crashWritten carries the outcome of writeCrash to the control goroutine.
+type crashWritten struct {
+	holder string
+	record claim.CrashRecord
+	result commit.Result
+}
+
+func (m *crashWritten) handle(l *Local, now time.Time) {
+	if m.holder != l.opts.Holder {
+		return
+	}
+	if m.result.Err == nil {
+		l.crashRows[m.record.Fingerprint] = m.result.Revision
+		return
+	}
+	for _, row := range m.result.Conflicts {
+		before, _ := l.registry.Crashed(m.record.Fingerprint, m.record.Targets[0])
+		known := len(before)
+		l.adoptCrash(row)
+		after, _ := l.registry.Crashed(m.record.Fingerprint, m.record.Targets[0])
+		l.writeCrash(now, m.record.Fingerprint, after)
+		if known < l.opts.CrashLimit && len(after) >= l.opts.CrashLimit {
+			l.opts.Observer.RequestStopped(m.record.Fingerprint, after)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/home/foreign.go
@@ -0,0 +1,79 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// settleForeign writes the line of an attempt that ran on another holder's
+// grant. It is done only after that grant was closed: while it is open, its
+// holder may still settle the attempt itself. It runs outside the control
+// goroutine and touches only the options.
+func (l *Local) settleForeign(m *settleMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	holder := budget.HolderOfGrant(m.req.Grant)
+	grantKey := budget.GrantKey(holder, m.req.Grant)
+	lineKey := budget.LineKey(m.req.Customer, m.req.Request)
+	rows, err := l.opts.Table.Get(ctx, grantKey, lineKey)
+	if err != nil || len(rows) != 2 {
+		m.answer(false)
+		return
+	}
+	var grant budget.GrantRecord
+	if rows[0].Version == 0 || json.Unmarshal(rows[0].Value, &grant) != nil {
+		m.answer(false)
+		return
+	}
+	if grant.State != budget.GrantClosed {
+		m.answer(false)
+		return
+	}
+	if lineCovers(rows[1], m.req.Stream) {
+		m.answer(true)
+		return
+	}
+	l.submitForeign(m, grant, rows)
+}
+
+// lineCovers reports whether the row already bills the stream.
+func lineCovers(row platform.Row, stream string) bool {
+	if row.Version == 0 {
+		return false
+	}
+	var line budget.Line
+	if json.Unmarshal(row.Value, &line) != nil {
+		return false
+	}
+	return line.Stream == stream || line.Completed
+}
+
+// submitForeign moves tokens from the written-off part of the grant to the line.
+func (l *Local) submitForeign(m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
+	tokens := min(m.req.Tokens, grant.WrittenOff)
+	line := newLine(m.req, tokens, time.Now())
+	if rows[1].Version > 0 {
+		var earlier budget.Line
+		if json.Unmarshal(rows[1].Value, &earlier) == nil {
+			line = earlier.Merge(line)
+		}
+	}
+	grant.WrittenOff -= tokens
+	grant.Used += tokens
+	l.opts.Committer.Submit(commit.Op{
+		Conditions: []platform.Condition{
+			{Key: rows[0].Key, Version: rows[0].Version},
+			{Key: rows[1].Key, Version: rows[1].Version},
+		},
+		Puts: []platform.Put{
+			{Key: rows[0].Key, Value: encode(grant)},
+			{Key: rows[1].Key, Value: encode(line)},
+		},
+		Done: func(r commit.Result) { m.answer(r.Err == nil) },
+	})
+}
--- /dev/null
+++ b/pkg/home/lifecycle.go
@@ -0,0 +1,94 @@
+package home
+
+import (
+	"context"
+	"time"
+)
+
+// leaveMessage stops new reservations.
+type leaveMessage struct{}
+
+func (leaveMessage) handle(l *Local, _ time.Time) {
+	l.leaving = true
+}
+
+// statusMessage asks what is still open.
+type statusMessage struct {
+	reply chan Status // capacity 1
+}
+
+// Status is what a Local holds at one moment.
+type Status struct {
+	OpenGrants int `json:"open_grants"`
+	Running    int `json:"running"`  // open reservations
+	Requests   int `json:"requests"` // known to the registry
+}
+
+func (m *statusMessage) handle(l *Local, _ time.Time) {
+	m.reply <- Status{OpenGrants: len(l.grants), Running: l.ledger.Running(), Requests: l.registry.Len()}
+}
+
+// Status returns what the authority holds.
+func (l *Local) Status(ctx context.Context) (Status, error) {
+	m := &statusMessage{reply: make(chan Status, 1)}
+	if err := l.send(ctx, m); err != nil {
+		return Status{}, err
+	}
+	select {
+	case s := <-m.reply:
+		return s, nil
+	case <-l.done:
+		return Status{}, ErrStopped
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	}
+}
+
+// Leave refuses new reservations with ErrLeaving, waits until every attempt is
+// settled, then closes all grants. It returns ctx's error if that takes longer;
+// what is left is recovered by the repair role.
+func (l *Local) Leave(ctx context.Context) error {
+	l.post(leaveMessage{})
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		s, err := l.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if s.OpenGrants == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// resetMessage starts over under a new incarnation.
+type resetMessage struct {
+	holder string
+}
+
+func (m resetMessage) handle(l *Local, _ time.Time) {
+	for _, s := range l.settled {
+		s.resolve(false) // the entry daemons resubmit
+	}
+	for _, w := range l.waiters {
+		w.message.reply <- reserveResult{err: ErrLeaving}
+	}
+	for _, p := range l.claims {
+		p.message.refuse(claimUnavailable())
+	}
+	l.opts.Holder = m.holder
+	l.nextGrant = 0
+	l.clear()
+}
+
+// Reset drops all control state after the incarnation was fenced and goes on
+// under a new one. Grants of the old one are recovered by the repair role.
+func (l *Local) Reset(holder string) {
+	l.post(resetMessage{holder: holder})
+}
--- /dev/null
+++ b/pkg/home/lines.go
@@ -0,0 +1,148 @@
+package home
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// maxLinesPerOp bounds the size of one operation.
+const maxLinesPerOp = 200
+
+// grantState is what the home keeps of an open grant beside the ledger.
+type grantState struct {
+	version  uint64 // of the grant row
+	queued   []budget.Line
+	inFlight []budget.Line // lines of the operation under way
+	closing  bool
+	streams  []string // settled streams, forgotten when the grant is closed
+}
+
+// lineState is a bill line row as last written or read.
+type lineState struct {
+	version uint64
+	line    budget.Line
+}
+
+func (l *Local) queueLine(_ time.Time, grantID string, line budget.Line) {
+	g := l.grants[grantID]
+	g.queued = append(g.queued, line)
+	g.streams = append(g.streams, line.Stream)
+}
+
+// flushLines submits the queued lines, one operation per grant, so that the
+// committer joins them in one transaction.
+func (l *Local) flushLines(time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(l.grants)) {
+		g := l.grants[id]
+		if len(g.queued) > 0 && len(g.inFlight) == 0 && !g.closing {
+			l.submitLines(id, g)
+		}
+	}
+}
+
+// submitLines writes the grant's use and its lines in one operation.
+func (l *Local) submitLines(id string, g *grantState) {
+	n := min(len(g.queued), maxLinesPerOp)
+	g.inFlight = slices.Clone(g.queued[:n])
+	g.queued = slices.Clone(g.queued[n:])
+	record, _ := l.ledger.Record(id)
+	rows := l.mergeLines(g.inFlight)
+	op := commit.Op{}
+	for _, line := range g.inFlight {
+		record.Used += line.Total()
+	}
+	op.Conditions = append(op.Conditions, platform.Condition{Key: budget.GrantKey(record.Holder, id), Version: g.version})
+	op.Puts = append(op.Puts, platform.Put{Key: budget.GrantKey(record.Holder, id), Value: encode(record)})
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		row := rows[key]
+		op.Conditions = append(op.Conditions, platform.Condition{Key: key, Version: row.version})
+		op.Puts = append(op.Puts, platform.Put{Key: key, Value: encode(row.line)})
+	}
+	holder := l.opts.Holder
+	op.Done = func(r commit.Result) {
+		l.post(&linesWritten{holder: holder, grant: id, rows: rows, result: r})
+	}
+	l.opts.Committer.Submit(op)
+}
+
+// mergeLines joins new lines with the rows that exist for their requests.
+func (l *Local) mergeLines(lines []budget.Line) map[string]lineState {
+	rows := make(map[string]lineState, len(lines))
+	for _, line := range lines {
+		key := budget.LineKey(line.Customer, line.Request)
+		row, ok := rows[key]
+		if !ok {
+			row, ok = l.lines[key]
+		}
+		if ok && row.line.Attempts > 0 {
+			row.line = row.line.Merge(line)
+		} else {
+			row.line = line
+		}
+		rows[key] = row
+	}
+	return rows
+}
+
+// linesWritten carries the outcome of submitLines to the control goroutine.
+type linesWritten struct {
+	holder string
+	grant  string
+	rows   map[string]lineState
+	result commit.Result
+}
+
+func (m *linesWritten) handle(l *Local, now time.Time) {
+	if m.holder != l.opts.Holder {
+		return
+	}
+	g := l.grants[m.grant]
+	lines := g.inFlight
+	g.inFlight = nil
+	if m.result.Err == nil {
+		l.linesDurable(m, g, lines)
+		return
+	}
+	g.queued = append(lines, g.queued...)
+	if len(m.result.Conflicts) > 0 {
+		l.reloadLines(m.grant, g, m.result.Conflicts)
+	}
+}
+
+func (l *Local) linesDurable(m *linesWritten, g *grantState, lines []budget.Line) {
+	g.version = m.result.Revision
+	for key, row := range m.rows {
+		l.lines[key] = lineState{version: m.result.Revision, line: row.line}
+	}
+	for _, line := range lines {
+		_ = l.ledger.Durable(m.grant, line.Total())
+		l.settled[line.Stream].resolve(true)
+		l.opts.Observer.LineBilled(line.Customer, line.Total())
+		l.wake(line.Budget)
+	}
+}
+
+// reloadLines takes over the rows that another home wrote and submits again.
+// A changed grant row means that the grant was closed by the repair role; the
+// holder row is fenced too, and the next commit finds out.
+func (l *Local) reloadLines(id string, g *grantState, conflicts []platform.Row) {
+	for _, row := range conflicts {
+		if row.Key == budget.GrantKey(l.opts.Holder, id) {
+			return
+		}
+		state := lineState{version: row.Version}
+		if row.Version > 0 {
+			if err := json.Unmarshal(row.Value, &state.line); err != nil {
+				state.line = budget.Line{} // an undecodable line is replaced by the new one
+			}
+		}
+		l.lines[row.Key] = state
+	}
+	l.submitLines(id, g)
+}
--- /dev/null
+++ b/pkg/home/local.go
@@ -0,0 +1,214 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/claim"
+)
+
+// Errors of a Local authority.
+var (
+	// ErrLeaving means that the daemon stops and another daemon should be asked.
+	ErrLeaving = errors.New("home is leaving")
+	// ErrStopped means that the control goroutine has ended.
+	ErrStopped = errors.New("home stopped")
+)
+
+const (
+	tickInterval  = 20 * time.Millisecond
+	sweepInterval = time.Second
+	inboxSize     = 4096 // messages; senders wait beyond it
+)
+
+// message changes the control state of a Local. It is handled by the control
+// goroutine and does no I/O.
+type message interface {
+	handle(l *Local, now time.Time)
+}
+
+// Local is the authority of one daemon over the budgets that it is home of.
+// One goroutine, Run, owns its state; other goroutines send it messages.
+type Local struct {
+	opts    Options
+	inbox   chan message
+	done    chan struct{}
+	leaving bool
+	async   func(func()) // runs I/O outside the control goroutine
+
+	ledger    *budget.Ledger
+	registry  *claim.Registry
+	budgets   map[string]*budgetState
+	grants    map[string]*grantState
+	settled   map[string]*settlement // by stream, until its grant is closed
+	lines     map[string]lineState   // by line key, while the registry knows the request
+	claims    map[string]*pendingClaim
+	crashRows map[string]uint64   // version of the crash row by fingerprint
+	waiters   []*waiter           // in order of arrival
+	woken     map[string]struct{} // budgets whose waiters are tried again
+	nextGrant uint64
+	lastFlush time.Time
+	lastSweep time.Time
+}
+
+// NewLocal returns an authority that serves once Run is called.
+func NewLocal(opts Options) *Local {
+	l := &Local{
+		opts:  opts.withDefaults(),
+		inbox: make(chan message, inboxSize),
+		done:  make(chan struct{}),
+		async: func(f func()) { go f() },
+	}
+	l.clear()
+	return l
+}
+
+// clear drops all control state.
+func (l *Local) clear() {
+	l.ledger = budget.NewLedger()
+	l.registry = claim.NewRegistry(l.opts.CrashLimit)
+	l.budgets = make(map[string]*budgetState)
+	l.grants = make(map[string]*grantState)
+	l.settled = make(map[string]*settlement)
+	l.lines = make(map[string]lineState)
+	l.claims = make(map[string]*pendingClaim)
+	l.crashRows = make(map[string]uint64)
+	l.waiters = nil
+	l.woken = make(map[string]struct{})
+}
+
+// Run owns the control state until ctx ends.
+func (l *Local) Run(ctx context.Context) {
+	defer close(l.done)
+	l.loadCrashes(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.inbox:
+			l.step(m)
+		case <-ticker.C:
+			now := l.opts.Now()
+			l.tick(now)
+			l.runWoken(now)
+		}
+	}
+}
+
+// step handles one message and whatever it made possible.
+func (l *Local) step(m message) {
+	now := l.opts.Now()
+	m.handle(l, now)
+	l.runWoken(now)
+}
+
+// post sends a message to the control goroutine. It drops it once Run has ended.
+func (l *Local) post(m message) {
+	select {
+	case l.inbox <- m:
+	case <-l.done:
+	}
+}
+
+// send is post with a context, for callers that can give up.
+func (l *Local) send(ctx context.Context, m message) error {
+	select {
+	case l.inbox <- m:
+		return nil
+	case <-l.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return fmt.Errorf("send to home: %w", ctx.Err())
+	}
+}
+
+func (l *Local) tick(now time.Time) {
+	l.expireWaiters(now)
+	l.expireClaims(now)
+	if now.Sub(l.lastFlush) >= l.opts.FlushInterval {
+		l.lastFlush = now
+		l.flushLines(now)
+	}
+	if now.Sub(l.lastSweep) >= sweepInterval {
+		l.lastSweep = now
+		l.closeGrants(now)
+		l.sweepRequests(now)
+	}
+}
+
+func (l *Local) sweepRequests(now time.Time) {
+	for _, e := range l.registry.Sweep(now) {
+		delete(l.lines, budget.LineKey(e.Customer, e.Request))
+	}
+}
+
+// Reserve implements Authority.
+func (l *Local) Reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error) {
+	m := &reserveMessage{req: req, reply: make(chan reserveResult, 1)}
+	if err := l.send(ctx, m); err != nil {
+		return ReserveReply{}, err
+	}
+	select {
+	case r := <-m.reply:
+		return r.reply, r.err
+	case <-l.done:
+		return ReserveReply{}, ErrStopped
+	case <-ctx.Done():
+		l.releaseAbandoned(m)
+		return ReserveReply{}, fmt.Errorf("reserve: %w", ctx.Err())
+	}
+}
+
+// releaseAbandoned gives back what a reservation took whose caller gave up.
+func (l *Local) releaseAbandoned(m *reserveMessage) {
+	go func() {
+		select {
+		case r := <-m.reply:
+			if r.reply.Outcome == Granted {
+				l.post(&settleMessage{req: m.req.undispatched(r.reply.Stream)})
+			}
+		case <-l.done:
+		}
+	}()
+}
+
+// Settle implements Authority. It returns when the line is durable or ctx ends.
+func (l *Local) Settle(ctx context.Context, req SettleRequest) (SettleReply, error) {
+	m := &settleMessage{req: req, reply: make(chan SettleReply, 1)}
+	if err := l.send(ctx, m); err != nil {
+		return SettleReply{}, err
+	}
+	select {
+	case r := <-m.reply:
+		return r, nil
+	case <-l.done:
+		return SettleReply{}, ErrStopped
+	case <-ctx.Done():
+		return SettleReply{Durable: false}, nil
+	}
+}
+
+// undispatched returns the settlement of a reservation that was never used.
+func (r ReserveRequest) undispatched(stream string) SettleRequest {
+	return SettleRequest{
+		Customer:    r.Customer,
+		Budget:      r.Budget,
+		Request:     r.Request,
+		Grant:       budget.GrantOfStream(stream),
+		Stream:      stream,
+		Target:      r.Target,
+		Entry:       r.Entry,
+		Fingerprint: r.Fingerprint,
+		Outcome:     NotDispatched,
+		Final:       true,
+		UsageKnown:  true,
+		Bound:       r.Bound,
+	}
+}
+
+var _ Authority = (*Local)(nil)
--- /dev/null
+++ b/pkg/home/local_test.go
@@ -0,0 +1,254 @@
+package home
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+func request(id string) ReserveRequest {
+	return ReserveRequest{Customer: "c", Budget: "b", Request: id, Fingerprint: "f" + id, Attempt: 1, Bound: 50, Target: "t1", Entry: "e1"}
+}
+
+func completed(req ReserveRequest, stream string, tokens int64) SettleRequest {
+	s := req.undispatched(stream)
+	s.Outcome = Completed
+	s.Tokens = tokens
+	return s
+}
+
+// granted drives a reservation to its reply.
+func granted(t *testing.T, w *world, d *daemon, req ReserveRequest) ReserveReply {
+	t.Helper()
+	reply := w.reserve(d, req)
+	for len(reply) == 0 && len(d.committer.queue) > 0 {
+		w.commitNext(d)
+		w.deliver(d)
+	}
+	if len(reply) == 0 {
+		w.tick(d, DefaultReserveWait)
+	}
+	assert.Equal(t, len(reply), 1)
+	return (<-reply).reply
+}
+
+// Guards against a request that runs without its bound debited from the budget.
+func TestLocalReserveDebitsBudgetFirst(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	reply := w.reserve(d, request("r1"))
+	assert.Equal(t, len(reply), 0, "answered before the grant was durable")
+	w.commitNext(d)
+	w.deliver(d)
+	r := (<-reply).reply
+	assert.Equal(t, r.Outcome, Granted)
+	assert.Equal(t, w.budget("b").Granted, int64(200))
+}
+
+// Guards against a second bill line, or a second charge, for one request.
+func TestLocalSettleIsIdempotent(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	req := request("r1")
+	r := granted(t, w, d, req)
+	first := w.settle(d, completed(req, r.Stream, 20))
+	second := w.settle(d, completed(req, r.Stream, 20))
+	w.settleDown(d)
+	assert.Assert(t, (<-first).Durable)
+	assert.Assert(t, (<-second).Durable)
+	line := w.lines("c")["r1"]
+	assert.Equal(t, line.Total(), int64(20))
+	assert.Equal(t, line.Attempts, 1)
+}
+
+// Guards against a refusal while the budget still has room after other
+// requests settle below their bounds.
+func TestLocalWaitsForRoom(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 60)
+	d := w.daemons[0]
+	first := request("r1")
+	r := granted(t, w, d, first)
+	waiting := w.reserve(d, request("r2"))
+	assert.Equal(t, len(waiting), 0)
+	w.settle(d, completed(first, r.Stream, 10))
+	for range 4 {
+		w.tick(d, DefaultReserveWait/5)
+		for len(d.committer.queue) > 0 {
+			w.commitNext(d)
+			w.deliver(d)
+		}
+	}
+	assert.Equal(t, len(waiting), 1, "neither granted nor refused")
+	assert.Equal(t, (<-waiting).reply.Outcome, Granted)
+}
+
+// Guards against an exhausted budget being refused late or with the wrong verdict.
+func TestLocalRefusesExhaustedBudgetAtOnce(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 40)
+	r := (<-w.reserve(w.daemons[0], request("r1"))).reply
+	assert.Equal(t, r.Outcome, Refused)
+	assert.Equal(t, r.Refusal.Reason, verdict.BudgetExhausted)
+	assert.Equal(t, r.Refusal.Verdict, verdict.NotRun)
+	assert.Assert(t, r.Refusal.RetryAfter > 0)
+}
+
+// Guards against an unknown budget being taken for an outage.
+func TestLocalRefusesUnknownBudget(t *testing.T) {
+	w := newWorld(1)
+	r := (<-w.reserve(w.daemons[0], request("r1"))).reply
+	assert.Equal(t, r.Refusal.Reason, verdict.UnknownBudget)
+}
+
+// Guards against spending during a store outage beyond what was granted, and
+// against refusing what the grant covers.
+func TestLocalServesFromGrantWhileTableIsDown(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	granted(t, w, d, request("r1"))
+	w.table.down = true
+	for _, id := range []string{"r2", "r3", "r4"} {
+		assert.Equal(t, (<-w.reserve(d, request(id))).reply.Outcome, Granted)
+	}
+	reply := w.reserve(d, request("r5"))
+	w.tick(d, DefaultReserveWait)
+	r := (<-reply).reply
+	assert.Equal(t, r.Refusal.Reason, verdict.BudgetUnreachable)
+}
+
+// Guards against a non-idempotent request that is dispatched before its claim
+// is durable, and against a second run through another daemon.
+func TestLocalClaimsNonIdempotentOnce(t *testing.T) {
+	w := newWorld(2)
+	w.createBudget("b", 1000)
+	req := request("r1")
+	req.NonIdempotent = true
+	first := granted(t, w, w.daemons[0], req)
+	assert.Equal(t, first.Outcome, Granted)
+	req.Entry = "e2"
+	req.Target = "t2"
+	second := granted(t, w, w.daemons[1], req)
+	assert.Equal(t, second.Outcome, Attach)
+	assert.Equal(t, second.Stream, first.Stream)
+	assert.Equal(t, second.Target, "t1")
+	req.LostStream = first.Stream
+	third := granted(t, w, w.daemons[1], req)
+	assert.Equal(t, third.Refusal.Reason, verdict.ClaimHeld)
+	assert.Equal(t, third.Refusal.Verdict, verdict.MayHaveRun)
+}
+
+// Guards against a claim that outlives a "not run" refusal and blocks the retry.
+func TestLocalClaimTimeoutLeavesNoClaim(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	granted(t, w, d, request("r0"))
+	req := request("r1")
+	req.NonIdempotent = true
+	reply := w.reserve(d, req)
+	w.tick(d, DefaultReserveWait)
+	r := (<-reply).reply
+	assert.Equal(t, r.Refusal.Reason, verdict.ClaimUnavailable)
+	assert.Equal(t, r.Refusal.Verdict, verdict.NotRun)
+	w.settleDown(d)
+	assert.Equal(t, len(w.table.keys("claim/")), 0)
+	assert.Equal(t, granted(t, w, d, req).Outcome, Granted)
+}
+
+// Guards against a request that kills one target after the other.
+func TestLocalStopsCrashingRequest(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	for i, target := range []string{"t1", "t2"} {
+		req := request("r1")
+		req.Attempt = i + 1
+		req.Target = target
+		r := granted(t, w, d, req)
+		assert.Equal(t, r.Outcome, Granted)
+		s := completed(req, r.Stream, 0)
+		s.Outcome = Failed
+		s.TargetDied = true
+		s.UsageKnown = false
+		w.settle(d, s)
+	}
+	req := request("r1")
+	req.Attempt = 3
+	r := granted(t, w, d, req)
+	assert.Equal(t, r.Refusal.Reason, verdict.RequestCrashesTargets)
+	assert.Equal(t, r.Refusal.Verdict, verdict.MayHaveRun)
+	w.settleDown(d)
+	fresh := newWorld(0)
+	fresh.table = w.table
+	other := fresh.newDaemon(7)
+	other.local.loadCrashes(t.Context())
+	assert.Equal(t, granted(t, fresh, other, req).Refusal.Reason, verdict.RequestCrashesTargets, "forgotten by the next home")
+}
+
+// Guards against a daemon paused past its lease that overspends when it wakes:
+// what it may still authorise was charged when its grant was written off.
+func TestLocalPausedHolderCannotOverspend(t *testing.T) {
+	w := newWorld(2)
+	w.createBudget("b", 200)
+	paused, live := w.daemons[0], w.daemons[1]
+	granted(t, w, paused, request("r1"))
+	w.fence(paused)
+	assert.Equal(t, w.budget("b").Settled, int64(100))
+	w.now = w.now.Add(DefaultGrantIdle)
+	woken := (<-w.reserve(paused, request("r2"))).reply
+	assert.Equal(t, woken.Outcome, Granted, "the grant was already charged")
+	var spent int64 = 100
+	for i := range 10 {
+		req := request("live" + string(rune('a'+i)))
+		if r := granted(t, w, live, req); r.Outcome == Granted {
+			spent += req.Bound
+		}
+	}
+	assert.Assert(t, spent <= 200, "spent %d", spent)
+}
+
+// Guards against a line that is lost because its holder died before it was
+// durable, and against charging it twice.
+func TestLocalLateLineMovesWrittenOffTokens(t *testing.T) {
+	w := newWorld(2)
+	w.createBudget("b", 1000)
+	dead, live := w.daemons[0], w.daemons[1]
+	req := request("r1")
+	r := granted(t, w, dead, req)
+	w.settle(dead, completed(req, r.Stream, 30))
+	early := w.settle(live, completed(req, r.Stream, 30))
+	assert.Assert(t, !(<-early).Durable, "settled while the holder may still do it")
+	w.fence(dead)
+	before := w.budget("b")
+	late := w.settle(live, completed(req, r.Stream, 30))
+	w.settleDown(live)
+	assert.Assert(t, (<-late).Durable)
+	assert.Equal(t, w.lines("c")["r1"].Total(), int64(30))
+	assert.Equal(t, w.budget("b").Settled, before.Settled)
+	var g budget.GrantRecord
+	w.table.decode(budget.GrantKey(dead.holder, r.Grant), &g)
+	assert.Equal(t, g.Used, int64(30))
+	assert.Equal(t, g.WrittenOff, int64(170))
+}
+
+// Guards against grants that stay debited after a graceful stop.
+func TestLocalLeaveReturnsGrants(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	req := request("r1")
+	r := granted(t, w, d, req)
+	d.local.step(leaveMessage{})
+	assert.ErrorIs(t, (<-w.reserve(d, request("r2"))).err, ErrLeaving)
+	w.settle(d, completed(req, r.Stream, 20))
+	w.settleDown(d)
+	assert.Equal(t, w.budget("b").Granted, int64(0))
+	assert.Equal(t, w.budget("b").Settled, int64(20))
+}
--- /dev/null
+++ b/pkg/home/options.go
@@ -0,0 +1,82 @@
+package home
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// Committer accepts durable effects. *commit.Committer implements it.
+type Committer interface {
+	Submit(op commit.Op)
+}
+
+// Policies returns the grant policy of a customer, false for an unknown one.
+type Policies func(customer string) (budget.Policy, bool)
+
+// Observer is told of decisions for metrics and logs. Its methods must not block.
+type Observer interface {
+	GrantOpened(budget string, tokens int64)
+	GrantClosed(budget string, returned int64)
+	LineBilled(customer string, tokens int64)
+	RequestStopped(fingerprint string, targets []string)
+	Overrun(stream string, bound, reported int64)
+}
+
+// Options sets up a Local authority. Zero durations take the defaults.
+type Options struct {
+	Holder        string // incarnation of this daemon
+	Table         platform.Table
+	Committer     Committer
+	Policies      Policies
+	Observer      Observer         // nil: none
+	Now           func() time.Time // nil: time.Now
+	FlushInterval time.Duration    // how long lines gather before a commit
+	ReserveWait   time.Duration    // how long a reservation waits for a grant or a claim
+	GrantIdle     time.Duration    // unused grants are closed after this
+	CrashLimit    int              // targets that may die under one request
+}
+
+// Defaults of Options.
+const (
+	// DefaultFlushInterval keeps a daemon at ten line transactions a second,
+	// within the platform's several hundred writes for a fleet of today's size.
+	DefaultFlushInterval = 100 * time.Millisecond
+	// DefaultReserveWait stays below the 300 ms timeout of a call between daemons.
+	DefaultReserveWait = 250 * time.Millisecond
+	DefaultGrantIdle   = 60 * time.Second
+	DefaultCrashLimit  = 2
+)
+
+func (o Options) withDefaults() Options {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.FlushInterval == 0 {
+		o.FlushInterval = DefaultFlushInterval
+	}
+	if o.ReserveWait == 0 {
+		o.ReserveWait = DefaultReserveWait
+	}
+	if o.GrantIdle == 0 {
+		o.GrantIdle = DefaultGrantIdle
+	}
+	if o.CrashLimit == 0 {
+		o.CrashLimit = DefaultCrashLimit
+	}
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
+	return o
+}
+
+// noObserver ignores every event.
+type noObserver struct{}
+
+func (noObserver) GrantOpened(string, int64)       {}
+func (noObserver) GrantClosed(string, int64)       {}
+func (noObserver) LineBilled(string, int64)        {}
+func (noObserver) RequestStopped(string, []string) {}
+func (noObserver) Overrun(string, int64, int64)    {}
--- /dev/null
+++ b/pkg/home/reserve.go
@@ -0,0 +1,109 @@
+package home
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/claim"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+const (
+	// exhaustedRetry is how long a budget without room is not read again, and
+	// when a refused caller may come back.
+	exhaustedRetry = time.Second
+	// unreachableRetry is when a caller may come back while the table is down.
+	unreachableRetry = 2 * time.Second
+)
+
+// reserveResult is the reply to a reserveMessage.
+type reserveResult struct {
+	reply ReserveReply
+	err   error
+}
+
+// reserveMessage asks the control goroutine for a reservation.
+type reserveMessage struct {
+	req   ReserveRequest
+	reply chan reserveResult // capacity 1
+}
+
+func (m *reserveMessage) refuse(e *verdict.Error) {
+	m.reply <- reserveResult{reply: ReserveReply{Outcome: Refused, Refusal: e}}
+}
+
+func (m *reserveMessage) attempt() claim.Attempt {
+	return claim.Attempt{
+		Customer:      m.req.Customer,
+		Request:       m.req.Request,
+		Fingerprint:   m.req.Fingerprint,
+		Daemon:        m.req.Entry,
+		Target:        m.req.Target,
+		Number:        m.req.Attempt,
+		NonIdempotent: m.req.NonIdempotent,
+		LostStream:    m.req.LostStream,
+	}
+}
+
+func (m *reserveMessage) handle(l *Local, now time.Time) {
+	if l.leaving {
+		m.reply <- reserveResult{err: ErrLeaving}
+		return
+	}
+	policy, ok := l.opts.Policies(m.req.Customer)
+	if !ok {
+		m.refuse(verdict.New(verdict.NotRun, verdict.UnknownCustomer, "customer %q is not in the bundle in force", m.req.Customer))
+		return
+	}
+	w := &waiter{message: m, policy: policy, deadline: now.Add(l.opts.ReserveWait)}
+	if !l.tryReserve(now, w) {
+		l.waiters = append(l.waiters, w)
+	}
+}
+
+// tryReserve answers the waiter if it can be answered now.
+func (l *Local) tryReserve(now time.Time, w *waiter) bool {
+	m := w.message
+	d := l.registry.Decide(m.attempt())
+	switch d.Action {
+	case claim.Attach:
+		m.reply <- reserveResult{reply: ReserveReply{Outcome: Attach, Target: d.Target, Stream: d.Stream}}
+		return true
+	case claim.Refuse:
+		m.refuse(d.Refusal)
+		return true
+	}
+	r, ok := l.ledger.Reserve(now, m.req.Budget, m.req.Bound)
+	if !ok {
+		return l.awaitGrant(now, w)
+	}
+	l.ensureGrant(now, m.req.Budget, w.policy, 0)
+	l.granted(now, m, r)
+	return true
+}
+
+// awaitGrant asks for a grant that covers the waiter, or refuses it if the
+// budget is known to have no room for it. It reports whether it was answered.
+func (l *Local) awaitGrant(now time.Time, w *waiter) bool {
+	req := w.message.req
+	b := l.budget(req.Budget)
+	if refusal := b.refusal(now, req.Bound); refusal != nil {
+		if l.mayGainRoom(now, b, req.Bound) {
+			return false
+		}
+		w.message.refuse(refusal)
+		return true
+	}
+	l.ensureGrant(now, req.Budget, w.policy, req.Bound)
+	return false
+}
+
+// granted completes a reservation, after a durable claim where one is needed.
+func (l *Local) granted(now time.Time, m *reserveMessage, r budget.Reservation) {
+	if m.req.NonIdempotent {
+		l.writeClaim(now, m, r)
+		return
+	}
+	l.registry.Begin(now, m.attempt(), r.Stream, claim.Running)
+	m.reply <- reserveResult{reply: ReserveReply{Outcome: Granted, Grant: r.Grant, Stream: r.Stream}}
+}
--- /dev/null
+++ b/pkg/home/settle.go
@@ -0,0 +1,168 @@
+package home
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/claim"
+)
+
+// settlement is an attempt that was settled at this home.
+type settlement struct {
+	durable bool
+	waiting []chan SettleReply
+}
+
+// settleMessage ends an attempt.
+type settleMessage struct {
+	req   SettleRequest
+	reply chan SettleReply // capacity 1; nil: nobody waits
+}
+
+func (m *settleMessage) answer(durable bool) {
+	if m.reply != nil {
+		m.reply <- SettleReply{Durable: durable}
+	}
+}
+
+func (m *settleMessage) handle(l *Local, now time.Time) {
+	if m.req.Stream == "" {
+		l.releaseUnanswered(now, m)
+		return
+	}
+	if s, ok := l.settled[m.req.Stream]; ok {
+		s.await(m)
+		return
+	}
+	r, ok := l.ledger.Reservation(m.req.Stream)
+	if !ok {
+		l.settleUnknown(m)
+		return
+	}
+	l.settleOwn(now, m, r)
+}
+
+// await answers the message when the settlement is durable.
+func (s *settlement) await(m *settleMessage) {
+	if s.durable || m.reply == nil {
+		m.answer(true)
+		return
+	}
+	s.waiting = append(s.waiting, m.reply)
+}
+
+// resolve answers everyone who waits for the settlement.
+func (s *settlement) resolve(durable bool) {
+	s.durable = s.durable || durable
+	for _, reply := range s.waiting {
+		reply <- SettleReply{Durable: durable}
+	}
+	s.waiting = nil
+}
+
+// releaseUnanswered undoes a reservation whose reply the entry daemon never got.
+func (l *Local) releaseUnanswered(now time.Time, m *settleMessage) {
+	e, ok := l.registry.Find(m.req.Customer, m.req.Request)
+	if !ok || e.Daemon != m.req.Entry || e.State == claim.Finished {
+		m.answer(true)
+		return
+	}
+	r, ok := l.ledger.Reservation(e.Stream)
+	if !ok {
+		m.answer(true)
+		return
+	}
+	m.req.Stream = e.Stream
+	m.req.Outcome = NotDispatched
+	l.settleOwn(now, m, r)
+}
+
+// settleUnknown handles a stream that this ledger has no reservation for.
+func (l *Local) settleUnknown(m *settleMessage) {
+	holder := budget.HolderOfGrant(budget.GrantOfStream(m.req.Stream))
+	if holder == l.opts.Holder {
+		m.answer(true) // its grant was closed, which requires every line to be durable
+		return
+	}
+	if m.req.Outcome == NotDispatched {
+		m.answer(true) // nothing ran; the bound stays with the other holder's grant
+		return
+	}
+	l.async(func() { l.settleForeign(m) })
+}
+
+// settleOwn settles a reservation of this ledger.
+func (l *Local) settleOwn(now time.Time, m *settleMessage, r budget.Reservation) {
+	req := m.req
+	if req.Outcome == NotDispatched {
+		l.settleUndispatched(now, m, r)
+		return
+	}
+	if req.TargetDied {
+		l.countCrash(now, req.Fingerprint, req.Target)
+	}
+	tokens := req.Tokens
+	if !req.UsageKnown {
+		tokens = r.Bound
+	}
+	if tokens > r.Bound {
+		l.opts.Observer.Overrun(req.Stream, r.Bound, tokens)
+	}
+	charged, err := l.ledger.Settle(now, req.Stream, tokens)
+	if err != nil {
+		m.answer(false)
+		return
+	}
+	l.registry.Move(now, req.Stream, stateAfter(req.Outcome))
+	s := &settlement{}
+	l.settled[req.Stream] = s
+	s.await(m)
+	l.queueLine(now, r.Grant, newLine(req, charged, now))
+	l.wake(r.Budget)
+}
+
+// settleUndispatched gives the whole bound back.
+func (l *Local) settleUndispatched(now time.Time, m *settleMessage, r budget.Reservation) {
+	if _, err := l.ledger.Settle(now, r.Stream, 0); err != nil {
+		m.answer(false)
+		return
+	}
+	l.registry.Move(now, r.Stream, claim.Released)
+	l.settled[r.Stream] = &settlement{durable: true}
+	if g, ok := l.grants[r.Grant]; ok {
+		g.streams = append(g.streams, r.Stream)
+	}
+	if m.req.Final {
+		l.dropClaim(r.Stream)
+	}
+	m.answer(true)
+	l.wake(r.Budget)
+}
+
+func stateAfter(o AttemptOutcome) claim.State {
+	if o == Completed {
+		return claim.Finished
+	}
+	return claim.Failed
+}
+
+// newLine returns the line of one attempt.
+func newLine(req SettleRequest, charged int64, now time.Time) budget.Line {
+	line := budget.Line{
+		Customer:  req.Customer,
+		Budget:    req.Budget,
+		Request:   req.Request,
+		Stream:    req.Stream,
+		Target:    req.Target,
+		Attempts:  1,
+		Completed: req.Outcome == Completed,
+		Estimated: !req.UsageKnown,
+		BilledAt:  now.UnixMilli(),
+	}
+	if line.Completed {
+		line.Tokens = charged
+	} else {
+		line.ExtraTokens = charged
+	}
+	return line
+}
--- /dev/null
+++ b/pkg/home/table_test.go
@@ -0,0 +1,97 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// memoryTable is a table without faults of its own.
+type memoryTable struct {
+	rows     map[string]platform.Row
+	revision uint64
+	down     bool
+}
+
+func newMemoryTable() *memoryTable {
+	return &memoryTable{rows: make(map[string]platform.Row)}
+}
+
+func (t *memoryTable) put(key string, v any) {
+	t.revision++
+	t.rows[key] = platform.Row{Key: key, Value: mustJSON(v), Version: t.revision}
+}
+
+func (t *memoryTable) decode(key string, v any) {
+	row, ok := t.rows[key]
+	if !ok {
+		return
+	}
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		panic(err)
+	}
+}
+
+func (t *memoryTable) keys(prefix string) []string {
+	var keys []string
+	for key := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// apply decides one operation.
+func (t *memoryTable) apply(op commit.Op) commit.Result {
+	var conflicts []platform.Row
+	for _, c := range op.Conditions {
+		if row := t.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return commit.Result{Err: commit.ErrConflict, Conflicts: conflicts}
+	}
+	t.revision++
+	for _, p := range op.Puts {
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.revision}
+	}
+	for _, key := range op.Deletes {
+		delete(t.rows, key)
+	}
+	return commit.Result{Revision: t.revision}
+}
+
+func (t *memoryTable) Commit(context.Context, platform.Txn) (platform.Outcome, error) {
+	panic("the home writes through its committer")
+}
+
+func (t *memoryTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	rows := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		row := t.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (t *memoryTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var rows []platform.Row
+	for _, key := range t.keys(prefix) {
+		if key > after && len(rows) < limit {
+			rows = append(rows, t.rows[key])
+		}
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/pkg/home/waiter.go
@@ -0,0 +1,61 @@
+package home
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// waiter is a reservation that waits for a grant.
+type waiter struct {
+	message  *reserveMessage
+	policy   budget.Policy
+	deadline time.Time
+}
+
+// wake marks a budget whose waiters are tried again after the current message.
+// Trying them at once would change the set of waiters while it is walked.
+func (l *Local) wake(budgetID string) {
+	l.woken[budgetID] = struct{}{}
+}
+
+// runWoken tries the waiters of every marked budget.
+func (l *Local) runWoken(now time.Time) {
+	for len(l.woken) > 0 {
+		woken := l.woken
+		l.woken = make(map[string]struct{})
+		for _, id := range slices.Sorted(maps.Keys(woken)) {
+			l.wakeWaiters(now, id)
+		}
+	}
+}
+
+// wakeWaiters tries the waiters of a budget again.
+func (l *Local) wakeWaiters(now time.Time, budgetID string) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(w *waiter) bool {
+		return w.message.req.Budget == budgetID && l.tryReserve(now, w)
+	})
+}
+
+// expireWaiters refuses the waiters whose time is over.
+func (l *Local) expireWaiters(now time.Time) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(w *waiter) bool {
+		if now.Before(w.deadline) {
+			return false
+		}
+		w.message.refuse(l.expiredRefusal(now, w))
+		return true
+	})
+}
+
+func (l *Local) expiredRefusal(now time.Time, w *waiter) *verdict.Error {
+	req := w.message.req
+	if refusal := l.budget(req.Budget).refusal(now, req.Bound); refusal != nil {
+		return refusal
+	}
+	e := verdict.New(verdict.NotRun, verdict.BudgetUnreachable, "no grant covers %d tokens and the table did not answer in time", req.Bound)
+	return e.After(unreachableRetry)
+}
--- /dev/null
+++ b/pkg/home/world_test.go
@@ -0,0 +1,224 @@
+package home
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/repair"
+)
+
+// queueCommitter keeps operations until the test applies them, so that a test
+// can delay, reorder against other daemons and lose replies.
+type queueCommitter struct {
+	queue   []commit.Op
+	decided []func() // replies that are still on their way
+}
+
+func (c *queueCommitter) Submit(op commit.Op) {
+	c.queue = append(c.queue, op)
+}
+
+// daemon is a home with its committer and holder row.
+type daemon struct {
+	local     *Local
+	committer *queueCommitter
+	host      int
+	holder    string
+	births    int
+	fenced    bool // a commit found the holder row fenced
+}
+
+// world is a table, some daemons and the engines' journal.
+type world struct {
+	table   *memoryTable
+	daemons []*daemon
+	now     time.Time
+	policy  budget.Policy
+}
+
+func newWorld(daemons int) *world {
+	w := &world{
+		table:  newMemoryTable(),
+		now:    time.Unix(1_700_000_000, 0),
+		policy: budget.Policy{Cover: time.Minute, MinTokens: 200, MaxShare: 0.5},
+	}
+	for i := range daemons {
+		w.daemons = append(w.daemons, w.newDaemon(i))
+	}
+	return w
+}
+
+func (w *world) newDaemon(host int) *daemon {
+	d := &daemon{committer: &queueCommitter{}, host: host}
+	d.local = NewLocal(Options{
+		Table:     w.table,
+		Committer: d.committer,
+		Policies:  func(string) (budget.Policy, bool) { return w.policy, true },
+		Now:       func() time.Time { return w.now },
+	})
+	d.local.async = func(f func()) { f() }
+	w.register(d)
+	return d
+}
+
+// register gives the daemon a new incarnation.
+func (w *world) register(d *daemon) {
+	d.births++
+	d.holder = fmt.Sprintf("h%d~%d", d.host, d.births)
+	w.table.put(lease.HolderKey(d.holder), lease.HolderRecord{Incarnation: d.holder})
+	d.local.opts.Holder = d.holder
+}
+
+func (w *world) createBudget(id string, limit int64) {
+	w.table.put(budget.BudgetKey(id), budget.Record{ID: id, Customer: "c", Limit: limit})
+}
+
+func (w *world) topUp(id string, tokens int64) {
+	var r budget.Record
+	w.table.decode(budget.BudgetKey(id), &r)
+	r.Limit += tokens
+	w.table.put(budget.BudgetKey(id), r)
+}
+
+func (w *world) budget(id string) budget.Record {
+	var r budget.Record
+	w.table.decode(budget.BudgetKey(id), &r)
+	return r
+}
+
+// pump handles every message that is waiting at a daemon.
+func (w *world) pump(d *daemon) {
+	for {
+		select {
+		case m := <-d.local.inbox:
+			d.local.step(m)
+		default:
+			return
+		}
+	}
+}
+
+// tick advances time and runs the timers of one daemon.
+func (w *world) tick(d *daemon, by time.Duration) {
+	w.now = w.now.Add(by)
+	d.local.tick(w.now)
+	d.local.runWoken(w.now)
+	w.pump(d)
+}
+
+// commitNext applies the oldest operation of a daemon. Its reply is delivered
+// by deliver.
+func (w *world) commitNext(d *daemon) {
+	if len(d.committer.queue) == 0 {
+		return
+	}
+	op := d.committer.queue[0]
+	d.committer.queue = d.committer.queue[1:]
+	var holder lease.HolderRecord
+	w.table.decode(lease.HolderKey(d.holder), &holder)
+	if holder.Fenced {
+		d.fenced = true
+		d.committer.decided = append(d.committer.decided, func() { op.Done(commit.Result{Err: commit.ErrFenced}) })
+		return
+	}
+	result := w.table.apply(op)
+	d.committer.decided = append(d.committer.decided, func() { op.Done(result) })
+}
+
+// deliver hands the decided replies to the daemon.
+func (w *world) deliver(d *daemon) {
+	decided := d.committer.decided
+	d.committer.decided = nil
+	for _, f := range decided {
+		f()
+	}
+	w.pump(d)
+	if d.fenced {
+		w.restart(d)
+	}
+}
+
+// settleDown lets a daemon finish whatever it has under way.
+func (w *world) settleDown(d *daemon) {
+	for range 50 {
+		w.tick(d, DefaultFlushInterval)
+		for len(d.committer.queue) > 0 {
+			w.commitNext(d)
+		}
+		w.deliver(d)
+	}
+}
+
+// fence does what the repair role does with a holder that it takes for dead.
+func (w *world) fence(d *daemon) {
+	var holder lease.HolderRecord
+	w.table.decode(lease.HolderKey(d.holder), &holder)
+	holder.Fenced = true
+	w.table.put(lease.HolderKey(d.holder), holder)
+	for _, key := range w.table.keys(budget.GrantPrefix(d.holder)) {
+		var g budget.GrantRecord
+		w.table.decode(key, &g)
+		if g.State == budget.GrantClosed {
+			continue
+		}
+		b := w.budget(g.Budget)
+		b, g = repair.WriteOff(b, g)
+		w.table.put(budget.BudgetKey(g.Budget), b)
+		w.table.put(key, g)
+	}
+}
+
+// restart gives a fenced daemon a new incarnation, as the daemon does when a
+// commit finds it fenced.
+func (w *world) restart(d *daemon) {
+	d.committer.queue = nil
+	d.committer.decided = nil
+	d.fenced = false
+	old := d.holder
+	w.register(d)
+	d.local.opts.Holder = old
+	d.local.Reset(d.holder)
+	w.pump(d)
+}
+
+// reserve asks a daemon without waiting for the reply.
+func (w *world) reserve(d *daemon, req ReserveRequest) chan reserveResult {
+	m := &reserveMessage{req: req, reply: make(chan reserveResult, 1)}
+	d.local.step(m)
+	w.pump(d)
+	return m.reply
+}
+
+// settle reports an attempt without waiting for the reply.
+func (w *world) settle(d *daemon, req SettleRequest) chan SettleReply {
+	m := &settleMessage{req: req, reply: make(chan SettleReply, 1)}
+	d.local.step(m)
+	w.pump(d)
+	return m.reply
+}
+
+// lines returns the bill lines of a customer by request.
+func (w *world) lines(customer string) map[string]budget.Line {
+	lines := make(map[string]budget.Line)
+	for _, key := range w.table.keys(budget.LinePrefix(customer)) {
+		var line budget.Line
+		w.table.decode(key, &line)
+		lines[line.Request] = line
+	}
+	return lines
+}
+
+func mustJSON(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+var _ platform.Table = (*memoryTable)(nil)
