Add the platform stand-in

Cause: daemons, tests and measurements need a platform with a table, objects and a membership list whose outages and lost replies can be switched on. PUT /faults replaces all faults. The write limit counts transactions. A refused call (429, 503) is not decided; a conflict is, and its id keeps returning it.

--- /dev/null
+++ b/pkg/standin/platform/server.go
@@ -0,0 +1,105 @@
+// Package platform is an in-memory stand-in of the platform: its table, its
+// object store and its membership list over HTTP and JSON, with faults that
+// tests and measurements switch on.
+package platform
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+)
+
+// Server is the stand-in. Its state is lost with the process.
+type Server struct {
+	table   *table
+	objects *objectMap
+	members *memberList
+	writes  writeLimit
+	start   time.Time
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// New returns an empty stand-in without faults.
+func New() *Server {
+	return &Server{
+		table:   newTable(),
+		objects: newObjectMap(),
+		members: newMemberList(),
+		start:   time.Now(),
+	}
+}
+
+// Handler returns the HTTP interface of the stand-in.
+func (s *Server) Handler() http.Handler {
+	mux := flow.New()
+	mux.HandleFunc("/faults", s.putFaults, http.MethodPut)
+	mux.HandleFunc("/faults", s.getFaults, http.MethodGet)
+	mux.HandleFunc("/stats", s.getStats, http.MethodGet)
+	mux.HandleFunc("/members/:id", s.putMember, http.MethodPut)
+	mux.HandleFunc("/members/:id", s.deleteMember, http.MethodDelete)
+	mux.Group(func(mux *flow.Mux) {
+		mux.Use(s.delayed)
+		mux.HandleFunc("/table/commit", s.commit, http.MethodPost)
+		mux.HandleFunc("/table/get", s.get, http.MethodPost)
+		mux.HandleFunc("/table/scan", s.scan, http.MethodPost)
+		mux.HandleFunc("/objects/...", s.putObject, http.MethodPut)
+		mux.HandleFunc("/objects/...", s.getObject, http.MethodGet)
+		mux.HandleFunc("/members", s.getMembers, http.MethodGet)
+	})
+	return mux
+}
+
+// SetFaults replaces the injected faults. It returns an error if a value is
+// out of range.
+func (s *Server) SetFaults(f Faults) error {
+	if err := f.validate(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	return nil
+}
+
+// Faults returns the injected faults.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Stats returns the counters since the start.
+func (s *Server) Stats() Stats {
+	stats := s.table.snapshot()
+	stats.Seconds = time.Since(s.start).Seconds()
+	return stats
+}
+
+// delayed applies the injected latency before the call takes effect.
+func (s *Server) delayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := sleep(r.Context(), s.Faults().delay()); err != nil {
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/standin/platform/table.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// maxDecided bounds the remembered outcomes. It is far above the number of
+// transactions that any client can have in doubt at the same time.
+const maxDecided = 1 << 18
+
+var (
+	errNoID      = errors.New("transaction has no id")
+	errKeyTwice  = errors.New("transaction writes a key twice")
+	errZeroLimit = errors.New("scan limit must be positive")
+)
+
+// table is the transactional table in memory.
+type table struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]platform.Row
+	index    *keyIndex
+	decided  map[string]platform.Outcome
+	order    []string // ids of decided in order of decision, for eviction
+	stats    Stats
+}
+
+func newTable() *table {
+	return &table{
+		rows:    map[string]platform.Row{},
+		index:   newKeyIndex(),
+		decided: map[string]platform.Outcome{},
+	}
+}
+
+// commit decides txn, or returns the first outcome of its id.
+func (t *table) commit(txn platform.Txn) (platform.Outcome, error) {
+	if err := validate(txn); err != nil {
+		return platform.Outcome{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if outcome, ok := t.decided[txn.ID]; ok {
+		t.stats.Resubmitted++
+		return outcome, nil
+	}
+	outcome := t.decide(txn)
+	t.remember(txn.ID, outcome)
+	return outcome, nil
+}
+
+func (t *table) decide(txn platform.Txn) platform.Outcome {
+	if conflicts := t.conflicts(txn.Conditions); len(conflicts) > 0 {
+		t.stats.Conflicts++
+		return platform.Outcome{Revision: t.revision, Conflicts: conflicts}
+	}
+	t.revision++
+	for _, put := range txn.Puts {
+		t.put(put)
+	}
+	for _, key := range txn.Deletes {
+		delete(t.rows, key)
+	}
+	t.stats.Commits++
+	t.stats.RowsWritten += uint64(len(txn.Puts) + len(txn.Deletes))
+	return platform.Outcome{Committed: true, Revision: t.revision}
+}
+
+func (t *table) conflicts(conditions []platform.Condition) []platform.Row {
+	var rows []platform.Row
+	for _, c := range conditions {
+		if row := t.row(c.Key); row.Version != c.Version {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (t *table) put(put platform.Put) {
+	if _, exists := t.rows[put.Key]; !exists {
+		t.index.add(put.Key)
+	}
+	t.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: t.revision}
+}
+
+func (t *table) remember(id string, outcome platform.Outcome) {
+	if len(t.order) >= maxDecided {
+		delete(t.decided, t.order[0])
+		t.order = t.order[1:]
+	}
+	t.decided[id] = outcome
+	t.order = append(t.order, id)
+}
+
+// row returns the row of key, with Version 0 if it is absent.
+func (t *table) row(key string) platform.Row {
+	if row, ok := t.rows[key]; ok {
+		return row
+	}
+	return platform.Row{Key: key}
+}
+
+func (t *table) get(keys []string) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	rows := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		rows = append(rows, t.row(key))
+	}
+	return rows
+}
+
+func (t *table) scan(prefix, after string, limit int) ([]platform.Row, error) {
+	if limit <= 0 {
+		return nil, errZeroLimit
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	rows := []platform.Row{}
+	t.index.visit(prefix, after, func(key string) bool {
+		if row, ok := t.rows[key]; ok {
+			rows = append(rows, row)
+		}
+		return len(rows) < limit
+	})
+	return rows, nil
+}
+
+func (t *table) countLostReply() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.LostReplies++
+}
+
+func (t *table) countRateLimited() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.RateLimited++
+}
+
+func (t *table) snapshot() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+func validate(txn platform.Txn) error {
+	if txn.ID == "" {
+		return errNoID
+	}
+	written := slices.Clone(txn.Deletes)
+	for _, put := range txn.Puts {
+		written = append(written, put.Key)
+	}
+	slices.Sort(written)
+	if len(slices.Compact(written)) != len(txn.Puts)+len(txn.Deletes) {
+		return errKeyTwice
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/standin/platform/write_limit.go
@@ -0,0 +1,34 @@
+package platform
+
+import (
+	"sync"
+	"time"
+)
+
+// writeLimit is a token bucket that holds at most one second of writes.
+type writeLimit struct {
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+}
+
+// allow takes a token, or reports false. A rate of 0 means no limit.
+func (l *writeLimit) allow(rate float64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if rate <= 0 {
+		l.last = time.Time{}
+		return true
+	}
+	if l.last.IsZero() {
+		l.tokens = max(rate, 1)
+	} else {
+		l.tokens = min(max(rate, 1), l.tokens+rate*now.Sub(l.last).Seconds())
+	}
+	l.last = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
