Add the HTTP client of the platform

Cause: daemons reach the table, the object store and the membership list through the interfaces of pkg/platform and need one client of their protocol. Considered: one type for all three interfaces is impossible, since Get of platform.Table and of platform.Objects have the same name and differ; the alternative of renaming a method would change the contract types. Change: remote.Client implements Table and Members, and its Objects method returns the object store. Transport errors, timeouts, 429, 5xx and replies that cannot be decoded wrap platform.ErrUnavailable; other statuses are a StatusError that does not. Conclusion: a lost reply is unavailable, and its id resolves it afterwards.

--- /dev/null
+++ b/pkg/platform/remote/call.go
@@ -0,0 +1,84 @@
+package remote
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	maxReplyBytes      = 64 << 20
+	maxErrorReplyBytes = 1 << 10
+)
+
+// callJSON sends in as JSON (no body if it is nil) and decodes the reply into out.
+func (c *Client) callJSON(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return fmt.Errorf("encode %s: %w", path, err)
+		}
+	}
+	reply, err := c.call(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(reply, out); err != nil {
+		return unavailable(method, path, err)
+	}
+	return nil
+}
+
+// call sends body and returns the body of a 2xx reply. Other replies return a StatusError.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	if c.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, unavailable(method, path, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return nil, fmt.Errorf("%s %s: %w", method, path, statusError(resp))
+	}
+	data, err := readReply(resp.Body)
+	if err != nil {
+		return nil, unavailable(method, path, err)
+	}
+	return data, nil
+}
+
+// readReply reads a whole reply. A reply above maxReplyBytes is an error.
+func readReply(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxReplyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxReplyBytes {
+		return nil, fmt.Errorf("reply exceeds %d bytes", maxReplyBytes)
+	}
+	return data, nil
+}
+
+// statusError reads the start of the reply; an unread body would cost the connection.
+func statusError(resp *http.Response) *StatusError {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorReplyBytes))
+	return &StatusError{Code: resp.StatusCode, Body: string(bytes.TrimSpace(body))}
+}
+
+func unavailable(method, path string, err error) error {
+	return fmt.Errorf("%w: %s %s: %w", platform.ErrUnavailable, method, path, err)
+}
--- /dev/null
+++ b/pkg/platform/remote/client.go
@@ -0,0 +1,82 @@
+// Package remote is the HTTP and JSON client of the platform.
+package remote
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// Client calls the platform at one base URL. It is safe for concurrent use.
+//
+// Every transport failure, timeout, 429 and 5xx wraps platform.ErrUnavailable.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var (
+	_ platform.Table   = (*Client)(nil)
+	_ platform.Members = (*Client)(nil)
+)
+
+// New returns a client of the platform at baseURL, such as
+// "http://127.0.0.1:7000". The timeout bounds each call, including the reading
+// of its reply; 0 leaves only the bound of the caller's context.
+func New(baseURL string, timeout time.Duration) *Client {
+	return &Client{
+		base:    strings.TrimRight(baseURL, "/"),
+		timeout: timeout,
+		http:    &http.Client{Transport: newTransport()},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+	var outcome platform.Outcome
+	err := c.callJSON(ctx, http.MethodPost, "/table/commit", txn, &outcome)
+	return outcome, err
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	var rows []platform.Row
+	if err := c.callJSON(ctx, http.MethodPost, "/table/get", getRequest{Keys: keys}, &rows); err != nil {
+		return nil, err
+	}
+	if len(rows) != len(keys) {
+		return nil, fmt.Errorf("%w: get of %d keys returned %d rows", platform.ErrUnavailable, len(keys), len(rows))
+	}
+	return rows, nil
+}
+
+// Scan implements platform.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var rows []platform.Row
+	req := scanRequest{Prefix: prefix, After: after, Limit: limit}
+	err := c.callJSON(ctx, http.MethodPost, "/table/scan", req, &rows)
+	return rows, err
+}
+
+// Members implements platform.Members.
+func (c *Client) Members(ctx context.Context) ([]platform.Member, error) {
+	var members []platform.Member
+	err := c.callJSON(ctx, http.MethodGet, "/members", nil, &members)
+	return members, err
+}
+
+// Objects returns the object store of the same platform. It is a type of its
+// own because Get of platform.Objects and of platform.Table differ.
+func (c *Client) Objects() *ObjectClient {
+	return &ObjectClient{client: c}
+}
--- /dev/null
+++ b/pkg/platform/remote/client_test.go
@@ -0,0 +1,182 @@
+package remote
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+)
+
+const testTimeout = 5 * time.Second
+
+func start(t *testing.T, timeout time.Duration) (*standin.Server, *Client) {
+	t.Helper()
+	server := standin.New()
+	ts := httptest.NewServer(server.Handler())
+	t.Cleanup(ts.Close)
+	client := New(ts.URL+"/", timeout)
+	t.Cleanup(client.Close)
+	return server, client
+}
+
+func insert(id, key string) platform.Txn {
+	return platform.Txn{
+		ID:         id,
+		Conditions: []platform.Condition{{Key: key}},
+		Puts:       []platform.Put{{Key: key, Value: json.RawMessage(`{"n":1}`)}},
+	}
+}
+
+// Guards against a row that changes on its way through commit, get or scan.
+func TestTableRoundTrip(t *testing.T) {
+	_, client := start(t, testTimeout)
+	ctx := context.Background()
+	outcome, err := client.Commit(ctx, insert("t1", "a/1"))
+	assert.NilError(t, err)
+	assert.Assert(t, outcome.Committed)
+	rows, err := client.Get(ctx, "a/2", "a/1")
+	assert.NilError(t, err)
+	want := platform.Row{Key: "a/1", Value: json.RawMessage(`{"n":1}`), Version: outcome.Revision}
+	assert.DeepEqual(t, rows, []platform.Row{{Key: "a/2"}, want})
+	rows, err = client.Scan(ctx, "a/", "", 10)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, rows, []platform.Row{want})
+}
+
+// Guards against a lost reply being reported as a decision, or applied again on resubmission.
+func TestLostReplyIsUnavailableAndResubmits(t *testing.T) {
+	server, client := start(t, testTimeout)
+	ctx := context.Background()
+	assert.NilError(t, server.SetFaults(standin.Faults{LostReplyProbability: 1}))
+	_, err := client.Commit(ctx, insert("t1", "k"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.NilError(t, server.SetFaults(standin.Faults{}))
+	outcome, err := client.Commit(ctx, insert("t1", "k"))
+	assert.NilError(t, err)
+	assert.Assert(t, outcome.Committed)
+	assert.Equal(t, server.Stats().Commits, uint64(1))
+}
+
+// Guards against an outage or an overload being taken for a permanent error.
+func TestUnavailable(t *testing.T) {
+	ctx := context.Background()
+	commit := func(c *Client) error { _, err := c.Commit(ctx, insert("x", "x")); return err }
+	for name, fault := range map[string]standin.Faults{
+		"down":    {TableDown: true},
+		"slow":    {LatencyMs: 300},
+		"limited": {MaxWritesPerSecond: 0.001},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, client := start(t, 100*time.Millisecond)
+			assert.NilError(t, server.SetFaults(fault))
+			first := commit(client)
+			if name == "limited" {
+				assert.NilError(t, first)
+				first = commit(client)
+			}
+			assert.ErrorIs(t, first, platform.ErrUnavailable)
+		})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	assert.ErrorIs(t, commit(New("http://"+addr, testTimeout)), platform.ErrUnavailable)
+}
+
+// Guards against a rejected call being retried for ever as if the platform were down.
+func TestBadRequestIsNotUnavailable(t *testing.T) {
+	_, client := start(t, testTimeout)
+	_, err := client.Commit(context.Background(), platform.Txn{})
+	var status *StatusError
+	assert.Assert(t, errors.As(err, &status))
+	assert.Equal(t, status.Code, http.StatusBadRequest)
+	assert.Assert(t, !errors.Is(err, platform.ErrUnavailable))
+}
+
+// Guards against a truncated reply being taken for a decision.
+func TestBrokenReplyIsUnavailable(t *testing.T) {
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"committed":true,`)
+	}))
+	defer ts.Close()
+	_, err := New(ts.URL, testTimeout).Commit(context.Background(), insert("x", "x"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Guards against object keys with reserved characters being mixed up, and a missing object's error.
+func TestObjects(t *testing.T) {
+	server, client := start(t, testTimeout)
+	ctx := context.Background()
+	objects := client.Objects()
+	assert.NilError(t, objects.Put(ctx, "bills/a b?c/%2F#1", []byte("data")))
+	got, err := objects.Get(ctx, "bills/a b?c/%2F#1")
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "data")
+	_, err = objects.Get(ctx, "bills/none")
+	assert.ErrorIs(t, err, platform.ErrNoObject)
+	assert.NilError(t, server.SetFaults(standin.Faults{ObjectsDown: true}))
+	_, err = objects.Get(ctx, "bills/none")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, platform.ErrNoObject))
+}
+
+// Guards against members that are lost or not reported during an outage as unavailable.
+func TestMembers(t *testing.T) {
+	server, client := start(t, testTimeout)
+	ctx := context.Background()
+	m := platform.Member{ID: "d1", Kind: platform.DaemonMember, Addr: "127.0.0.1:1", State: platform.MemberLive}
+	body, err := json.Marshal(m)
+	assert.NilError(t, err)
+	_, err = client.call(ctx, http.MethodPut, "/members/d1", body)
+	assert.NilError(t, err)
+	members, err := client.Members(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, members, []platform.Member{m})
+	assert.NilError(t, server.SetFaults(standin.Faults{MembersDown: true}))
+	_, err = client.Members(ctx)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Guards against concurrent calls that open a connection each.
+func TestConnectionsAreReused(t *testing.T) {
+	var mu sync.Mutex
+	opened := 0
+	ts := httptest.NewUnstartedServer(standin.New().Handler())
+	ts.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			mu.Lock()
+			opened++
+			mu.Unlock()
+		}
+	}
+	ts.Start()
+	defer ts.Close()
+	client := New(ts.URL, testTimeout)
+	const workers, calls = 16, 50
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for range calls {
+				_, err := client.Get(context.Background(), "k")
+				assert.Check(t, err)
+			}
+		})
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("%d connections for %d calls by %d workers", opened, workers*calls, workers)
+	assert.Assert(t, opened <= 4*workers, "opened %d", opened)
+}
--- /dev/null
+++ b/pkg/platform/remote/objects.go
@@ -0,0 +1,44 @@
+package remote
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// ObjectClient is the object store of a Client.
+type ObjectClient struct {
+	client *Client
+}
+
+var _ platform.Objects = (*ObjectClient)(nil)
+
+// Put implements platform.Objects.
+func (o *ObjectClient) Put(ctx context.Context, key string, data []byte) error {
+	_, err := o.client.call(ctx, http.MethodPut, objectPath(key), data)
+	return err
+}
+
+// Get implements platform.Objects.
+func (o *ObjectClient) Get(ctx context.Context, key string) ([]byte, error) {
+	data, err := o.client.call(ctx, http.MethodGet, objectPath(key), nil)
+	var status *StatusError
+	if errors.As(err, &status) && status.Code == http.StatusNotFound {
+		return nil, fmt.Errorf("%w: %s", platform.ErrNoObject, key)
+	}
+	return data, err
+}
+
+// objectPath escapes each segment of key, so that '?', '%' and '#' are part of the key.
+func objectPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, segment := range segments {
+		segments[i] = url.PathEscape(segment)
+	}
+	return "/objects/" + strings.Join(segments, "/")
+}
