Add the group committer

Cause: bill lines, claims and grants of a daemon share the platform's several hundred writes per second and must stop when the daemon is fenced. Considered: merging the rest of a conflicting batch with new ops (steadily conflicting ops could then delay the others for ever) against a transaction with the rest alone; the second was chosen. A refusal of the table (not unavailable) fails a single op and halves a larger batch, so that one bad op does not block the others; after a lost reply it decides nothing and the same id is submitted again. Change: pkg/commit with Committer, Options and Stats. Finish is an addition: only the committer may write the holder row, and a graceful stop has to set Stopped in it. While conflicts prevent commits, a renewal without ops is sent once RenewInterval has passed. standin/platform gains Local, the table and members without HTTP.

--- /dev/null
+++ b/pkg/commit/batch.go
@@ -0,0 +1,36 @@
+package commit
+
+import (
+	"crypto/rand"
+	"encoding/json"
+
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// batch is one transaction: its ops and the holder row that it writes.
+type batch struct {
+	ops    []Op
+	holder lease.HolderRecord
+}
+
+// txn builds the transaction under a new id. holderVersion is the version that
+// the holder row must have.
+func (b batch) txn(holderVersion uint64) platform.Txn {
+	key := lease.HolderKey(b.holder.Incarnation)
+	value, err := json.Marshal(b.holder)
+	if err != nil {
+		panic(err) // a struct of strings, integers and booleans always encodes
+	}
+	txn := platform.Txn{
+		ID:         rand.Text(),
+		Conditions: []platform.Condition{{Key: key, Version: holderVersion}},
+		Puts:       []platform.Put{{Key: key, Value: value}},
+	}
+	for _, op := range b.ops {
+		txn.Conditions = append(txn.Conditions, op.Conditions...)
+		txn.Puts = append(txn.Puts, op.Puts...)
+		txn.Deletes = append(txn.Deletes, op.Deletes...)
+	}
+	return txn
+}
--- /dev/null
+++ b/pkg/commit/conflicts.go
@@ -0,0 +1,25 @@
+package commit
+
+import "github.com/peppertrail/peppertrail/pkg/platform"
+
+// conflicts are the current rows behind the failed conditions of a transaction, by key.
+type conflicts map[string]platform.Row
+
+func newConflicts(rows []platform.Row) conflicts {
+	c := make(conflicts, len(rows))
+	for _, row := range rows {
+		c[row.Key] = row
+	}
+	return c
+}
+
+// of returns the rows behind the conditions of op.
+func (c conflicts) of(op Op) []platform.Row {
+	var rows []platform.Row
+	for _, cond := range op.Conditions {
+		if row, ok := c[cond.Key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/pkg/commit/fake_table_test.go
@@ -0,0 +1,105 @@
+package commit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+)
+
+// callFault is what happens to one Commit call.
+type callFault int
+
+const (
+	noFault     callFault = iota
+	notReceived           // unavailable before it takes effect
+	replyLost             // unavailable after it took effect
+	refused               // an error that does not wrap platform.ErrUnavailable, without effect
+)
+
+// fakeTable scripts the faults of Commit calls and records what was applied.
+type fakeTable struct {
+	platform.Table
+	before func(txn platform.Txn) callFault // may change rows through Table; nil means noFault
+
+	mu      sync.Mutex
+	txns    []platform.Txn // one per call
+	applied map[string]int // key to the number of committed transactions that put it
+	decided map[string]bool
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{
+		Table:   standin.New().Local(),
+		applied: map[string]int{},
+		decided: map[string]bool{},
+	}
+}
+
+func (f *fakeTable) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+	fault := noFault
+	if f.before != nil {
+		fault = f.before(txn)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.txns = append(f.txns, txn)
+	switch fault {
+	case notReceived:
+		return platform.Outcome{}, fmt.Errorf("%w: not received", platform.ErrUnavailable)
+	case refused:
+		return platform.Outcome{}, fmt.Errorf("refused")
+	}
+	outcome, err := f.Table.Commit(ctx, txn)
+	if err != nil {
+		return outcome, err
+	}
+	if outcome.Committed && !f.decided[txn.ID] {
+		for _, put := range txn.Puts {
+			f.applied[put.Key]++
+		}
+	}
+	f.decided[txn.ID] = true
+	if fault == replyLost {
+		return platform.Outcome{}, fmt.Errorf("%w: reply lost", platform.ErrUnavailable)
+	}
+	return outcome, nil
+}
+
+// write changes a row as another daemon would.
+func (f *fakeTable) write(key, value string) uint64 {
+	outcome, err := f.Table.Commit(context.Background(), platform.Txn{
+		ID:   fmt.Sprintf("other-%s-%s", key, value),
+		Puts: []platform.Put{{Key: key, Value: json.RawMessage(value)}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return outcome.Revision
+}
+
+func (f *fakeTable) row(key string) platform.Row {
+	rows, err := f.Get(context.Background(), key)
+	if err != nil {
+		panic(err)
+	}
+	return rows[0]
+}
+
+func (f *fakeTable) holder() lease.HolderRecord {
+	var record lease.HolderRecord
+	if err := json.Unmarshal(f.row(testHolderKey).Value, &record); err != nil {
+		panic(err)
+	}
+	return record
+}
+
+func (f *fakeTable) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.txns)
+}
--- /dev/null
+++ b/pkg/standin/platform/local.go
@@ -0,0 +1,101 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// Local is the table and the membership list of a Server without HTTP, with
+// the same faults, for tests in one process.
+type Local struct {
+	server *Server
+}
+
+var (
+	_ platform.Table   = (*Local)(nil)
+	_ platform.Members = (*Local)(nil)
+)
+
+// Local returns the table and the membership list for calls in the same process.
+func (s *Server) Local() *Local {
+	return &Local{server: s}
+}
+
+// Commit implements platform.Table.
+func (l *Local) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+	faults, err := l.enter(ctx)
+	if err != nil {
+		return platform.Outcome{}, err
+	}
+	if faults.TableDown {
+		return platform.Outcome{}, errDown()
+	}
+	if !l.server.writes.allow(faults.MaxWritesPerSecond, time.Now()) {
+		l.server.table.countRateLimited()
+		return platform.Outcome{}, fmt.Errorf("%w: too many writes", platform.ErrUnavailable)
+	}
+	outcome, err := l.server.table.commit(txn)
+	if err == nil && rand.Float64() < faults.LostReplyProbability {
+		l.server.table.countLostReply()
+		return platform.Outcome{}, fmt.Errorf("%w: reply lost", platform.ErrUnavailable)
+	}
+	return outcome, err
+}
+
+// Get implements platform.Table.
+func (l *Local) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	faults, err := l.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if faults.TableDown {
+		return nil, errDown()
+	}
+	return l.server.table.get(keys), nil
+}
+
+// Scan implements platform.Table.
+func (l *Local) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	faults, err := l.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if faults.TableDown {
+		return nil, errDown()
+	}
+	return l.server.table.scan(prefix, after, limit)
+}
+
+// Members implements platform.Members.
+func (l *Local) Members(ctx context.Context) ([]platform.Member, error) {
+	faults, err := l.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if faults.MembersDown {
+		return nil, errDown()
+	}
+	return l.server.members.list(faults.lag()), nil
+}
+
+// PutMember adds or replaces a member.
+func (l *Local) PutMember(m platform.Member) { l.server.members.put(m) }
+
+// RemoveMember removes a member.
+func (l *Local) RemoveMember(id string) { l.server.members.remove(id) }
+
+// enter applies the injected latency and returns the faults in force after it.
+func (l *Local) enter(ctx context.Context) (Faults, error) {
+	if err := sleep(ctx, l.server.Faults().delay()); err != nil {
+		return Faults{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return l.server.Faults(), nil
+}
+
+func errDown() error {
+	return fmt.Errorf("%w: service down", platform.ErrUnavailable)
+}
