Add registration of holders and leases of roles

Cause: a daemon needs its holder row before it may commit, and repair must run on one daemon at a time although holders get paused and partitioned. Considered: deleting the row on release (the fencing number would start again at 1) against a row without a holder; the second was chosen. A lease by clocks alone does not stop a holder that is paused between check and write, so Lease.Condition goes into each transaction of the role. Change: Register, Lessor with TableLessor, the pure roleWatch, and Hold, which runs work while the role is held and ends its context when the lease expires without a renewal. The holder counts from before the submission and stops at 3/4 of the TTL; observers count from after the read. An own write whose reply was lost is recognised by holder and fencing number. The backoff moves from commit to the new pkg/platform/retry, since commit imports lease. Conclusion: in these tests a paused or partitioned holder neither acts nor writes after a take-over.

--- a/pkg/commit/committer.go
+++ b/pkg/commit/committer.go
@@ -9,6 +9,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
 	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/platform/retry"
 )
 
 // errUnexplained means that the table reported a conflict in no condition of the transaction.
@@ -216,7 +217,7 @@
 // A rejection after a lost reply does not tell whether the earlier submission
 // took effect, so txn is then submitted again like after any lost reply.
 func (c *Committer) decide(ctx context.Context, txn platform.Txn) (outcome platform.Outcome, rejected, err error) {
-	var delay backoff
+	var delay retry.Backoff
 	inDoubt := false
 	for {
 		outcome, err = c.opt.Table.Commit(ctx, txn)
@@ -230,7 +231,7 @@
 			return outcome, err, nil
 		}
 		inDoubt = true
-		if err := pause(ctx, delay.next()); err != nil {
+		if err := pause(ctx, delay.Next()); err != nil {
 			return outcome, nil, err
 		}
 		c.count(func(s *Stats) { s.Resubmitted++ })
--- a/pkg/commit/committer_test.go
+++ b/pkg/commit/committer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
 	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/platform/retry"
 )
 
 const testHolderKey = lease.HolderPrefix + "d1"
@@ -152,10 +153,10 @@
 		r := f.submit(putOp("k"))
 		f.start()
 		<-r
-		assert.Assert(t, times[1].Sub(times[0]) <= backoffMin)
+		assert.Assert(t, times[1].Sub(times[0]) <= retry.BackoffMin)
 		for i := 1; i < len(times); i++ {
 			gap := times[i].Sub(times[i-1])
-			assert.Assert(t, gap >= backoffMin/2 && gap <= backoffMax, "gap %v", gap)
+			assert.Assert(t, gap >= retry.BackoffMin/2 && gap <= retry.BackoffMax, "gap %v", gap)
 		}
 		f.stop()
 	})
--- /dev/null
+++ b/pkg/lease/rewrite.go
@@ -0,0 +1,73 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// rewriteAttempts allows for one earlier write of this daemon whose reply was lost.
+const rewriteAttempts = 2
+
+// writtenRole is a role row that this daemon wrote.
+type writtenRole struct {
+	record  RoleRecord
+	version uint64
+	begin   time.Time // before the submission
+}
+
+// rewrite replaces the role row of this daemon by change of it. A conflict
+// with a row of the same holder and fencing number stems from an earlier write
+// of this daemon whose reply was lost; rewrite then starts from that row.
+// It returns ErrLost (wrapped) if the row belongs to another daemon.
+func (l *TableLessor) rewrite(ctx context.Context, record RoleRecord, version uint64, change func(RoleRecord) RoleRecord) (writtenRole, error) {
+	for range rewriteAttempts {
+		next := change(record)
+		begin := time.Now()
+		outcome, err := l.put(ctx, next, version)
+		if err != nil {
+			return writtenRole{}, err
+		}
+		if outcome.Committed {
+			return writtenRole{record: next, version: outcome.Revision, begin: begin}, nil
+		}
+		current, row, err := conflictingRole(outcome)
+		if err != nil {
+			return writtenRole{}, err
+		}
+		if current == nil || current.Holder != l.self || current.Fencing != record.Fencing {
+			return writtenRole{}, fmt.Errorf("%w: %s", ErrLost, record.Role)
+		}
+		record, version = *current, row.Version
+	}
+	return writtenRole{}, fmt.Errorf("%w: %s keeps changing", platform.ErrUnavailable, record.Role)
+}
+
+func isLost(err error) bool {
+	return errors.Is(err, ErrLost) || errors.Is(err, ErrBadRow)
+}
+
+func conflictingRole(outcome platform.Outcome) (*RoleRecord, platform.Row, error) {
+	if len(outcome.Conflicts) == 0 {
+		return nil, platform.Row{}, fmt.Errorf("%w: conflict without a row", platform.ErrUnavailable)
+	}
+	row := outcome.Conflicts[0]
+	record, err := decodeRole(row)
+	return record, row, err
+}
+
+// decodeRole returns nil for an absent row and ErrBadRow (wrapped) for one that cannot be decoded.
+func decodeRole(row platform.Row) (*RoleRecord, error) {
+	if row.Version == 0 {
+		return nil, nil
+	}
+	var record RoleRecord
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrBadRow, row.Key, err)
+	}
+	return &record, nil
+}
--- /dev/null
+++ b/pkg/lease/table_lessor_test.go
@@ -0,0 +1,235 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+)
+
+const testRole = "repair"
+
+// faultyTable loses or delays single commits.
+type faultyTable struct {
+	platform.Table
+	loseReply bool            // the next commit takes effect without a reply
+	delay     <-chan struct{} // the next commit waits for it before it takes effect
+}
+
+func (f *faultyTable) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+	if delay := f.delay; delay != nil {
+		f.delay = nil
+		<-delay
+	}
+	outcome, err := f.Table.Commit(ctx, txn)
+	if f.loseReply {
+		f.loseReply = false
+		return platform.Outcome{}, fmt.Errorf("%w: reply lost", platform.ErrUnavailable)
+	}
+	return outcome, err
+}
+
+// write commits a row under the condition of the lease, as a role does.
+func write(t *testing.T, table platform.Table, lease Lease) bool {
+	t.Helper()
+	outcome, err := table.Commit(t.Context(), platform.Txn{
+		ID:         fmt.Sprintf("w-%d-%d", lease.Fencing, lease.Version),
+		Conditions: []platform.Condition{lease.Condition()},
+		Puts:       []platform.Put{{Key: "x", Value: json.RawMessage(`1`)}},
+	})
+	assert.NilError(t, err)
+	return outcome.Committed
+}
+
+// waitFor calls Acquire once per second until it succeeds.
+func waitFor(t *testing.T, l *TableLessor) (Lease, time.Duration) {
+	t.Helper()
+	begin := time.Now()
+	for {
+		lease, err := l.Acquire(t.Context(), testRole)
+		if err == nil {
+			return lease, time.Since(begin)
+		}
+		assert.ErrorIs(t, err, ErrHeld)
+		assert.Assert(t, time.Since(begin) < time.Minute)
+		time.Sleep(time.Second)
+	}
+}
+
+// Guards against two holders at a time, and against a role that moves away from a holder that renews.
+func TestRenewedRoleStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New().Local()
+		a := NewTableLessor(table, "a", testTTL)
+		b := NewTableLessor(table, "b", testTTL)
+		_, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		for range 20 {
+			time.Sleep(5 * time.Second)
+			_, err := a.Renew(t.Context(), testRole)
+			assert.NilError(t, err)
+			_, err = b.Acquire(t.Context(), testRole)
+			assert.ErrorIs(t, err, ErrHeld)
+			_, held := a.Held(testRole)
+			assert.Assert(t, held)
+		}
+	})
+}
+
+// Guards against a holder paused past its lease that still acts, writes or renews.
+func TestHolderPausedPastLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New().Local()
+		a := NewTableLessor(table, "a", testTTL)
+		b := NewTableLessor(table, "b", testTTL)
+		first, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		assert.Assert(t, write(t, table, first))
+
+		second, waited := waitFor(t, b) // a is paused
+		assert.Assert(t, waited >= testTTL && waited < testTTL+2*time.Second, "%v", waited)
+		assert.Assert(t, second.Fencing > first.Fencing)
+
+		_, held := a.Held(testRole)
+		assert.Assert(t, !held)
+		assert.Assert(t, !write(t, table, Lease{Role: testRole, Fencing: first.Fencing + 100, Version: first.Version}))
+		_, err = a.Renew(t.Context(), testRole)
+		assert.ErrorIs(t, err, ErrLost)
+		_, err = a.Renew(t.Context(), testRole)
+		assert.ErrorIs(t, err, ErrNotHeld)
+		assert.Assert(t, write(t, table, second))
+	})
+}
+
+// Guards against a lease that lasts, on the holder's clock, until another daemon may take it.
+func TestLeaseExpiresBeforeTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New().Local()
+		a := NewTableLessor(table, "a", testTTL)
+		b := NewTableLessor(table, "b", testTTL)
+		lease, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		_, err = b.Acquire(t.Context(), testRole)
+		assert.ErrorIs(t, err, ErrHeld)
+		time.Sleep(time.Until(lease.Expires))
+		_, held := a.Held(testRole)
+		assert.Assert(t, !held)
+		_, err = b.Acquire(t.Context(), testRole)
+		assert.ErrorIs(t, err, ErrHeld)
+	})
+}
+
+// Guards against a renewal that was under way during the pause and takes the role back.
+func TestDelayedRenewalAfterTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := standin.New().Local()
+		delayed := make(chan struct{})
+		tableOfA := &faultyTable{Table: shared}
+		a := NewTableLessor(tableOfA, "a", testTTL)
+		b := NewTableLessor(shared, "b", testTTL)
+		_, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		tableOfA.delay = delayed
+		result := make(chan error, 1)
+		go func() {
+			_, err := a.Renew(t.Context(), testRole)
+			result <- err
+		}()
+		lease, _ := waitFor(t, b)
+		close(delayed)
+		assert.ErrorIs(t, <-result, ErrLost)
+		assert.Assert(t, write(t, shared, lease))
+	})
+}
+
+// Guards against a holder that loses its role because the reply to a renewal was lost.
+func TestLostReplyOfRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &faultyTable{Table: standin.New().Local()}
+		a := NewTableLessor(table, "a", testTTL)
+		first, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		table.loseReply = true
+		_, err = a.Renew(t.Context(), testRole)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		_, held := a.Held(testRole)
+		assert.Assert(t, held)
+		second, err := a.Renew(t.Context(), testRole)
+		assert.NilError(t, err)
+		assert.Equal(t, second.Fencing, first.Fencing)
+		assert.Assert(t, write(t, table, second))
+	})
+}
+
+// Guards against a daemon that waits for a TTL on itself after a lost reply to Acquire.
+func TestLostReplyOfAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &faultyTable{Table: standin.New().Local(), loseReply: true}
+		a := NewTableLessor(table, "a", testTTL)
+		_, err := a.Acquire(t.Context(), testRole)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		_, held := a.Held(testRole)
+		assert.Assert(t, !held)
+		lease, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		assert.Equal(t, lease.Fencing, uint64(2))
+	})
+}
+
+// Guards against a released role that is not free at once or whose fencing starts again.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New().Local()
+		a := NewTableLessor(table, "a", testTTL)
+		b := NewTableLessor(table, "b", testTTL)
+		first, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		_, err = b.Acquire(t.Context(), testRole)
+		assert.ErrorIs(t, err, ErrHeld)
+		assert.NilError(t, a.Release(t.Context(), testRole))
+		_, held := a.Held(testRole)
+		assert.Assert(t, !held)
+		second, err := b.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		assert.Assert(t, second.Fencing > first.Fencing)
+		assert.ErrorIs(t, a.Release(t.Context(), testRole), ErrNotHeld)
+	})
+}
+
+// Guards against an outage that ends the role although no other daemon could take it.
+func TestRenewAfterExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.New()
+		a := NewTableLessor(server.Local(), "a", testTTL)
+		first, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		assert.NilError(t, server.SetFaults(standin.Faults{TableDown: true}))
+		time.Sleep(2 * testTTL)
+		_, err = a.Renew(t.Context(), testRole)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		_, held := a.Held(testRole)
+		assert.Assert(t, !held)
+		assert.NilError(t, server.SetFaults(standin.Faults{}))
+		second, err := a.Acquire(t.Context(), testRole)
+		assert.NilError(t, err)
+		assert.Equal(t, second.Fencing, first.Fencing)
+		_, held = a.Held(testRole)
+		assert.Assert(t, held)
+	})
+}
+
+// Guards against a role whose fencing number starts again because its row is damaged.
+func TestBadRowIsNotTaken(t *testing.T) {
+	table := standin.New().Local()
+	_, err := table.Commit(t.Context(), platform.Txn{ID: "bad", Puts: []platform.Put{{Key: RoleKey(testRole), Value: json.RawMessage(`"x"`)}}})
+	assert.NilError(t, err)
+	_, err = NewTableLessor(table, "a", testTTL).Acquire(t.Context(), testRole)
+	assert.ErrorIs(t, err, ErrBadRow)
+}
