Add the view of live daemons and the home of a budget

Cause: each daemon has to find the home of a budget, and peers that are dead, fenced or unreachable must not delay requests. Considered: ageing rows by the clock alone. In an outage of the table no daemon can renew, so every daemon would drop all peers and open direct grants for all budgets. Rows therefore age only between successful scans and relative to this daemon's own row. Hashing the incarnation (a restart moves budgets twice) against hashing the address; the second was chosen. Change: pkg/cluster with the pure tracker and rank, and View, which polls. Of several rows with one address the one written last counts. Conclusion: in these tests removing a daemon moves only its own budgets.

--- /dev/null
+++ b/pkg/cluster/rendezvous_test.go
@@ -0,0 +1,67 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func testPeers(n int) []Peer {
+	peers := make([]Peer, 0, n)
+	for i := range n {
+		peers = append(peers, Peer{Incarnation: fmt.Sprintf("d%d", i), Addr: fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250), Region: "r"})
+	}
+	return peers
+}
+
+// Guards against budgets that move between daemons that stay, or a fallback order that changes with the set.
+func TestRemovalMovesOnlyOwnBudgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := testPeers(rapid.IntRange(1, 40).Draw(t, "daemons"))
+		gone := rapid.IntRange(0, len(peers)-1).Draw(t, "gone")
+		budget := rapid.String().Draw(t, "budget")
+		before := rank(budget, peers)
+		want := slices.DeleteFunc(before, func(p Peer) bool { return p == peers[gone] })
+		got := rank(budget, slices.Delete(slices.Clone(peers), gone, gone+1))
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// Guards against a home that depends on the order in which a daemon learnt of its peers.
+func TestRankIgnoresInputOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := testPeers(20)
+		shuffled := rapid.Permutation(peers).Draw(t, "order")
+		budget := rapid.String().Draw(t, "budget")
+		if !slices.Equal(rank(budget, peers), rank(budget, shuffled)) {
+			t.Fatal("order differs")
+		}
+	})
+}
+
+// Guards against a daemon that is home of far more budgets than the mean, with ids that differ in few characters.
+func TestBudgetsSpreadEvenly(t *testing.T) {
+	const daemons, perDaemon = 40, 200
+	peers := testPeers(daemons)
+	homes := map[string]int{}
+	for i := range daemons * perDaemon {
+		homes[rank(fmt.Sprintf("budget-%06d", i), peers)[0].Addr]++
+	}
+	for _, p := range peers {
+		n := homes[p.Addr]
+		// 200 plus or minus 5 standard deviations of 14.
+		assert.Assert(t, n > 130 && n < 270, "%s is home of %d", p.Addr, n)
+	}
+}
+
+func BenchmarkRank170(b *testing.B) {
+	peers := testPeers(170)
+	for b.Loop() {
+		rank("budget-000001", peers)
+	}
+}
--- /dev/null
+++ b/pkg/cluster/view.go
@@ -0,0 +1,165 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	// scanPage is the number of rows per scan call.
+	scanPage = 500
+	// maxGapIntervals is the part of a longer gap between scans that counts, in intervals.
+	maxGapIntervals = 2
+)
+
+// View is the set of live daemons as this daemon sees them. It is safe for
+// concurrent use. While the table is unavailable it keeps the last set.
+type View struct {
+	opt         Options
+	unreachable unreachable
+
+	scan    sync.Mutex // held during Poll
+	tracker tracker    // guarded by scan
+
+	mu    sync.RWMutex
+	peers []Peer // live by the table, not modified after it was set
+	last  time.Time
+}
+
+// NewView returns a view that contains only this daemon until the first scan.
+func NewView(opt Options) *View {
+	opt = opt.withDefaults()
+	v := &View{
+		opt:         opt,
+		unreachable: unreachable{duration: opt.Ignore, until: map[string]time.Time{}},
+		tracker: tracker{
+			self:   opt.Self.Incarnation,
+			ttl:    opt.TTL,
+			maxGap: maxGapIntervals * opt.Interval,
+		},
+	}
+	v.peers = v.withSelf(nil)
+	return v
+}
+
+// Run scans the holder rows once per interval until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	ticker := time.NewTicker(v.opt.Interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		_ = v.Poll(ctx) // the last set stays; LastScan shows its age
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Poll scans the holder rows once. It returns the error of the table, which
+// leaves the view as it was.
+func (v *View) Poll(ctx context.Context) error {
+	v.scan.Lock()
+	defer v.scan.Unlock()
+	rows, err := v.scanAll(ctx)
+	if err != nil {
+		return fmt.Errorf("scan holder rows: %w", err)
+	}
+	now := time.Now()
+	v.tracker.observe(v.decode(rows), now)
+	peers := v.withSelf(v.tracker.live())
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.peers = peers
+	v.last = now
+	return nil
+}
+
+// LastScan returns when the last successful scan ended, zero before the first.
+func (v *View) LastScan() time.Time {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.last
+}
+
+// Unreachable leaves a peer that this daemon just failed to reach out of the
+// view for Options.Ignore. This daemon itself is never left out.
+func (v *View) Unreachable(incarnation string) {
+	if incarnation == v.opt.Self.Incarnation {
+		return
+	}
+	v.unreachable.add(incarnation, time.Now())
+}
+
+// Peers returns the live daemons of all regions, this one included, without the unreachable ones.
+func (v *View) Peers() []Peer {
+	v.mu.RLock()
+	peers := v.peers
+	v.mu.RUnlock()
+	return v.unreachable.without(peers, time.Now())
+}
+
+// Home returns the live daemons of the region in the order in which they are
+// the home of the budget: the first is the home, the next takes over if it
+// cannot be reached. The result is empty if the region has no live daemon.
+func (v *View) Home(budget, region string) []Peer {
+	peers := slices.DeleteFunc(v.Peers(), func(p Peer) bool { return p.Region != region })
+	return rank(budget, peers)
+}
+
+func (v *View) scanAll(ctx context.Context) ([]platform.Row, error) {
+	var all []platform.Row
+	after := ""
+	for {
+		rows, err := v.opt.Table.Scan(ctx, lease.HolderPrefix, after, scanPage)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < scanPage {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (v *View) decode(rows []platform.Row) []holderRow {
+	decoded := make([]holderRow, 0, len(rows))
+	for _, row := range rows {
+		var record lease.HolderRecord
+		err := json.Unmarshal(row.Value, &record)
+		if err == nil && lease.HolderKey(record.Incarnation) != row.Key {
+			err = fmt.Errorf("row names incarnation %q", record.Incarnation)
+		}
+		if err != nil {
+			v.opt.OnBadRow(row.Key, err)
+			continue
+		}
+		decoded = append(decoded, holderRow{version: row.Version, record: record})
+	}
+	return decoded
+}
+
+// withSelf replaces what the table says of this daemon's address by this daemon.
+func (v *View) withSelf(peers []Peer) []Peer {
+	self := peerOf(v.opt.Self)
+	if self.Incarnation == "" {
+		return peers
+	}
+	for i, p := range peers {
+		if p.Incarnation == self.Incarnation {
+			return peers
+		}
+		if p.Addr == self.Addr {
+			peers[i] = self
+			return peers
+		}
+	}
+	return append(peers, self)
+}
--- /dev/null
+++ b/pkg/cluster/view_test.go
@@ -0,0 +1,128 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+)
+
+func record(i int, region string) lease.HolderRecord {
+	return lease.HolderRecord{Incarnation: fmt.Sprintf("d%04d", i), PeerAddr: fmt.Sprintf("addr-%04d", i), Region: region}
+}
+
+func register(t *testing.T, table platform.Table, r lease.HolderRecord) {
+	t.Helper()
+	_, err := lease.Register(t.Context(), table, r)
+	assert.NilError(t, err)
+}
+
+// Guards against rows beyond the first page being left out, and budgets with a home in another region.
+func TestViewOfManyDaemons(t *testing.T) {
+	table := standin.New().Local()
+	const daemons = scanPage + 20
+	for i := range daemons {
+		register(t, table, record(i, []string{"east", "west"}[i%2]))
+	}
+	v := NewView(Options{Table: table, Self: record(0, "east")})
+	assert.NilError(t, v.Poll(t.Context()))
+	assert.Equal(t, len(v.Peers()), daemons)
+	homes := v.Home("budget", "west")
+	assert.Equal(t, len(homes), daemons/2)
+	for _, p := range homes {
+		assert.Equal(t, p.Region, "west")
+	}
+	assert.Equal(t, len(v.Home("budget", "north")), 0)
+}
+
+// Guards against two daemons that see the same rows and disagree about a home.
+func TestDaemonsAgree(t *testing.T) {
+	table := standin.New().Local()
+	var views []*View
+	for i := range 5 {
+		register(t, table, record(i, "east"))
+		views = append(views, NewView(Options{Table: table, Self: record(i, "east")}))
+	}
+	for _, v := range views {
+		assert.NilError(t, v.Poll(t.Context()))
+	}
+	for b := range 50 {
+		budget := fmt.Sprintf("b%d", b)
+		for _, v := range views[1:] {
+			assert.DeepEqual(t, v.Home(budget, "east"), views[0].Home(budget, "east"))
+		}
+	}
+}
+
+// Guards against requests that wait for a peer that this daemon just failed to reach, and one ignored for ever.
+func TestUnreachablePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New().Local()
+		register(t, table, record(0, "east"))
+		register(t, table, record(1, "east"))
+		v := NewView(Options{Table: table, Self: record(0, "east")})
+		assert.NilError(t, v.Poll(t.Context()))
+		v.Unreachable("d0001")
+		v.Unreachable("d0000") // itself
+		assert.DeepEqual(t, v.Peers(), []Peer{peerOf(record(0, "east"))})
+		time.Sleep(DefaultIgnore)
+		assert.Equal(t, len(v.Peers()), 2)
+	})
+}
+
+// Guards against a view that shrinks while the table is down, and a loop that ends with the first error.
+func TestRunThroughOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.New()
+		table := server.Local()
+		register(t, table, record(0, "east"))
+		register(t, table, record(1, "east"))
+		v := NewView(Options{Table: table, Self: record(0, "east")})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go v.Run(ctx)
+		synctest.Wait()
+		assert.Equal(t, len(v.Peers()), 2)
+		assert.NilError(t, server.SetFaults(standin.Faults{TableDown: true}))
+		time.Sleep(time.Hour)
+		assert.Equal(t, len(v.Peers()), 2)
+		assert.Assert(t, time.Since(v.LastScan()) >= time.Hour)
+		assert.NilError(t, server.SetFaults(standin.Faults{}))
+		register(t, table, record(2, "east"))
+		time.Sleep(DefaultInterval)
+		synctest.Wait() // the scan is due at the same instant
+		assert.Equal(t, len(v.Peers()), 3)
+	})
+}
+
+// Guards against one damaged row that hides the others.
+func TestBadRowIsSkipped(t *testing.T) {
+	table := standin.New().Local()
+	register(t, table, record(1, "east"))
+	_, err := table.Commit(t.Context(), platform.Txn{ID: "bad", Puts: []platform.Put{
+		{Key: lease.HolderKey("x"), Value: json.RawMessage(`"x"`)},
+		{Key: lease.HolderKey("y"), Value: json.RawMessage(`{"incarnation":"z"}`)},
+	}})
+	assert.NilError(t, err)
+	var bad []string
+	v := NewView(Options{Table: table, OnBadRow: func(key string, _ error) { bad = append(bad, key) }})
+	assert.NilError(t, v.Poll(t.Context()))
+	assert.Equal(t, len(v.Peers()), 1)
+	assert.DeepEqual(t, bad, []string{lease.HolderKey("x"), lease.HolderKey("y")})
+}
+
+// Guards against a daemon that does not see itself before the first scan or while its row is missing.
+func TestSelfIsAlwaysLive(t *testing.T) {
+	v := NewView(Options{Table: standin.New().Local(), Self: record(0, "east")})
+	assert.Equal(t, len(v.Home("b", "east")), 1)
+	assert.NilError(t, v.Poll(t.Context()))
+	assert.Equal(t, len(v.Home("b", "east")), 1)
+}
