Add the model engine stand-in

Cause: routing, resume, cancel and crash handling need a target that speaks the engines' protocol and keeps a record that tests can judge by.

Considered: one goroutine per stream with its own timer, and one generator for all streams. The generator matches continuous batching (all streams advance in the same step) and needs one timer however many streams run.

A repeated stream id is refused with code `stream_exists`, also after the stream was forgotten.

--- /dev/null
+++ b/pkg/standin/engine/cache.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"container/list"
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// BlockTokens is the number of prompt tokens in one cache block.
+const BlockTokens = 16
+
+const (
+	blockBytes    = BlockTokens * bytesPerToken
+	blockHashSize = 16 // hexadecimal digits of a block hash
+)
+
+// cache is the prefix cache: an LRU of prompt blocks, each identified by a
+// hash of the prompt up to its end.
+type cache struct {
+	limit  int
+	order  *list.List // of string, most recently used first
+	blocks map[string]*list.Element
+	log    *cacheLog
+}
+
+// newCache returns an empty cache of limit blocks that reports to log.
+func newCache(limit int, log *cacheLog) *cache {
+	return &cache{limit: limit, order: list.New(), blocks: make(map[string]*list.Element), log: log}
+}
+
+// use looks up the whole blocks of a prompt, stores the missing ones and
+// returns the number of prompt tokens that the longest cached prefix covers.
+func (c *cache) use(prompt string) int {
+	hashes := blockHashes(prompt)
+	hit := 0
+	for hit < len(hashes) && c.touch(hashes[hit]) {
+		hit++
+	}
+	for _, h := range hashes[hit:] {
+		c.store(h)
+	}
+	return hit * BlockTokens
+}
+
+// touch marks a block as used and reports whether it is cached.
+func (c *cache) touch(hash string) bool {
+	element, ok := c.blocks[hash]
+	if ok {
+		c.order.MoveToFront(element)
+	}
+	return ok
+}
+
+// store adds a block and evicts the least recently used one beyond the limit.
+func (c *cache) store(hash string) {
+	if c.touch(hash) {
+		return
+	}
+	c.blocks[hash] = c.order.PushFront(hash)
+	c.log.add(BlockStored, hash)
+	if c.order.Len() <= c.limit {
+		return
+	}
+	oldest := c.order.Remove(c.order.Back()).(string)
+	delete(c.blocks, oldest)
+	c.log.add(BlockRemoved, oldest)
+}
+
+// blockHashes returns the hash of each whole-block prefix of a prompt.
+func blockHashes(prompt string) []string {
+	h := sha256.New()
+	var hashes []string
+	for ; len(prompt) >= blockBytes; prompt = prompt[blockBytes:] {
+		h.Write([]byte(prompt[:blockBytes]))
+		hashes = append(hashes, hex.EncodeToString(h.Sum(nil))[:blockHashSize])
+	}
+	return hashes
+}
--- /dev/null
+++ b/pkg/standin/engine/cachelog.go
@@ -0,0 +1,39 @@
+package engine
+
+import "time"
+
+// cacheLogSize is the number of events kept; a reader that is further behind sees a gap.
+const cacheLogSize = 4096
+
+// cacheLog keeps the latest cache events.
+type cacheLog struct {
+	lag    time.Duration
+	gap    int // every gap-th event is lost; 0: none
+	now    func() time.Time
+	seq    int
+	events []CacheEvent
+}
+
+// add records an event unless it is one that gets lost.
+func (l *cacheLog) add(change BlockChange, block string) {
+	l.seq++
+	if l.gap > 0 && l.seq%l.gap == 0 {
+		return
+	}
+	if len(l.events) == cacheLogSize {
+		l.events = append(l.events[:0], l.events[cacheLogSize/2:]...)
+	}
+	l.events = append(l.events, CacheEvent{Seq: l.seq, Type: change, Block: block, At: l.now()})
+}
+
+// after returns the published events with a sequence number above seq.
+func (l *cacheLog) after(seq int) CacheEvents {
+	published := l.now().Add(-l.lag)
+	found := CacheEvents{Events: []CacheEvent{}}
+	for _, e := range l.events {
+		if e.Seq > seq && !e.At.After(published) {
+			found.Events = append(found.Events, e)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/pkg/standin/engine/chunk.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"strconv"
+	"strings"
+)
+
+// doneMarker ends every complete stream.
+const doneMarker = "[DONE]"
+
+// chunks renders the events of one stream. The text depends only on the stream
+// id and the prompt; "created" is 0 so that the bytes do too.
+type chunks struct {
+	seed   uint64
+	digest string
+	prefix []byte // JSON up to the choices
+}
+
+// newChunks returns the renderer of a stream.
+func newChunks(stream string, p Prompt) chunks {
+	sum := sha256.Sum256([]byte(stream + "\x00" + p.Digest))
+	id, _ := json.Marshal(stream) // a string always encodes
+	model, _ := json.Marshal(p.Model)
+	prefix := `{"id":` + string(id) + `,"object":"chat.completion.chunk","created":0,"model":` + string(model) + `,"choices":[{"index":0,"delta":`
+	return chunks{seed: binary.BigEndian.Uint64(sum[:]), digest: p.Digest, prefix: []byte(prefix)}
+}
+
+// token returns the text of token i. Token 0 is the prompt digest.
+func (c chunks) token(i int) string {
+	if i == 0 {
+		return c.digest
+	}
+	const tokenBits = 24
+	return " " + strconv.FormatUint(mix(c.seed+uint64(i))>>(64-tokenBits), 16)
+}
+
+// appendToken appends the event of token i to buf.
+func (c chunks) appendToken(buf []byte, i int) []byte {
+	buf = c.begin(buf, i)
+	if i == 0 {
+		buf = append(buf, `{"role":"assistant","content":"`...)
+	} else {
+		buf = append(buf, `{"content":"`...)
+	}
+	buf = append(buf, c.token(i)...)
+	return append(buf, "\"},\"finish_reason\":null}]}\n\n"...)
+}
+
+// appendUsage appends the last chunk, with the usage, as event i.
+func (c chunks) appendUsage(buf []byte, i int, reason string, u Usage) []byte {
+	buf = c.begin(buf, i)
+	buf = append(buf, `{},"finish_reason":"`+reason+`"}],"usage":`...)
+	usage, _ := json.Marshal(u) // integers always encode
+	buf = append(buf, usage...)
+	return append(buf, "}\n\n"...)
+}
+
+// appendDone appends the done marker as event i.
+func appendDone(buf []byte, i int) []byte {
+	buf = appendID(buf, i)
+	return append(buf, "data: "+doneMarker+"\n\n"...)
+}
+
+// begin appends the start of event i up to the delta.
+func (c chunks) begin(buf []byte, i int) []byte {
+	buf = appendID(buf, i)
+	buf = append(buf, "data: "...)
+	return append(buf, c.prefix...)
+}
+
+// appendID appends the id line of event i.
+func appendID(buf []byte, i int) []byte {
+	buf = append(buf, "id: "...)
+	buf = strconv.AppendInt(buf, int64(i), 10)
+	return append(buf, '\n')
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Text returns the whole answer to a request body on a stream, for tests that
+// check whose answer they received.
+func Text(stream string, data []byte) (string, error) {
+	p, err := ParsePrompt(data)
+	if err != nil {
+		return "", err
+	}
+	c := newChunks(stream, p)
+	var text strings.Builder
+	for i := range p.Answer {
+		text.WriteString(c.token(i))
+	}
+	return text.String(), nil
+}
--- /dev/null
+++ b/pkg/standin/engine/engine.go
@@ -0,0 +1,235 @@
+// Package engine is a stand-in of a model engine with continuous batching: it
+// answers chat completions with deterministic text as server-sent events.
+package engine
+
+import (
+	"container/heap"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/journal"
+)
+
+// Engine is a running stand-in. One goroutine generates tokens; handlers and
+// that goroutine share the state below under mu.
+type Engine struct {
+	options Options
+	file    *journal.File
+	log     log.Logger
+	epoch   time.Time     // start of decoding step 0
+	wake    chan struct{} // tells the generator about new work
+	stop    chan struct{}
+	stopped chan struct{}
+
+	mu       sync.Mutex
+	idle     *sync.Cond // signalled when a stream ends
+	arrivals uint64
+	fencing  uint64
+	draining bool
+	crashing bool
+	queue    queue
+	running  []*stream
+	kvTokens int                // tokens held by running streams
+	streams  map[string]*stream // streams that can be resumed
+	ended    []*stream          // ended streams in streams, oldest first
+	history  []*stream          // every accepted stream, for the journal
+	used     map[string]bool    // every stream id ever accepted
+	cache    *cache
+	cacheLog *cacheLog
+	reports  reportLog
+}
+
+// New starts an engine. Close ends it.
+func New(o Options) (*Engine, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	file, err := journal.Open(o.Journal)
+	if err != nil {
+		return nil, err
+	}
+	if o.Exit == nil {
+		o.Exit = os.Exit
+	}
+	events := &cacheLog{lag: o.CacheLag, gap: o.CacheGap, now: time.Now}
+	e := &Engine{
+		options: o,
+		file:    file,
+		log:     log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}},
+		epoch:   time.Now(),
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+		streams: make(map[string]*stream),
+		used:    make(map[string]bool),
+		cache:   newCache(o.CacheBlocks, events), cacheLog: events,
+		reports: reportLog{lag: o.ReportLag},
+	}
+	e.idle = sync.NewCond(&e.mu)
+	e.reports.add(e.epoch, e.report(e.epoch))
+	go e.generate()
+	return e, nil
+}
+
+// Close stops the generator and closes the journal. Streams do not go on.
+func (e *Engine) Close() error {
+	close(e.stop)
+	<-e.stopped
+	return e.file.Close()
+}
+
+// Drain refuses new streams from now on.
+func (e *Engine) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+	e.changed(time.Now())
+}
+
+// Wait returns once no stream is queued or running.
+func (e *Engine) Wait() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.queue)+len(e.running) > 0 {
+		e.idle.Wait()
+	}
+}
+
+// submit accepts a stream or returns a *refusal.
+func (e *Engine) submit(id string, p Prompt, priority int, fencing uint64) (*stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if err := e.admissible(id, fencing, now); err != nil {
+		return nil, err
+	}
+	e.arrivals++
+	s := &stream{
+		id: id, prompt: p, priority: priority, fencing: fencing, arrival: e.arrivals,
+		crash:    e.options.CrashMarker != "" && strings.Contains(p.Text, e.options.CrashMarker),
+		accepted: now, chunks: newChunks(id, p), outcome: Queued,
+	}
+	e.used[id] = true
+	e.streams[id] = s
+	e.history = append(e.history, s)
+	heap.Push(&e.queue, s)
+	e.admit(now)
+	e.changed(now)
+	e.poke()
+	return s, nil
+}
+
+// admissible checks a new stream against the state of the engine and records
+// its fencing number.
+func (e *Engine) admissible(id string, fencing uint64, now time.Time) error {
+	if e.options.CheckFencing && fencing < e.fencing {
+		return errStale
+	}
+	e.fencing = max(e.fencing, fencing)
+	switch {
+	case e.used[id]:
+		return errRepeated
+	case e.draining:
+		return errDraining
+	case e.loading(now):
+		return errLoading
+	case e.options.MaxQueue > 0 && len(e.queue) >= e.options.MaxQueue && len(e.running) >= e.options.Slots:
+		return errBusy
+	}
+	return nil
+}
+
+// loading reports whether the engine is still loading its model.
+func (e *Engine) loading(now time.Time) bool {
+	return now.Sub(e.epoch) < e.options.LoadTime
+}
+
+// find returns a stream that can be resumed, or nil.
+func (e *Engine) find(id string) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire(time.Now())
+	return e.streams[id]
+}
+
+// expire forgets the streams that ended longer than Keep ago.
+func (e *Engine) expire(now time.Time) {
+	for len(e.ended) > 0 && now.Sub(e.ended[0].ended) > e.options.Keep {
+		delete(e.streams, e.ended[0].id)
+		e.ended = e.ended[1:]
+	}
+}
+
+// cancel ends a stream if it has not ended and returns its usage.
+func (e *Engine) cancel(s *stream) Usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.endFinished(e.step(now), now)
+	switch s.outcome {
+	case Queued:
+		heap.Remove(&e.queue, s.heapIndex)
+		e.end(s, Cancelled, now)
+	case Running:
+		e.release(s)
+		e.end(s, Cancelled, now)
+	}
+	e.admit(now)
+	e.changed(now)
+	e.poke()
+	return s.usage()
+}
+
+// changed records the report of the state at now.
+func (e *Engine) changed(now time.Time) {
+	e.reports.add(now, e.report(now))
+}
+
+// report returns the state at now.
+func (e *Engine) report(now time.Time) Report {
+	r := Report{
+		State:      Serving,
+		SlotsTotal: e.options.Slots,
+		SlotsBusy:  len(e.running),
+		QueueDepth: len(e.queue),
+		KVUsed:     min(1, float64(e.kvTokens)/float64(e.options.CacheBlocks*BlockTokens)),
+		Fencing:    e.fencing,
+	}
+	if e.loading(now) {
+		r.State = Loading
+	}
+	if e.draining {
+		r.State = Draining
+	}
+	return r
+}
+
+// lateReport returns the state ReportLag ago.
+func (e *Engine) lateReport() Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.changed(now)
+	return e.reports.late(now)
+}
+
+// journalStream appends the record of a stream to the journal file.
+func (e *Engine) journalStream(s *stream) {
+	s.journaled = s.generated
+	if err := e.file.Append(s.record()); err != nil {
+		e.log.Error().Err(err).Msg(fmt.Sprintf("engine: stream %s is missing from the journal", s.id))
+	}
+}
+
+// poke wakes the generator.
+func (e *Engine) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/standin/engine/prompt.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+const (
+	bytesPerToken    = 4  // prompt bytes that count as one token
+	tokensPerMessage = 3  // overhead of the chat template per message
+	defaultTokens    = 32 // answer length if the request gives no larger limit or hint
+	digestHex        = 16 // hexadecimal digits of a prompt digest
+)
+
+// Prompt is what the engine uses of a request body.
+type Prompt struct {
+	Model     string
+	Text      string // contents of all messages, in order
+	Digest    string // digest of roles and contents
+	Tokens    int    // prompt tokens
+	MaxTokens int    // output limit of the request; 0: none
+	Answer    int    // completion tokens that the answer has
+}
+
+// body is the request in the OpenAI form, as far as it is used.
+type body struct {
+	Model               string    `json:"model"`
+	Messages            []message `json:"messages"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	XTokens             hint      `json:"x_tokens"`
+	Metadata            struct {
+		XTokens hint `json:"x_tokens"`
+	} `json:"metadata"`
+}
+
+// ParsePrompt reads a request body in the OpenAI form.
+func ParsePrompt(data []byte) (Prompt, error) {
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return Prompt{}, fmt.Errorf("decode request: %w", err)
+	}
+	if len(b.Messages) == 0 {
+		return Prompt{}, errors.New("request has no messages")
+	}
+	p := Prompt{Model: b.Model, MaxTokens: b.limit()}
+	p.Text, p.Digest = digest(b.Messages)
+	p.Tokens = (len(p.Text)+bytesPerToken-1)/bytesPerToken + tokensPerMessage*len(b.Messages)
+	p.Answer = b.answer()
+	return p, nil
+}
+
+// limit returns the output limit under either of its names.
+func (b body) limit() int {
+	return max(b.MaxTokens, b.MaxCompletionTokens, 0)
+}
+
+// answer returns the length of the answer. The hint takes precedence over the
+// output limit, so that tests can make an engine exceed the limit.
+func (b body) answer() int {
+	if h := max(b.Metadata.XTokens, b.XTokens); h > 0 {
+		return int(h)
+	}
+	if limit := b.limit(); limit > 0 {
+		return min(limit, defaultTokens)
+	}
+	return defaultTokens
+}
+
+// digest joins the contents of messages and hashes roles and contents, each
+// ended by a zero byte.
+func digest(messages []message) (text, sum string) {
+	var joined strings.Builder
+	h := sha256.New()
+	for _, m := range messages {
+		joined.WriteString(string(m.Content))
+		h.Write([]byte(m.Role + "\x00" + string(m.Content) + "\x00"))
+	}
+	return joined.String(), hex.EncodeToString(h.Sum(nil))[:digestHex]
+}
--- /dev/null
+++ b/pkg/standin/engine/reader.go
@@ -0,0 +1,51 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+)
+
+// subscribe registers a reader of a stream for wake-ups.
+func (e *Engine) subscribe(s *stream) chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ready := make(chan struct{}, 1)
+	s.readers = append(s.readers, ready)
+	return ready
+}
+
+// unsubscribe removes a reader. The stream goes on without it.
+func (e *Engine) unsubscribe(s *stream, ready chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.readers = slices.DeleteFunc(s.readers, func(r chan struct{}) bool { return r == ready })
+}
+
+// follow sends the events of a stream from index from until it ends or the
+// client goes. A cancelled stream ends without the done marker.
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, s *stream, from int) {
+	ready := e.subscribe(s)
+	defer e.unsubscribe(s, ready)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set(headerStream, s.id)
+	w.WriteHeader(http.StatusOK)
+	out := http.NewResponseController(w)
+	var buf []byte
+	for last := false; !last; {
+		e.mu.Lock()
+		buf, from, last = s.render(buf[:0], from)
+		e.mu.Unlock()
+		if _, err := w.Write(buf); err != nil {
+			return
+		}
+		if out.Flush() != nil || last {
+			return
+		}
+		select {
+		case <-ready:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standin/engine/report.go
@@ -0,0 +1,61 @@
+package engine
+
+import "time"
+
+// State is the state of an engine in its JSON report.
+type State string
+
+// States of an engine.
+const (
+	Loading  State = "LOADING"
+	Serving  State = "SERVING"
+	Draining State = "DRAINING"
+)
+
+// Report is the answer to GET /status of kind jsonstatus.
+type Report struct {
+	State      State   `json:"state"`
+	SlotsTotal int     `json:"slots_total"`
+	SlotsBusy  int     `json:"slots_busy"`
+	QueueDepth int     `json:"queue_depth"`
+	KVUsed     float64 `json:"kv_used"` // share of the KV cache held by running streams, 0 to 1
+	Fencing    uint64  `json:"fencing"` // highest fencing number seen
+}
+
+// timedReport is a report and the time from which it held.
+type timedReport struct {
+	at     time.Time
+	report Report
+}
+
+// reportLog keeps the reports of the last lag, so that readers can be given a
+// late one.
+type reportLog struct {
+	lag     time.Duration
+	reports []timedReport
+}
+
+// add appends the report of a new state.
+func (l *reportLog) add(now time.Time, r Report) {
+	l.prune(now)
+	if n := len(l.reports); n > 0 && l.reports[n-1].report == r {
+		return
+	}
+	l.reports = append(l.reports, timedReport{at: now, report: r})
+}
+
+// late returns the report that held lag ago, or the first one if none did.
+func (l *reportLog) late(now time.Time) Report {
+	l.prune(now)
+	return l.reports[0].report
+}
+
+// prune drops the reports that were replaced more than lag ago.
+func (l *reportLog) prune(now time.Time) {
+	shown := now.Add(-l.lag)
+	first := 0
+	for first+1 < len(l.reports) && !l.reports[first+1].at.After(shown) {
+		first++
+	}
+	l.reports = append(l.reports[:0], l.reports[first:]...)
+}
--- /dev/null
+++ b/pkg/standin/engine/stream.go
@@ -0,0 +1,78 @@
+package engine
+
+import "time"
+
+// stream is one accepted request. Its fields after chunks are guarded by Engine.mu.
+type stream struct {
+	id       string
+	prompt   Prompt
+	priority int
+	fencing  uint64
+	arrival  uint64
+	crash    bool // the prompt contains the crash marker
+	accepted time.Time
+	chunks   chunks
+
+	outcome   Outcome
+	heapIndex int       // position in the queue while queued
+	firstStep int64     // decoding step that yields token 0
+	started   time.Time // when it got a slot; zero while queued
+	ended     time.Time
+	generated int // completion tokens so far
+	journaled int // completion tokens in the last journal record
+	readers   []chan struct{}
+}
+
+// usage returns what the stream has consumed. A stream that never got a slot
+// has consumed nothing.
+func (s *stream) usage() Usage {
+	if s.started.IsZero() {
+		return Usage{}
+	}
+	return Usage{
+		PromptTokens:     s.prompt.Tokens,
+		CompletionTokens: s.generated,
+		TotalTokens:      s.prompt.Tokens + s.generated,
+	}
+}
+
+// crashPoint returns the number of tokens at which the crash marker takes
+// effect; the answer is never complete at that point.
+func (s *stream) crashPoint() int {
+	return min(crashAfter, s.prompt.Answer-1)
+}
+
+// finishReason tells whether the answer ended at the output limit.
+func (s *stream) finishReason() string {
+	if s.prompt.MaxTokens > 0 && s.prompt.Answer >= s.prompt.MaxTokens {
+		return "length"
+	}
+	return "stop"
+}
+
+// notify wakes the readers. A reader that has not yet seen the last wake-up
+// needs no second one.
+func (s *stream) notify() {
+	for _, r := range s.readers {
+		select {
+		case r <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// render appends the events from index from that are available. It returns the
+// next index and whether the stream has no more events.
+func (s *stream) render(buf []byte, from int) ([]byte, int, bool) {
+	for ; from < s.generated; from++ {
+		buf = s.chunks.appendToken(buf, from)
+	}
+	if s.outcome != Completed {
+		return buf, from, s.outcome == Cancelled
+	}
+	if from == s.generated {
+		buf = s.chunks.appendUsage(buf, from, s.finishReason(), s.usage())
+		from++
+	}
+	return appendDone(buf, from), from + 1, true
+}
