Mark refusals of the service stand-in as not accepted

Cause: an error status of a plain service may be its answer to a call that ran, so the status alone does not permit a retry of a non-idempotent call.

Considered: treating every 409, 429 and 503 of a service as a refusal. A service whose own back end fails in the middle of a call answers 503 too.

Change: 503 of the stand-in carries the code `not_accepted`; answers carry X-Stream-Id. Test delays are longer, so that they hold on a busy machine.

Conclusion: a client can tell a refusal from an answer.

--- a/pkg/standin/engine/engine_test.go
+++ b/pkg/standin/engine/engine_test.go
@@ -325,7 +325,9 @@
 
 // Guards against a drain that interrupts streams, takes new ones or is not reported.
 func TestDrain(t *testing.T) {
-	f := start(t, testOptions())
+	o := testOptions()
+	o.TokenTime = 10 * time.Millisecond // the stream outlasts the requests below
+	f := start(t, o)
 	resp := f.open(http.MethodPost, "/v1/chat/completions", request("a", 50), headerStream, "s")
 	defer resp.Body.Close()
 	status, _ := f.do(http.MethodPost, "/drain", "")
--- a/pkg/standin/service/handler.go
+++ b/pkg/standin/service/handler.go
@@ -10,6 +10,9 @@
 	"github.com/peppertrail/peppertrail/pkg/standin/process"
 )
 
+// CodeNotAccepted marks the refusal of a call that did not run.
+const CodeNotAccepted = "not_accepted"
+
 const (
 	headerStream = "X-Stream-Id"
 	// maxBody bounds a request body in bytes.
@@ -35,9 +38,10 @@
 	}
 	echo, err := s.run(r, r.Header.Get(headerStream), body)
 	if err != nil {
-		process.Refuse(w, http.StatusServiceUnavailable, err.Error())
+		process.Reply(w, http.StatusServiceUnavailable, process.Refusal{Error: err.Error(), Code: CodeNotAccepted})
 		return
 	}
+	w.Header().Set(headerStream, echo.Stream)
 	process.Reply(w, http.StatusOK, echo)
 }
 
--- a/pkg/standin/service/service_test.go
+++ b/pkg/standin/service/service_test.go
@@ -85,7 +85,7 @@
 
 // Guards against a call that is dropped when its client disconnects.
 func TestCallSurvivesDisconnect(t *testing.T) {
-	s, url := start(t, Options{Capacity: 2, Delay: 50 * time.Millisecond})
+	s, url := start(t, Options{Capacity: 2, Delay: 300 * time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/", bytes.NewReader([]byte("a")))
 	assert.NilError(t, err)
@@ -103,15 +103,16 @@
 
 // Guards against a drain or a full service that still runs calls, and against a wrong report.
 func TestDrainAndCapacity(t *testing.T) {
-	s, url := start(t, Options{Capacity: 1, Delay: 100 * time.Millisecond})
+	s, url := start(t, Options{Capacity: 1, Delay: 500 * time.Millisecond})
 	done := make(chan int)
 	go func() {
 		status, _ := call(t, http.MethodPost, url+"/", "a")
 		done <- status
 	}()
 	await(t, func() bool { return s.status().Inflight == 1 })
-	status, _ := call(t, http.MethodPost, url+"/", "b")
+	status, answer := call(t, http.MethodPost, url+"/", "b")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(answer, `"code":"not_accepted"`), answer)
 	status, _ = call(t, http.MethodPost, url+"/drain", "")
 	assert.Equal(t, status, http.StatusNoContent)
 	_, report := call(t, http.MethodGet, url+"/status", "")
