Add the HTTP client of targets

Cause: daemons dispatch, resume and cancel streams and must know whether a failed request may have run.

Considered: deciding "not run" by the type of the error. net/http does not export whether a byte was written, so connections record it themselves, and a connection on which nothing was written is sealed before "not run" is reported. Considered connections without keep-alive against net/http's own retries; a body that cannot be rewound prevents them without a dial per request.

Change: HTTPClient.

--- /dev/null
+++ b/pkg/engine/dial.go
@@ -0,0 +1,17 @@
+package engine
+
+import (
+	"context"
+	"net"
+)
+
+// trackedDial dials connections that know whether a request was written.
+func trackedDial(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: conn}, nil
+	}
+}
--- /dev/null
+++ b/pkg/engine/options.go
@@ -0,0 +1,36 @@
+package engine
+
+import "time"
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = 2 * time.Second  // several round trips between regions, with a lost SYN
+	DefaultIdleTimeout = 30 * time.Second // far above 75 ms between tokens, allows for a long queue before the first
+	DefaultMaxBody     = 8 << 20          // bytes
+	DefaultMaxEvent    = 1 << 20          // bytes
+)
+
+// Options are the settings of an HTTPClient. Zero values select the defaults.
+type Options struct {
+	DialTimeout time.Duration // time to connect to a target
+	IdleTimeout time.Duration // time without a byte from the target after which it counts as dead
+	MaxBody     int64         // size limit in bytes of a request body and of the answer of a plain service
+	MaxEvent    int           // size limit in bytes of one line and of the data of one event
+}
+
+// withDefaults replaces zero values.
+func (o Options) withDefaults() Options {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.MaxBody == 0 {
+		o.MaxBody = DefaultMaxBody
+	}
+	if o.MaxEvent == 0 {
+		o.MaxEvent = DefaultMaxEvent
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/engine/sse.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// Faults of an event stream.
+var (
+	errEventTooLong = errors.New("event is longer than the limit")
+	errBadEventID   = errors.New("event id is not a number")
+)
+
+// noEventID is the id of an event without one.
+const noEventID = -1
+
+// readerSize is the buffer per stream in bytes; it holds several chunks.
+const readerSize = 2048
+
+// sseEvent is one server-sent event.
+type sseEvent struct {
+	id   int // noEventID if absent
+	data []byte
+}
+
+// sseReader reads the fields id and data of server-sent events and skips the others.
+type sseReader struct {
+	in    *bufio.Reader
+	limit int    // bytes per line and per event
+	line  []byte // start of a line longer than the buffer of in
+}
+
+// newSSEReader returns a reader with a size limit per event in bytes.
+func newSSEReader(in io.Reader, limit int) *sseReader {
+	return &sseReader{in: bufio.NewReaderSize(in, readerSize), limit: limit}
+}
+
+// next returns the next event that has data. It returns io.EOF at the end of
+// the input, also in the middle of an event, which is then incomplete.
+func (r *sseReader) next() (sseEvent, error) {
+	event := sseEvent{id: noEventID}
+	found := false
+	for {
+		line, err := r.readLine()
+		if err != nil {
+			return sseEvent{}, err
+		}
+		if len(line) == 0 {
+			if found {
+				return event, nil
+			}
+			event = sseEvent{id: noEventID}
+			continue
+		}
+		hasData, err := event.add(line, found, r.limit)
+		if err != nil {
+			return sseEvent{}, err
+		}
+		found = found || hasData
+	}
+}
+
+// add applies one line to the event and reports whether it is a data line.
+// more tells that the event already has a data line.
+func (e *sseEvent) add(line []byte, more bool, limit int) (bool, error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		id, err := strconv.ParseUint(string(value), 10, 31)
+		if err != nil {
+			return false, fmt.Errorf("%w: %q", errBadEventID, value)
+		}
+		e.id = int(id)
+	case "data":
+		if more {
+			e.data = append(e.data, '\n')
+		}
+		if len(e.data)+len(value) > limit {
+			return false, errEventTooLong
+		}
+		e.data = append(e.data, value...)
+		return true, nil
+	}
+	return false, nil
+}
+
+// readLine returns the next line without its end, which is valid until the next call.
+func (r *sseReader) readLine() ([]byte, error) {
+	r.line = r.line[:0]
+	for {
+		part, err := r.in.ReadSlice('\n')
+		if len(r.line)+len(part) > r.limit {
+			return nil, errEventTooLong
+		}
+		switch {
+		case err == nil && len(r.line) == 0:
+			return trimLineEnd(part), nil
+		case err == nil:
+			r.line = append(r.line, part...)
+			return trimLineEnd(r.line), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+		r.line = append(r.line, part...)
+	}
+}
+
+// trimLineEnd removes LF or CR LF.
+func trimLineEnd(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
