--- /dev/null
+++ b/pkg/target/fuzz_test.go
@@ -0,0 +1,23 @@
+package target
+
+import (
+	"testing"
+)
+
+// Guards against a report that panics a parser or yields a snapshot out of range.
+func FuzzParseReport(f *testing.F) {
+	f.Add([]byte(goodProm))
+	f.Add([]byte(`{"state":"SERVING","slots_total":4,"slots_busy":1,"queue_depth":5,"kv_used":1}`))
+	f.Add([]byte(`{"status":"ok","inflight":12,"capacity":10}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for kind, parse := range parsers {
+			s, err := parse(body, received)
+			if err != nil {
+				continue
+			}
+			if err := checkSnapshot(s); err != nil {
+				t.Errorf("%s: accepted %+v: %v", kind, s, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/target/tracker.go
@@ -0,0 +1,265 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// Tracker decides the state of every target from the membership list, the
+// targets' reports, the outcome of dispatches and operators' commands. It does
+// no I/O and belongs to one goroutine.
+//
+// What this daemon observes itself outranks the list: a target that fails is
+// not used although it is listed, and one that reports well is used for
+// MissingAfter although it is not.
+type Tracker struct {
+	limits  Limits
+	machine *lifecycle
+	records map[string]*record
+	order   []string // ids, sorted, so that views are stable
+}
+
+// NewTracker returns a tracker without targets.
+func NewTracker(limits Limits) *Tracker {
+	return &Tracker{
+		limits:  limits,
+		machine: newLifecycle(),
+		records: make(map[string]*record),
+	}
+}
+
+// Apply takes a new membership list and the services of the bundle in force.
+// Members that are not targets or belong to no known service are ignored.
+func (t *Tracker) Apply(members []platform.Member, services map[string]ServiceInfo, now time.Time) {
+	seen := make(map[string]bool, len(members))
+	for _, m := range members {
+		info, known := services[m.Service]
+		if m.Kind != platform.TargetMember || !known || seen[m.ID] {
+			continue
+		}
+		seen[m.ID] = true
+		t.applyMember(m, info, now)
+	}
+	for id, r := range t.records {
+		if !seen[id] {
+			unlist(r, now)
+		}
+	}
+}
+
+// applyMember takes one entry of the list.
+func (t *Tracker) applyMember(m platform.Member, info ServiceInfo, now time.Time) {
+	described := describe(m, info)
+	r, known := t.records[m.ID]
+	switch {
+	case !known:
+		r = t.add(described, now)
+	case r.moved(described):
+		t.rejoin(r, now)
+	case r.dropped && r.status.State == Draining && m.State == platform.MemberLive:
+		t.rejoin(r, now)
+	}
+	r.status.Target = described
+	r.slowStart = info.SlowStart
+	r.listed = true
+	r.listLeaving = m.State == platform.MemberLeaving
+	r.missingSince = time.Time{}
+	if r.listLeaving && r.status.State != Gone {
+		t.fire(r, triggerLeave, now)
+	}
+}
+
+// unlist notes that the list does not name the target.
+func unlist(r *record, now time.Time) {
+	if r.listed {
+		r.missingSince = now
+	}
+	r.listed = false
+	r.listLeaving = false
+	r.dropped = r.dropped || r.status.State == Draining
+}
+
+// Report takes a snapshot of the target. Snapshots of unknown targets are ignored.
+func (t *Tracker) Report(id string, s Snapshot, now time.Time) {
+	r, ok := t.records[id]
+	if !ok {
+		return
+	}
+	if s.ReportedAt.IsZero() {
+		s.ReportedAt = now
+	}
+	r.succeeded()
+	t.welcome(r, s, now)
+	r.status.Snapshot = s
+	r.status.SinceReport = 0
+	if r.joinedAt.IsZero() {
+		r.joinedAt = now
+	}
+	if s.Draining {
+		t.fire(r, triggerLeave, now)
+	}
+	t.advance(r, now)
+}
+
+// welcome moves a target that reports again after a failure.
+func (t *Tracker) welcome(r *record, s Snapshot, now time.Time) {
+	switch r.status.State {
+	case Suspect:
+		t.recover(r, s, now)
+	case Gone:
+		if r.listed {
+			t.rejoin(r, now)
+		}
+		if r.listed && r.listLeaving {
+			t.fire(r, triggerLeave, now)
+		}
+	case Joining:
+		if r.joinedAt.IsZero() {
+			r.status.Since = now
+		}
+	}
+}
+
+// recover ends suspicion, unless the report was received before the dispatch that failed.
+func (t *Tracker) recover(r *record, s Snapshot, now time.Time) {
+	if s.ReportedAt.Before(r.failedAt) {
+		return
+	}
+	restarted := now.Sub(r.status.Since) >= t.limits.RestartAfter
+	if restarted || !r.warm(now) {
+		t.rejoin(r, now)
+		return
+	}
+	t.fire(r, triggerRecover, now)
+}
+
+// ReportFailed notes that a report could not be read.
+func (t *Tracker) ReportFailed(id string, now time.Time) {
+	r, ok := t.records[id]
+	if !ok {
+		return
+	}
+	r.failed(now)
+	if r.failures >= t.limits.SuspectFailures {
+		t.fire(r, triggerFail, now)
+	}
+	t.advance(r, now)
+}
+
+// DispatchFailed notes that a connection to the target was refused or reset.
+// The target is suspect at once, until a later report succeeds.
+func (t *Tracker) DispatchFailed(id string, now time.Time) {
+	r, ok := t.records[id]
+	if !ok {
+		return
+	}
+	r.failedAt = now
+	t.fire(r, triggerFail, now)
+}
+
+// Drain stops new work at the target on an operator's command.
+func (t *Tracker) Drain(id string, now time.Time) {
+	if r, ok := t.records[id]; ok {
+		t.fire(r, triggerLeave, now)
+	}
+}
+
+// Started notes a dispatch to the target.
+func (t *Tracker) Started(id string, _ time.Time) {
+	r, ok := t.records[id]
+	if !ok {
+		return
+	}
+	r.status.Outstanding++
+	r.status.SinceReport++
+}
+
+// Ended notes that a dispatch has ended. The dispatches since the report
+// can't exceed those that have not ended, which keeps short calls from
+// piling up between reports.
+func (t *Tracker) Ended(id string, _ time.Time) {
+	r, ok := t.records[id]
+	if !ok || r.status.Outstanding == 0 {
+		return
+	}
+	r.status.Outstanding--
+	r.status.SinceReport = min(r.status.SinceReport, r.status.Outstanding)
+}
+
+// Tick moves targets whose time limits have passed and forgets gone ones that
+// the list no longer names. It is due a few times per second.
+func (t *Tracker) Tick(now time.Time) {
+	for _, id := range slices.Clone(t.order) {
+		r := t.records[id]
+		if r.status.State == Gone && !r.listed {
+			t.remove(id)
+			continue
+		}
+		t.advance(r, now)
+	}
+}
+
+// advance fires the triggers that depend on time.
+func (t *Tracker) advance(r *record, now time.Time) {
+	if r.warm(now) {
+		t.fire(r, triggerWarm, now)
+	}
+	if r.missing(now, t.limits.MissingAfter) && r.status.State != Gone {
+		r.dropped = true
+		t.fire(r, triggerLeave, now)
+	}
+	if r.silent(now, t.limits.GoneAfter) || t.drained(r, now) {
+		t.fire(r, triggerSilent, now)
+	}
+}
+
+// drained reports whether an unlisted target has had time to drain and carries no dispatch.
+func (t *Tracker) drained(r *record, now time.Time) bool {
+	return r.status.State == Draining && !r.listed && r.status.Outstanding == 0 &&
+		now.Sub(r.status.Since) >= t.limits.GoneAfter
+}
+
+// View returns a copy of all targets in the order of their ids.
+func (t *Tracker) View() []Status {
+	view := make([]Status, 0, len(t.order))
+	for _, id := range t.order {
+		view = append(view, t.records[id].status)
+	}
+	return view
+}
+
+// add starts to follow a target.
+func (t *Tracker) add(described Target, now time.Time) *record {
+	r := &record{status: Status{Target: described, State: Joining, Since: now}}
+	t.records[described.ID] = r
+	at, _ := slices.BinarySearch(t.order, described.ID)
+	t.order = slices.Insert(t.order, at, described.ID)
+	return r
+}
+
+// remove forgets a target.
+func (t *Tracker) remove(id string) {
+	delete(t.records, id)
+	if at, ok := slices.BinarySearch(t.order, id); ok {
+		t.order = slices.Delete(t.order, at, at+1)
+	}
+}
+
+// rejoin treats the target as a new instance.
+func (t *Tracker) rejoin(r *record, now time.Time) {
+	r.forgetInstance()
+	r.status.State = t.machine.fire(r.status.State, triggerJoin)
+	r.status.Since = now
+}
+
+// fire runs the life cycle machine and notes when the state changed.
+func (t *Tracker) fire(r *record, trig trigger, now time.Time) {
+	next := t.machine.fire(r.status.State, trig)
+	if next == r.status.State {
+		return
+	}
+	r.status.State = next
+	r.status.Since = now
+}
--- /dev/null
+++ b/pkg/target/tracker_test.go
@@ -0,0 +1,255 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"gotest.tools/v3/assert"
+)
+
+const slowStart = 5 * time.Second
+
+var services = map[string]ServiceInfo{
+	"chef-llm":    {Kind: PromText, Fenced: true, SlowStart: slowStart},
+	"cantine-app": {Kind: Service},
+}
+
+// fixture drives a tracker through the events of one target, "a", on a clock of its own.
+type fixture struct {
+	*Tracker
+	now time.Time
+}
+
+func newFixture() *fixture {
+	return &fixture{Tracker: NewTracker(DefaultLimits()), now: received}
+}
+
+func (f *fixture) list(state platform.MemberState) { f.listAt(state, "10.0.0.1:80") }
+
+func (f *fixture) listAt(state platform.MemberState, addr string) {
+	m := platform.Member{ID: "a", Kind: platform.TargetMember, Addr: addr, Service: "chef-llm", State: state}
+	f.Apply([]platform.Member{m}, services, f.now)
+}
+
+func (f *fixture) unlist() { f.Apply(nil, services, f.now) }
+func (f *fixture) good()   { f.Report("a", Snapshot{Running: 1, Capacity: 8}, f.now) }
+func (f *fixture) leaving() {
+	f.Report("a", Snapshot{Running: 1, Capacity: 8, Draining: true}, f.now)
+}
+func (f *fixture) bad()     { f.ReportFailed("a", f.now) }
+func (f *fixture) refused() { f.DispatchFailed("a", f.now) }
+func (f *fixture) drain()   { f.Drain("a", f.now) }
+
+func (f *fixture) wait(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.Tick(f.now)
+}
+
+// ready brings the target to ready.
+func (f *fixture) ready() {
+	f.list(platform.MemberLive)
+	f.good()
+	f.wait(slowStart)
+}
+
+// die lets the reports fail until the target is gone.
+func (f *fixture) die() {
+	f.bad()
+	f.wait(DefaultGoneAfter)
+	f.bad()
+}
+
+// state returns the target's state, empty if it is unknown.
+func (f *fixture) state() State {
+	for _, s := range f.View() {
+		if s.Target.ID == "a" {
+			return s.State
+		}
+	}
+	return ""
+}
+
+// Guards against work for targets that leave, fail or were never seen, and
+// against targets that are lost although they serve.
+func TestLifeCycle(t *testing.T) {
+	tests := []struct {
+		desc string
+		run  func(f *fixture)
+		want State
+	}{
+		{"listed", func(f *fixture) { f.list(platform.MemberLive) }, Joining},
+		{"first report", func(f *fixture) { f.list(platform.MemberLive); f.good() }, Joining},
+		{"slow start over", func(f *fixture) { f.ready() }, Ready},
+		{"slow start counts from the first report", func(f *fixture) {
+			f.list(platform.MemberLive)
+			f.wait(slowStart)
+			f.good()
+		}, Joining},
+		{"report of an unlisted target", func(f *fixture) { f.good() }, ""},
+		{"listed as leaving at first sight", func(f *fixture) { f.list(platform.MemberLeaving) }, Draining},
+
+		{"list says leaving", func(f *fixture) { f.ready(); f.list(platform.MemberLeaving) }, Draining},
+		{"report says leaving", func(f *fixture) { f.ready(); f.leaving() }, Draining},
+		{"operator drains", func(f *fixture) { f.ready(); f.drain() }, Draining},
+		{"joining target drains", func(f *fixture) { f.list(platform.MemberLive); f.good(); f.drain() }, Draining},
+		{"suspect target drains", func(f *fixture) { f.ready(); f.refused(); f.list(platform.MemberLeaving) }, Draining},
+
+		{"good report does not end draining", func(f *fixture) { f.ready(); f.leaving(); f.good(); f.wait(slowStart); f.good() }, Draining},
+		{"live list does not end draining", func(f *fixture) {
+			f.ready()
+			f.list(platform.MemberLeaving)
+			f.list(platform.MemberLive)
+			f.good()
+		}, Draining},
+		{"refused connection does not end draining", func(f *fixture) { f.ready(); f.drain(); f.refused(); f.good() }, Draining},
+		{"draining target leaves the list and joins again", func(f *fixture) {
+			f.ready()
+			f.drain()
+			f.unlist()
+			f.list(platform.MemberLive)
+		}, Joining},
+		{"draining target leaves the list and comes back as leaving", func(f *fixture) {
+			f.ready()
+			f.drain()
+			f.unlist()
+			f.list(platform.MemberLeaving)
+		}, Draining},
+		{"draining target comes back but still reports leaving", func(f *fixture) {
+			f.ready()
+			f.leaving()
+			f.unlist()
+			f.list(platform.MemberLive)
+			f.leaving()
+		}, Draining},
+		{"draining target moves to a new address", func(f *fixture) {
+			f.ready()
+			f.drain()
+			f.listAt(platform.MemberLive, "10.0.0.2:80")
+		}, Joining},
+		{"draining target dies", func(f *fixture) { f.ready(); f.drain(); f.die() }, Gone},
+		{"drained target dies and reports again", func(f *fixture) { f.ready(); f.drain(); f.die(); f.good() }, Joining},
+		{"dead target listed as leaving reports again", func(f *fixture) {
+			f.ready()
+			f.die()
+			f.list(platform.MemberLeaving)
+			f.good()
+		}, Draining},
+
+		{"refused connection", func(f *fixture) { f.ready(); f.refused() }, Suspect},
+		{"report after a refused connection", func(f *fixture) { f.ready(); f.refused(); f.wait(time.Second); f.good() }, Ready},
+		{"late report from before a refused connection", func(f *fixture) {
+			f.ready()
+			f.refused()
+			f.Report("a", Snapshot{Capacity: 8, ReportedAt: f.now.Add(-time.Millisecond)}, f.now)
+		}, Suspect},
+		{"report between two refused connections", func(f *fixture) {
+			f.ready()
+			f.refused()
+			at := f.now
+			f.wait(time.Second)
+			f.refused()
+			f.Report("a", Snapshot{Capacity: 8, ReportedAt: at.Add(time.Millisecond)}, f.now)
+		}, Suspect},
+		{"report after a long suspicion starts slowly", func(f *fixture) {
+			f.ready()
+			f.refused()
+			f.wait(DefaultRestartAfter)
+			f.good()
+		}, Joining},
+		{"one failed report", func(f *fixture) { f.ready(); f.bad() }, Ready},
+		{"two failed reports", func(f *fixture) { f.ready(); f.bad(); f.bad() }, Suspect},
+		{"failed reports with a good one between", func(f *fixture) { f.ready(); f.bad(); f.good(); f.bad() }, Ready},
+		{"failed reports for long", func(f *fixture) { f.ready(); f.die() }, Gone},
+		{"listed target never reports", func(f *fixture) { f.list(platform.MemberLive); f.die() }, Gone},
+		{"dead target stays gone while the list says live", func(f *fixture) {
+			f.ready()
+			f.die()
+			f.list(platform.MemberLive)
+			f.wait(time.Minute)
+		}, Gone},
+		{"dead target is forgotten once unlisted", func(f *fixture) { f.ready(); f.die(); f.unlist(); f.wait(time.Second) }, ""},
+
+		{"unlisted target reports well", func(f *fixture) { f.ready(); f.unlist(); f.wait(DefaultMissingAfter - 1); f.good() }, Ready},
+		{"unlisted target is listed again", func(f *fixture) {
+			f.ready()
+			f.unlist()
+			f.wait(DefaultMissingAfter - 1)
+			f.list(platform.MemberLive)
+			f.wait(DefaultMissingAfter)
+		}, Ready},
+		{"target unlisted for long", func(f *fixture) { f.ready(); f.unlist(); f.wait(DefaultMissingAfter); f.good() }, Draining},
+		{"target unlisted for long is listed again", func(f *fixture) {
+			f.ready()
+			f.unlist()
+			f.wait(DefaultMissingAfter)
+			f.list(platform.MemberLive)
+		}, Joining},
+		{"unlisted target fails", func(f *fixture) { f.ready(); f.unlist(); f.die() }, Gone},
+		{"drained unlisted target is forgotten", func(f *fixture) {
+			f.ready()
+			f.drain()
+			f.unlist()
+			f.wait(DefaultGoneAfter)
+			f.wait(time.Second)
+		}, ""},
+		{"drained unlisted target with a stream open is kept", func(f *fixture) {
+			f.ready()
+			f.Started("a", f.now)
+			f.drain()
+			f.unlist()
+			f.wait(DefaultGoneAfter)
+			f.wait(time.Second)
+		}, Draining},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFixture()
+			test.run(f)
+			assert.Equal(t, f.state(), test.want)
+		})
+	}
+}
+
+// Guards against a load that ignores the daemon's own dispatches or counts them for ever.
+func TestDispatchCounts(t *testing.T) {
+	f := newFixture()
+	f.ready()
+	f.Started("a", f.now)
+	f.Started("a", f.now)
+	f.Ended("a", f.now)
+	assert.DeepEqual(t, counts(f), [2]int{1, 1})
+	f.good()
+	assert.DeepEqual(t, counts(f), [2]int{1, 0})
+	f.Started("a", f.now)
+	assert.DeepEqual(t, counts(f), [2]int{2, 1})
+	f.Ended("a", f.now)
+	f.Ended("a", f.now)
+	f.Ended("a", f.now)
+	f.Started("unknown", f.now)
+	f.Ended("unknown", f.now)
+	assert.DeepEqual(t, counts(f), [2]int{0, 0})
+}
+
+// counts returns the dispatches outstanding and since the report.
+func counts(f *fixture) [2]int {
+	s := f.View()[0]
+	return [2]int{s.Outstanding, s.SinceReport}
+}
+
+// Guards against daemons or members of unknown services being used as targets.
+func TestApplyIgnoresOthers(t *testing.T) {
+	tracker := NewTracker(DefaultLimits())
+	tracker.Apply([]platform.Member{
+		{ID: "d", Kind: platform.DaemonMember, Service: "chef-llm", State: platform.MemberLive},
+		{ID: "u", Kind: platform.TargetMember, Service: "unknown", State: platform.MemberLive},
+		{ID: "b", Kind: platform.TargetMember, Service: "cantine-app", State: platform.MemberLive},
+		{ID: "a", Kind: platform.TargetMember, Service: "chef-llm", State: platform.MemberLive},
+	}, services, received)
+	view := tracker.View()
+	assert.Equal(t, len(view), 2)
+	assert.Equal(t, view[0].Target.ID, "a")
+	assert.Equal(t, view[0].Target.Kind, PromText)
+	assert.Assert(t, view[0].Target.Fenced)
+	assert.Equal(t, view[1].Target.ID, "b")
+}
