--- /dev/null
+++ b/pkg/route/candidate.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+// candidate is a target that may take a request.
+type candidate struct {
+	status *target.Status
+	share  float64 // share of full traffic under slow start, above 0 to 1
+}
+
+// places is the number of requests that the target can run at once, at least 1.
+func (c candidate) places() float64 {
+	return float64(max(c.status.Snapshot.Capacity, 1))
+}
+
+// requests is the number of requests at the target: the reported ones and
+// this daemon's dispatches since the report.
+func (c candidate) requests() float64 {
+	s := c.status
+	return float64(s.Snapshot.Running + s.Snapshot.Waiting + s.SinceReport)
+}
+
+// load is the number of requests per place that the target would have with
+// one request more, scaled up during slow start. Counting the new request
+// makes idle targets of different capacity and share comparable.
+func (c candidate) load() float64 {
+	return (c.requests() + 1) / (c.places() * c.share)
+}
+
+// queue is the number of requests beyond the places if one more is dispatched.
+func (c candidate) queue() float64 {
+	return max(0, c.requests()+1-c.places())
+}
+
+// wait estimates the time until one more request gets a place.
+func (c candidate) wait(occupancy time.Duration) time.Duration {
+	return time.Duration(c.queue() / c.places() * float64(occupancy))
+}
+
+// usable reports whether a target may take new work of a request. A target
+// that was never heard from may be dead, so it takes none.
+func usable(s *target.Status, req *Request) bool {
+	if s.Target.Service != req.Service {
+		return false
+	}
+	if s.State != target.Ready && s.State != target.Joining {
+		return false
+	}
+	if s.Snapshot.ReportedAt.IsZero() || s.Snapshot.Draining {
+		return false
+	}
+	return !slices.Contains(req.Exclude, s.Target.ID)
+}
--- /dev/null
+++ b/pkg/route/leastreported.go
@@ -0,0 +1,32 @@
+package route
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// LeastReported is a baseline: the target with the lowest reported load, first
+// in the view on a tie. It does not count dispatches since the report.
+type LeastReported struct{}
+
+// Pick implements Policy. It never refuses for load or deadline.
+func (LeastReported) Pick(req Request, view []target.Status, _ time.Time) (target.Target, *verdict.Error) {
+	from := usableTargets(req, view)
+	if len(from) == 0 {
+		return target.Target{}, refuseNoTarget(req, sharedRand{})
+	}
+	best := from[0]
+	for _, s := range from[1:] {
+		if reportedLoad(s) < reportedLoad(best) {
+			best = s
+		}
+	}
+	return best.Target, nil
+}
+
+// reportedLoad returns the reported requests per place.
+func reportedLoad(s *target.Status) float64 {
+	return float64(s.Snapshot.Running+s.Snapshot.Waiting) / float64(max(s.Snapshot.Capacity, 1))
+}
--- /dev/null
+++ b/pkg/route/roundrobin.go
@@ -0,0 +1,35 @@
+package route
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// RoundRobin is a baseline: the usable targets in turn, whatever their load.
+type RoundRobin struct {
+	turn atomic.Uint64
+}
+
+// Pick implements Policy. It never refuses for load or deadline.
+func (p *RoundRobin) Pick(req Request, view []target.Status, _ time.Time) (target.Target, *verdict.Error) {
+	from := usableTargets(req, view)
+	if len(from) == 0 {
+		return target.Target{}, refuseNoTarget(req, sharedRand{})
+	}
+	turn := p.turn.Add(1) - 1
+	return from[turn%uint64(len(from))].Target, nil
+}
+
+// usableTargets returns the targets that may take req.
+func usableTargets(req Request, view []target.Status) []*target.Status {
+	var from []*target.Status
+	for i := range view {
+		if usable(&view[i], &req) {
+			from = append(from, &view[i])
+		}
+	}
+	return from
+}
