Add pkg/config: typed settings from flags and environment

Cause: the daemon needs validated settings before it opens a listener. Considered: flaggy's typed flags (its first bad value ends parsing, unknown flags are skipped or end the process) against string flags that pkg/config checks itself; the second reports every problem in one error. Change: Config, Parse, Problem and Error. Each setting states its default and what it allows in one table. Conclusion: main can print the error and exit 2.

--- /dev/null
+++ b/pkg/config/parse.go
@@ -0,0 +1,68 @@
+package config
+
+import "strings"
+
+// envPrefix starts the environment variable of each setting: --commit-rate is
+// PEPPERTRAIL_COMMIT_RATE.
+const envPrefix = "PEPPERTRAIL_"
+
+// envSeparator separates the values of a repeatable setting in its variable.
+const envSeparator = ","
+
+// Parse reads the settings from args, without the program name, and from the
+// environment. A flag overrides the variable; an empty variable counts as not
+// set. The error is an *Error with every problem. With --help it prints the
+// help text and ends the process.
+func Parse(args []string, environ func(string) string) (Config, error) {
+	all := settings()
+	given, problems := readFlags(all, args)
+	var c Config
+	for _, s := range all {
+		problems = append(problems, applySetting(&c, s, given[s.name], environ(s.environ()))...)
+	}
+	if c.ShowVersion {
+		return c, nil
+	}
+	if !c.AdvertisePeer.IsValid() {
+		c.AdvertisePeer = c.PeerListen
+	}
+	problems = append(problems, check(c)...)
+	if len(problems) > 0 {
+		return Config{}, &Error{Problems: problems}
+	}
+	return c, nil
+}
+
+// applySetting stores the value of one setting: the flag, else the variable,
+// else the default.
+func applySetting(c *Config, s setting, flags []string, variable string) []Problem {
+	values, source := chooseValues(s, flags, variable)
+	if len(values) == 0 && s.required {
+		return []Problem{{Flag: s.flag(), Value: "", Allowed: s.allowed}}
+	}
+	if len(values) > 1 && !s.repeatable {
+		return []Problem{{Flag: s.flag(), Source: source, Value: strings.Join(values, " "), Allowed: "one value; " + s.allowed}}
+	}
+	var problems []Problem
+	for _, value := range values {
+		if err := s.apply(c, value); err != nil {
+			problems = append(problems, Problem{Flag: s.flag(), Source: source, Value: value, Allowed: s.allowed})
+		}
+	}
+	return problems
+}
+
+// chooseValues returns the values in force and the variable they came from, if any.
+func chooseValues(s setting, flags []string, variable string) (values []string, source string) {
+	switch {
+	case len(flags) > 0:
+		return flags, ""
+	case variable != "" && s.repeatable:
+		return strings.Split(variable, envSeparator), s.environ()
+	case variable != "":
+		return []string{variable}, s.environ()
+	case s.def != "":
+		return []string{s.def}, ""
+	}
+	return nil, ""
+}
