--- /dev/null
+++ b/pkg/telemetry/labels.go
@@ -0,0 +1,53 @@
+package telemetry
+
+import "github.com/peppertrail/peppertrail/pkg/verdict"
+
+// Outcome tells how a caller's request ended.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	OutcomeCompleted Outcome = "completed" // the whole answer was sent
+	OutcomeRefused   Outcome = "refused"   // refused before any part of an answer was sent
+	OutcomeFailed    Outcome = "failed"    // ended with an error after a part of the answer was sent
+	OutcomeCancelled Outcome = "cancelled" // the caller disconnected
+)
+
+// CommitOutcome tells how a table transaction ended.
+type CommitOutcome string
+
+// Outcomes of table transactions.
+const (
+	CommitDone     CommitOutcome = "committed"
+	CommitConflict CommitOutcome = "conflict"
+	CommitFenced   CommitOutcome = "fenced"
+	CommitUnknown  CommitOutcome = "unknown" // no reply; the same id is submitted again
+)
+
+// RepairKind tells what a repair did.
+type RepairKind string
+
+// Kinds of repairs.
+const (
+	RepairHolderFenced  RepairKind = "holder_fenced"  // a holder that stopped renewing was fenced
+	RepairGrantClosed   RepairKind = "grant_closed"   // the grant of a dead holder was closed, its remainder written off
+	RepairGrantRefunded RepairKind = "grant_refunded" // the unspent part of a closed grant was returned to its budget
+	RepairLateLine      RepairKind = "late_line"      // a line for a closed grant was moved out of its written-off part
+	RepairBadRow        RepairKind = "bad_row"        // a table row that cannot be decoded was skipped
+)
+
+func outcomes() []Outcome {
+	return []Outcome{OutcomeCompleted, OutcomeRefused, OutcomeFailed, OutcomeCancelled}
+}
+
+func commitOutcomes() []CommitOutcome {
+	return []CommitOutcome{CommitDone, CommitConflict, CommitFenced, CommitUnknown}
+}
+
+func repairKinds() []RepairKind {
+	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairBadRow}
+}
+
+func verdicts() []verdict.Verdict {
+	return []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran}
+}
