--- /dev/null
+++ b/pkg/gateway/admit.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// bearerPrefix starts the Authorization header. The scheme is compared without case.
+const bearerPrefix = "Bearer "
+
+// admitFunc fills in what is particular to a path: service, bound and body.
+type admitFunc func(x *exchange, catalog Catalog, req *request, body []byte) *verdict.Error
+
+// admit checks a request. All its refusals have verdict NotRun.
+func (x *exchange) admit(particular admitFunc) (*request, *verdict.Error) {
+	if x.server.outbox.Full() {
+		return nil, verdict.New(verdict.NotRun, verdict.BudgetUnreachable, "too many settlements wait to become durable").After(shortRetry)
+	}
+	catalog, refusal := x.server.Directory.Current()
+	if refusal != nil {
+		return nil, refusal
+	}
+	customer, refusal := authenticate(catalog, x.r.Header)
+	if refusal != nil {
+		return nil, refusal
+	}
+	x.customer = customer.ID
+	headers, refusal := parseHeaders(x.r.Header)
+	if refusal != nil {
+		return nil, refusal
+	}
+	req := &request{customer: customer, id: x.id, nonIdempotent: headers.nonIdempotent}
+	req.priority = min(headers.priority, customer.MaxPriority)
+	if headers.deadline > 0 {
+		req.deadline = x.received.Add(headers.deadline)
+	}
+	if req.budget, refusal = chooseBudget(customer, headers.budget); refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := x.readBody()
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := particular(x, catalog, req, body); refusal != nil {
+		return nil, refusal
+	}
+	if req.nonIdempotent && headers.key == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest,
+			"header %s is missing: a non-idempotent request needs one so that its retry is recognised", keyHeader)
+	}
+	req.fingerprint = fingerprint(customer.ID, x.r.Method, x.r.URL.RequestURI(), body)
+	x.note(telemetry.Step{Kind: telemetry.StepAdmitted, Tokens: req.bound})
+	return req, nil
+}
+
+// authenticate returns the customer of the bearer key.
+func authenticate(catalog Catalog, h http.Header) (bundle.Customer, *verdict.Error) {
+	values := h.Values("Authorization")
+	if len(values) != 1 || len(values[0]) <= len(bearerPrefix) || !strings.EqualFold(values[0][:len(bearerPrefix)], bearerPrefix) {
+		return bundle.Customer{}, verdict.New(verdict.NotRun, verdict.Unauthorized, "header Authorization: allowed: Bearer followed by an API key")
+	}
+	customer, ok := catalog.CustomerByKey(hashKey(values[0][len(bearerPrefix):]))
+	if !ok {
+		return bundle.Customer{}, verdict.New(verdict.NotRun, verdict.UnknownCustomer, "the API key belongs to no customer")
+	}
+	return customer, nil
+}
+
+// chooseBudget returns the budget that a request is charged to.
+func chooseBudget(customer bundle.Customer, named string) (string, *verdict.Error) {
+	budget := named
+	if budget == "" {
+		budget = customer.Budget
+	}
+	if budget == "" || (budget != customer.Budget && !slices.Contains(customer.Budgets, budget)) {
+		return "", verdict.New(verdict.NotRun, verdict.UnknownBudget, "budget %q is not one of this customer", budget)
+	}
+	return budget, nil
+}
+
+// readBody reads the body up to the size limit. A caller that sends it slowly
+// is refused after the stall timeout.
+func (x *exchange) readBody() ([]byte, *verdict.Error) {
+	began := time.Now()
+	defer func() { x.waited += time.Since(began) }()
+	// Writers without deadlines, as in tests, read without one.
+	_ = x.control.SetReadDeadline(began.Add(x.server.StallTimeout))
+	defer func() { _ = x.control.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.server.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "body: allowed: at most %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+// admitChat fills in a completion.
+func admitChat(x *exchange, catalog Catalog, req *request, body []byte) *verdict.Error {
+	chat, err := parseChat(body)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
+	}
+	service, ok := catalog.ServiceByModel(chat.model)
+	if !ok || !slices.Contains(req.customer.Services, service.Name) {
+		return verdict.New(verdict.NotRun, verdict.UnknownModel, "model %q is unknown or not permitted to this customer", chat.model)
+	}
+	req.maxOutput = chat.maxTokens
+	if req.maxOutput == 0 {
+		req.maxOutput = service.MaxOutput
+	}
+	if req.maxOutput <= 0 || req.maxOutput > service.MaxOutput {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "max_tokens: %d: allowed: 1 to %d", req.maxOutput, service.MaxOutput)
+	}
+	if req.body, err = chat.targetBody(req.maxOutput); err != nil {
+		return verdict.New(verdict.NotRun, verdict.Internal, "%v", err)
+	}
+	req.service = service
+	req.stream = chat.stream
+	req.prefix = chat.prefix()
+	req.bound = chat.promptBound() + req.maxOutput
+	req.nonIdempotent = req.nonIdempotent || runsOnce(service, chatPath)
+	return nil
+}
+
+// admitPlain fills in a call of a plain service.
+func admitPlain(x *exchange, catalog Catalog, req *request, body []byte) *verdict.Error {
+	name := x.r.PathValue("service")
+	service, ok := catalog.Service(name)
+	if !ok || service.Model != "" || !slices.Contains(req.customer.Services, name) {
+		return verdict.New(verdict.NotRun, verdict.UnknownService, "service %q is unknown or not permitted to this customer", name)
+	}
+	path, err := cleanPath(x.r.PathValue("..."))
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
+	}
+	target := url.URL{Path: path, RawQuery: x.r.URL.RawQuery}
+	req.plain = true
+	req.service = service
+	req.method = x.r.Method
+	req.path = target.RequestURI()
+	req.header = requestHeader(x.r.Header)
+	req.body = body
+	req.bound = service.CallCost
+	req.nonIdempotent = req.nonIdempotent || runsOnce(service, path)
+	return nil
+}
--- /dev/null
+++ b/pkg/gateway/answer_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"gotest.tools/v3/assert"
+)
+
+func plainAnswer() engine.Response {
+	return engine.Response{
+		Status: http.StatusAccepted,
+		Header: http.Header{"Content-Type": {"text/plain"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-App": {"cantine"}},
+		Body:   []byte("order\x00taken"),
+	}
+}
+
+// Guards against an answer that is changed, cut short or unbilled on its way.
+func TestStreamIsByteExact(t *testing.T) {
+	r := newRig(t)
+	w := r.chat(streamBody, withKey)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+"data: [DONE]\n\n")
+	assert.Equal(t, w.Header().Get("Content-Type"), "text/event-stream")
+	assert.Equal(t, w.Header().Get(requestIDHeader), testID)
+	line, ok := r.home.line(testID)
+	assert.Assert(t, ok)
+	assert.Equal(t, line, home.SettleRequest{
+		Customer: "regie", Budget: "regie-main", Request: testID, Grant: "g1", Stream: "g1.1", Target: "t1", Entry: "h1-1",
+		Outcome: home.Completed, Fingerprint: line.Fingerprint, Tokens: 4, UsageKnown: true, Final: true, Bound: 5 + 16 + 16 + 8,
+	})
+	r.drain(t)
+}
+
+// Guards against an assembled answer that differs from its chunks.
+func TestObjectAnswer(t *testing.T) {
+	r := newRig(t)
+	w := r.chat(chatBody)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Body.String(), `{"id":"c1","object":"chat.completion","created":7,"model":"chef",`+
+		`"choices":[{"index":0,"message":{"role":"assistant","content":"ab"},"finish_reason":"stop"}],`+
+		`"usage":{"prompt_tokens":2,"completion_tokens":2,"total_tokens":4}}`)
+	assert.Assert(t, strings.HasPrefix(w.Header().Get(requestIDHeader), generatedPrefix))
+	r.drain(t)
+}
+
+// Guards against a plain call that loses its status, headers or bytes, or that
+// shows the customer's key to the target.
+func TestPlainCall(t *testing.T) {
+	r := newRig(t)
+	req := newRequest(http.MethodPut, lookupPath+"/a%20b?day=1", "body", with("X-App", "1"), with("X-Fencing", "9"), with(priorityHeader, "9"))
+	w := r.do(req)
+	assert.Equal(t, w.Code, http.StatusAccepted)
+	assert.Equal(t, w.Body.String(), "order\x00taken")
+	assert.Equal(t, w.Header().Get("X-App"), "cantine")
+	assert.Equal(t, w.Header().Get("X-Hop"), "")
+	call := r.engine.calls[0]
+	assert.Equal(t, call.Method, http.MethodPut)
+	assert.Equal(t, call.Path, "/menu/a%20b?day=1")
+	assert.Equal(t, string(call.Body), "body")
+	assert.Equal(t, call.Priority, 7, "capped by the customer's maximum")
+	assert.Equal(t, call.Fencing, uint64(42))
+	assert.Equal(t, call.Header.Get("Authorization"), "")
+	assert.Equal(t, call.Header.Get("X-Fencing"), "")
+	assert.Equal(t, call.Header.Get(priorityHeader), "")
+	assert.Equal(t, call.Header.Get("X-App"), "1")
+	settles := r.home.settled()
+	assert.Equal(t, len(settles), 1)
+	assert.Equal(t, settles[0].Tokens, int64(5))
+	r.drain(t)
+}
+
+// Guards against a target reading other values than those that the bound was computed from.
+func TestTargetBody(t *testing.T) {
+	r := newRig(t)
+	body := `{"messages":[{"role":"system","content":[{"type":"text","text":"<b>"},{"type":"text","text":"é"}]}],"model":"chef","stop":["x"],"stream_options":{"include_usage":false}}`
+	assert.Equal(t, r.chat(body).Code, http.StatusOK)
+	want := `{"model":"chef","messages":[{"role":"system","content":"<b>é"}],"max_tokens":16,"stream":true,"stream_options":{"include_usage":true},"stop":["x"]}`
+	assert.Equal(t, string(r.engine.calls[0].Body), want)
+	assert.Assert(t, json.Valid(r.engine.calls[0].Body))
+	assert.Equal(t, r.home.reserves[0].Bound, int64(5+16+16+16))
+	r.drain(t)
+}
+
+// Guards against a target that exceeds the output limit, which would exceed the reservation.
+func TestOutputLimitCutsStream(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].events = answer(strings.Split("0123456789", "")...)
+	w := r.chat(streamBody, withKey)
+	events := answer(strings.Split("01234567", "")...)
+	assert.Assert(t, strings.HasPrefix(w.Body.String(), sse(events[:8])))
+	rest := strings.TrimPrefix(w.Body.String(), sse(events[:8]))
+	assert.Equal(t, rest, `data: {"id":"c1","object":"chat.completion.chunk","created":7,"model":"chef","choices":[{"index":0,"delta":{},"finish_reason":"length"}],"usage":{"prompt_tokens":2,"completion_tokens":1,"total_tokens":3}}`+"\n\ndata: [DONE]\n\n")
+	assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+	line, _ := r.home.line(testID)
+	assert.Equal(t, line.Tokens, int64(3))
+	r.drain(t)
+}
+
+// Guards against charging more than was reserved when a target reports too much.
+func TestUsageAboveBoundIsClamped(t *testing.T) {
+	r := newRig(t)
+	events := answer("a")
+	events[1].Usage = &engine.Usage{TotalTokens: 1 << 40}
+	r.engine.plans["t1"].events = events
+	r.chat(streamBody, withKey)
+	line, _ := r.home.line(testID)
+	assert.Equal(t, line.Tokens, line.Bound)
+	r.drain(t)
+}
+
+// Guards against data with a line break that ends its event early.
+func TestAppendDataKeepsLineBreaks(t *testing.T) {
+	assert.Equal(t, string(appendData(nil, []byte("{\n}"))), "data: {\ndata: }\n\n")
+}
--- /dev/null
+++ b/pkg/gateway/chat_request.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"unicode/utf8"
+)
+
+// Overheads of the prompt bound, in tokens.
+const (
+	messageOverhead = 16 // role and separators that a chat template adds per message
+	promptOverhead  = 16 // start of the prompt and of the answer
+)
+
+// prefixBytes is the length of the prompt's start that decides about affinity.
+// It covers usual system prompts without holding a copy of long prompts.
+const prefixBytes = 1024
+
+// samplingFields are passed to the target as they are. They add no tokens to
+// the prompt. Fields that do, such as tools, are refused, because the bound
+// does not cover them.
+var samplingFields = []string{
+	"temperature", "top_p", "top_k", "stop", "seed",
+	"presence_penalty", "frequency_penalty", "logit_bias", "user",
+}
+
+// chatRequest is the body of a completion request.
+type chatRequest struct {
+	model     string
+	messages  []message
+	maxTokens int64 // 0 if absent
+	stream    bool
+	rest      object // the other members, for the target
+}
+
+// parseChat reads a completion request. The error names the member and what is allowed.
+func parseChat(body []byte) (chatRequest, error) {
+	if !utf8.Valid(body) {
+		return chatRequest{}, errors.New("body: allowed: JSON in UTF-8")
+	}
+	members, err := decodeObject(body)
+	if err != nil {
+		return chatRequest{}, fmt.Errorf("body: %w", err)
+	}
+	var c chatRequest
+	steps := []func(object) error{c.readModel, c.readMessages, c.readMaxTokens, c.readChoices, c.readStream}
+	for _, step := range steps {
+		if err := step(members); err != nil {
+			return chatRequest{}, err
+		}
+	}
+	c.rest, err = samplingMembers(members)
+	return c, err
+}
+
+func (c *chatRequest) readModel(members object) error {
+	raw, ok := members["model"]
+	if !ok {
+		return errors.New("model is missing")
+	}
+	if err := json.Unmarshal(raw, &c.model); err != nil || c.model == "" {
+		return fmt.Errorf("model: %s: allowed: the name of a model", raw)
+	}
+	return nil
+}
+
+func (c *chatRequest) readMessages(members object) error {
+	raw, ok := members["messages"]
+	if !ok {
+		return errors.New("messages is missing")
+	}
+	var err error
+	c.messages, err = parseMessages(raw)
+	return err
+}
+
+// readMaxTokens reads the output limit under either of its names.
+func (c *chatRequest) readMaxTokens(members object) error {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		raw, ok := members[name]
+		if !ok {
+			continue
+		}
+		var n int64
+		if err := json.Unmarshal(raw, &n); err != nil || n <= 0 {
+			return fmt.Errorf("%s: %s: allowed: a whole number above 0", name, raw)
+		}
+		if c.maxTokens != 0 && c.maxTokens != n {
+			return errors.New("max_tokens and max_completion_tokens: allowed: one of them, or the same value")
+		}
+		c.maxTokens = n
+	}
+	return nil
+}
+
+func (c *chatRequest) readChoices(members object) error {
+	raw, ok := members["n"]
+	if ok && string(raw) != "1" {
+		return fmt.Errorf("n: %s: allowed: 1", raw)
+	}
+	return nil
+}
+
+func (c *chatRequest) readStream(members object) error {
+	raw, ok := members["stream"]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, &c.stream); err != nil {
+		return fmt.Errorf("stream: %s: allowed: true or false", raw)
+	}
+	return nil
+}
+
+// samplingMembers returns the members that are passed on as they are and
+// refuses unknown ones.
+func samplingMembers(members object) (object, error) {
+	handled := []string{"model", "messages", "max_tokens", "max_completion_tokens", "n", "stream", "stream_options"}
+	rest := make(object)
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		switch {
+		case slices.Contains(samplingFields, name):
+			rest[name] = members[name]
+		case !slices.Contains(handled, name):
+			return nil, fmt.Errorf("member %q: allowed: %s, %s", name, strings.Join(handled, ", "), strings.Join(samplingFields, ", "))
+		}
+	}
+	return rest, nil
+}
+
+// promptBound returns an upper bound of the prompt's tokens: a token covers at
+// least one byte.
+func (c chatRequest) promptBound() int64 {
+	bound := int64(promptOverhead)
+	for _, m := range c.messages {
+		bound += m.size() + messageOverhead
+	}
+	return bound
+}
+
+// prefix returns the start of the prompt.
+func (c chatRequest) prefix() string {
+	var b strings.Builder
+	for _, m := range c.messages {
+		b.WriteString(m.role)
+		b.WriteByte('\n')
+		b.WriteString(m.text)
+		if b.Len() >= prefixBytes {
+			return b.String()[:prefixBytes]
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// targetMessage is the form of a message sent to targets.
+type targetMessage struct {
+	Role    string `json:"role"`
+	Name    string `json:"name,omitempty"`
+	Content string `json:"content"`
+}
+
+// targetBody returns the body for the target. It is built from the checked
+// values, so that a target cannot read the caller's text differently. It
+// always streams and asks for the usage.
+func (c chatRequest) targetBody(maxOutput int64) ([]byte, error) {
+	messages := make([]targetMessage, len(c.messages))
+	for i, m := range c.messages {
+		messages[i] = targetMessage{Role: m.role, Name: m.name, Content: m.text}
+	}
+	head := struct {
+		Model         string          `json:"model"`
+		Messages      []targetMessage `json:"messages"`
+		MaxTokens     int64           `json:"max_tokens"`
+		Stream        bool            `json:"stream"`
+		StreamOptions struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
+	}{Model: c.model, Messages: messages, MaxTokens: maxOutput, Stream: true}
+	head.StreamOptions.IncludeUsage = true
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(head); err != nil {
+		return nil, fmt.Errorf("encode the body for the target: %w", err)
+	}
+	buf.Truncate(buf.Len() - len("}\n"))
+	for _, name := range slices.Sorted(maps.Keys(c.rest)) {
+		fmt.Fprintf(&buf, ",%q:%s", name, c.rest[name])
+	}
+	buf.WriteByte('}')
+	return buf.Bytes(), nil
+}
--- /dev/null
+++ b/pkg/gateway/failure.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// failure is the end of an attempt without an answer.
+type failure struct {
+	verdict   verdict.Verdict // of this attempt alone
+	reason    verdict.Reason
+	died      bool // the target stopped answering
+	permanent bool // another target would give the same result
+	gone      bool // the caller left
+	err       error
+}
+
+// failureOf classifies an error of the engine client. An error without a
+// verdict may have run.
+func failureOf(err error) *failure {
+	f := &failure{verdict: verdict.MayHaveRun, reason: verdict.TargetFailed, err: err}
+	var e *engine.Error
+	if !errors.As(err, &e) {
+		return f
+	}
+	if e.Verdict.Valid() {
+		f.verdict = e.Verdict
+	}
+	f.died = e.Died
+	switch e.Status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		f.reason = verdict.BadRequest
+		f.permanent = true
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		f.reason = verdict.Overloaded
+	}
+	return f
+}
+
+// failureIn classifies an error of an attempt. When the caller left or the
+// request timed out, the error is the effect of that.
+func (x *exchange) failureIn(err error) *failure {
+	f := failureOf(err)
+	switch {
+	case x.callerGone() && !x.req.nonIdempotent:
+		f.gone = true
+		f.died = false
+	case x.timedOut():
+		f.reason = verdict.Deadline
+		f.permanent = true
+		f.died = false
+	}
+	return f
+}
+
+// noteFailure records a failed attempt.
+func (x *exchange) noteFailure(a *attempt, f *failure) {
+	x.exclude = append(x.exclude, a.target.ID)
+	if f.verdict != verdict.NotRun || a.attached {
+		x.dispatch = true
+	}
+	x.note(telemetry.Step{
+		Kind: telemetry.StepFailed, Attempt: a.number, Target: a.target.ID, Stream: a.stream,
+		Verdict: f.verdict, Reason: f.reason, Detail: f.err.Error(),
+	})
+}
--- /dev/null
+++ b/pkg/gateway/failure_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+	"gotest.tools/v3/assert"
+)
+
+var errDial = errors.New("connection refused")
+
+// Guards against a wrong verdict, a forbidden second dispatch or a wrong
+// settlement for each way in which a target fails before the answer begins.
+func TestFailureBeforeAnswer(t *testing.T) {
+	status := func(v verdict.Verdict, code int) error {
+		return &engine.Error{Verdict: v, Status: code, Err: errors.New("refused")}
+	}
+	cases := []struct {
+		desc    string
+		once    bool
+		err     error // of every target
+		verdict verdict.Verdict
+		reason  verdict.Reason
+		tried   int // targets that a dispatch was sent to or tried at
+		outcome home.AttemptOutcome
+		died    bool
+	}{
+		{desc: "idempotent, connection refused", err: notRun(errDial), verdict: verdict.NotRun, reason: verdict.TargetFailed, tried: 3, outcome: home.NotDispatched},
+		{desc: "idempotent, died", err: mayHaveRun(errReset), verdict: verdict.MayHaveRun, reason: verdict.TargetFailed, tried: 3, outcome: home.Failed, died: true},
+		{desc: "idempotent, busy", err: status(verdict.NotRun, 429), verdict: verdict.NotRun, reason: verdict.Overloaded, tried: 3, outcome: home.NotDispatched},
+		{desc: "idempotent, body refused", err: status(verdict.NotRun, 400), verdict: verdict.NotRun, reason: verdict.BadRequest, tried: 1, outcome: home.NotDispatched},
+		{desc: "idempotent, error without verdict", err: errReset, verdict: verdict.MayHaveRun, reason: verdict.TargetFailed, tried: 3, outcome: home.Failed},
+		{desc: "once, connection refused", once: true, err: notRun(errDial), verdict: verdict.NotRun, reason: verdict.TargetFailed, tried: 3, outcome: home.NotDispatched},
+		{desc: "once, died", once: true, err: mayHaveRun(errReset), verdict: verdict.MayHaveRun, reason: verdict.TargetFailed, tried: 1, outcome: home.Failed, died: true},
+		{desc: "once, error without verdict", once: true, err: errReset, verdict: verdict.MayHaveRun, reason: verdict.TargetFailed, tried: 1, outcome: home.Failed},
+		{desc: "once, internal error", once: true, err: status(verdict.MayHaveRun, 500), verdict: verdict.MayHaveRun, reason: verdict.TargetFailed, tried: 1, outcome: home.Failed},
+	}
+	for _, tc := range cases {
+		for _, plain := range []bool{false, true} {
+			t.Run(tc.desc+map[bool]string{false: ", completion", true: ", plain"}[plain], func(t *testing.T) {
+				r := newRig(t)
+				for _, p := range r.engine.plans {
+					p.openErr = tc.err
+				}
+				set := []setHeader{withKey}
+				if tc.once {
+					set = []setHeader{once}
+				}
+				req := newRequest(http.MethodPost, chatPath, streamBody, set...)
+				if plain {
+					req = newRequest(http.MethodPost, lookupPath, "", set...)
+				}
+				assertRefused(t, r.do(req), tc.verdict, tc.reason)
+				assert.Equal(t, len(r.home.reserves), tc.tried)
+				r.drain(t)
+				settles := r.home.settled()
+				assert.Equal(t, len(settles), tc.tried)
+				for i, s := range settles {
+					assert.Equal(t, s.Outcome, tc.outcome)
+					assert.Equal(t, s.TargetDied, tc.died)
+					assert.Equal(t, s.Final, i == tc.tried-1)
+					assert.Equal(t, s.Tokens == s.Bound, tc.outcome == home.Failed)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a refused connection that ends a request although another target is free.
+func TestNextTargetAnswers(t *testing.T) {
+	for _, set := range []setHeader{withKey, once} {
+		r := newRig(t)
+		r.engine.plans["t1"].openErr = notRun(errDial)
+		w := r.chat(streamBody, set)
+		assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+"data: [DONE]\n\n")
+		assert.DeepEqual(t, r.engine.received, []string{"t2 g1.2"})
+		assert.DeepEqual(t, r.picker.failed, []string{"t1"})
+		assertCounted(t, r, `retries_total{reason="target_failed"} 1`)
+		r.drain(t)
+	}
+}
+
+// Guards against a not_run verdict after an earlier attempt that may have run.
+func TestVerdictCoversAllAttempts(t *testing.T) {
+	cases := []struct {
+		desc   string
+		change func(r *rig)
+		reason verdict.Reason
+	}{
+		{"no further target", func(r *rig) { r.picker.targets = r.picker.targets[:1] }, verdict.NoTarget},
+		{"retry budget spent", func(r *rig) { r.retries.left = 0 }, verdict.RetryBudget},
+		{"home refuses the second attempt", func(r *rig) {
+			r.home.reserve = func(req home.ReserveRequest) (home.ReserveReply, error) {
+				if req.Attempt == 1 {
+					return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+				}
+				return refused(verdict.New(verdict.NotRun, verdict.BudgetExhausted, "spent")), nil
+			}
+		}, verdict.BudgetExhausted},
+		{"home unreachable for the second attempt", func(r *rig) {
+			r.home.reserve = func(req home.ReserveRequest) (home.ReserveReply, error) {
+				if req.Attempt == 1 {
+					return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+				}
+				return home.ReserveReply{}, errDial
+			}
+		}, verdict.BudgetUnreachable},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := newRig(t)
+			r.engine.plans["t1"].openErr = mayHaveRun(errReset)
+			tc.change(r)
+			assertRefused(t, r.chat(streamBody, withKey), verdict.MayHaveRun, tc.reason)
+			r.drain(t)
+			settles := r.home.settled()
+			last := settles[len(settles)-1]
+			assert.Equal(t, last.Stream, "g1.1")
+			assert.Equal(t, last.Final, true, "the request would stay open at its home")
+		})
+	}
+}
+
+// Guards against a broken connection that ends an answer although its target
+// still has the stream, and against lost or repeated events.
+func TestResumeDuringAnswer(t *testing.T) {
+	for _, body := range []string{streamBody, chatBody} {
+		for _, set := range []setHeader{withKey, once} {
+			r := newRig(t)
+			r.engine.plans["t1"].breaks = []int{1, 2}
+			w := r.chat(body, set)
+			if body == streamBody {
+				assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+"data: [DONE]\n\n")
+			} else {
+				assert.Assert(t, strings.Contains(w.Body.String(), `"content":"ab"`))
+			}
+			assert.Equal(t, r.engine.resumes, 2)
+			assert.Equal(t, r.engine.dispatches(), 1)
+			r.drain(t)
+		}
+	}
+}
+
+// Guards against a truncated answer that looks complete, or a second run after
+// a part was sent, when a target dies in the middle.
+func TestTargetDiesDuringStream(t *testing.T) {
+	for _, set := range []setHeader{withKey, once} {
+		r := newRig(t)
+		r.engine.plans["t1"].breaks = []int{1}
+		r.engine.plans["t1"].forget = true
+		w := r.chat(streamBody, set)
+		assert.Equal(t, w.Code, http.StatusOK)
+		body, found := strings.CutPrefix(w.Body.String(), sse(answer("a", "b")[:1])+"event: error\ndata: ")
+		assert.Assert(t, found, w.Body.String())
+		var e refusalBody
+		assert.NilError(t, json.Unmarshal([]byte(body), &e))
+		assert.Equal(t, e.Error.Verdict, verdict.MayHaveRun)
+		assert.Equal(t, e.Error.Reason, verdict.TargetFailed)
+		assert.Equal(t, e.Error.RequestID, testID)
+		assert.Equal(t, r.engine.dispatches(), 1)
+		r.drain(t)
+		settles := r.home.settled()
+		assert.Equal(t, len(settles), 1)
+		assert.Equal(t, settles[0].Outcome, home.Failed)
+		assert.Equal(t, settles[0].TargetDied, true)
+		assert.Equal(t, settles[0].Final, true)
+	}
+}
+
+// Guards against a whole answer that is lost when only its parts were
+// collected, and against mixing the parts of two targets.
+func TestTargetDiesDuringObjectAnswer(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].events = answer("wrong", "x")
+	r.engine.plans["t1"].breaks = []int{1}
+	r.engine.plans["t1"].forget = true
+	w := r.chat(chatBody, withKey)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Assert(t, strings.Contains(w.Body.String(), `"content":"ab"`), w.Body.String())
+	r.drain(t)
+
+	r = newRig(t)
+	r.engine.plans["t1"].breaks = []int{1}
+	r.engine.plans["t1"].forget = true
+	assertRefused(t, r.chat(chatBody, once), verdict.MayHaveRun, verdict.TargetFailed)
+	assert.Equal(t, r.engine.dispatches(), 1)
+	r.drain(t)
+}
+
+// Guards against a complete last event that is dropped because the target dies
+// after it, before the settlement.
+func TestTargetDiesAfterLastEvent(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].breaks = []int{3}
+	r.engine.plans["t1"].forget = true
+	w := r.chat(streamBody, once)
+	assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+"data: [DONE]\n\n")
+	r.drain(t)
+}
+
+// Guards against an answer without its last event being taken as whole.
+func TestStreamWithoutLastEvent(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].events = answer("a", "b")[:2]
+	w := r.chat(streamBody, withKey)
+	assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
+	assert.Assert(t, strings.Contains(w.Body.String(), `"verdict":"may_have_run"`))
+	r.drain(t)
+}
+
+// Guards against a gap in the events that reaches the caller.
+func TestMissingEvent(t *testing.T) {
+	r := newRig(t)
+	events := answer("a", "b", "c")
+	r.engine.plans["t1"].events = append(events[:1:1], events[2:]...)
+	w := r.chat(streamBody, withKey)
+	assert.Assert(t, strings.HasPrefix(w.Body.String(), sse(events[:1])+"event: error\n"))
+	r.drain(t)
+}
+
+// Guards against a second dispatch when the first was accepted and only the reply was lost.
+func TestLostReplyToDispatch(t *testing.T) {
+	for _, set := range []setHeader{withKey, once} {
+		r := newRig(t)
+		r.engine.plans["t1"].openErr = mayHaveRun(errReset)
+		r.engine.plans["t1"].runs = true
+		w := r.chat(streamBody, set)
+		assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+"data: [DONE]\n\n")
+		assert.Equal(t, r.engine.dispatches(), 1)
+		r.drain(t)
+	}
+}
+
+// Guards against a response with a status that net/http cannot send.
+func TestPlainAnswerWithBadStatus(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].answer.Status = 0
+	w := r.do(newRequest(http.MethodPost, orderPath, "", withKey))
+	assertRefused(t, w, verdict.MayHaveRun, verdict.TargetFailed)
+	r.drain(t)
+}
--- /dev/null
+++ b/pkg/gateway/fake_engine_test.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+var errReset = errors.New("connection reset")
+
+// plan is what one target does with the dispatches that it receives.
+type plan struct {
+	openErr  error          // Open and Do fail with it
+	runs     bool           // with openErr: the target runs the request nevertheless
+	events   []engine.Event // answer of a completion
+	breaks   []int          // the nth connection of a stream breaks before this event; none if shorter
+	breakErr error          // error of a break; default: died, may have run
+	forget   bool           // the target does not know streams after a break
+	gate     chan struct{}  // if set, event gateAt waits until it is closed
+	gateAt   int
+	answer   engine.Response // answer of a plain call
+}
+
+// fakeEngine simulates targets.
+type fakeEngine struct {
+	mu        sync.Mutex
+	plans     map[string]*plan // by target id
+	streams   map[string]*fakeRun
+	received  []string // "<target> <stream>" of each dispatch that reached a target
+	calls     []engine.Call
+	resumes   int
+	cancelled []string // stream ids
+	waiting   chan struct{}
+}
+
+// fakeRun is a stream known to its target.
+type fakeRun struct {
+	target      string
+	connections int
+	lost        bool
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{plans: make(map[string]*plan), streams: make(map[string]*fakeRun), waiting: make(chan struct{}, 64)}
+}
+
+func (e *fakeEngine) dispatches() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.received)
+}
+
+func (e *fakeEngine) receive(call engine.Call) (*plan, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.plans[call.Target.ID]
+	if p == nil {
+		p = &plan{events: answer("a", "b")}
+		e.plans[call.Target.ID] = p
+	}
+	if p.openErr != nil && !p.runs {
+		var failed *engine.Error
+		if !errors.As(p.openErr, &failed) || failed.Verdict != verdict.NotRun {
+			e.received = append(e.received, call.Target.ID+" "+call.Stream)
+		}
+		return nil, p.openErr
+	}
+	e.calls = append(e.calls, call)
+	e.received = append(e.received, call.Target.ID+" "+call.Stream)
+	e.streams[call.Stream] = &fakeRun{target: call.Target.ID}
+	return p, p.openErr
+}
+
+func (e *fakeEngine) Open(ctx context.Context, call engine.Call) (engine.Stream, error) {
+	if _, err := e.receive(call); err != nil {
+		return nil, err
+	}
+	return e.connect(ctx, call.Target.ID, call.Stream, 0)
+}
+
+func (e *fakeEngine) Resume(ctx context.Context, t target.Target, stream string, from int) (engine.Stream, error) {
+	e.mu.Lock()
+	e.resumes++
+	e.mu.Unlock()
+	return e.connect(ctx, t.ID, stream, from)
+}
+
+func (e *fakeEngine) connect(ctx context.Context, id, stream string, from int) (engine.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run, ok := e.streams[stream]
+	if !ok || run.lost || run.target != id {
+		return nil, fmt.Errorf("target %s: %w", id, engine.ErrUnknownStream)
+	}
+	p := e.plans[id]
+	s := &fakeStream{engine: e, ctx: ctx, plan: p, run: run, next: from, breakAt: -1}
+	if run.connections < len(p.breaks) {
+		s.breakAt = p.breaks[run.connections]
+	}
+	run.connections++
+	return s, nil
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, _ target.Target, stream string) (engine.Usage, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = append(e.cancelled, stream)
+	if run, ok := e.streams[stream]; !ok || run.lost {
+		return engine.Usage{}, engine.ErrUnknownStream
+	}
+	return engine.Usage{PromptTokens: 2, CompletionTokens: 1, TotalTokens: 3}, nil
+}
+
+func (e *fakeEngine) Do(ctx context.Context, call engine.Call) (engine.Response, error) {
+	p, err := e.receive(call)
+	if err != nil {
+		return engine.Response{}, err
+	}
+	if p.gate != nil {
+		e.waiting <- struct{}{}
+		select {
+		case <-p.gate:
+		case <-ctx.Done():
+			return engine.Response{}, ctx.Err()
+		}
+	}
+	return p.answer, nil
+}
+
+// fakeStream is one connection to a stream.
+type fakeStream struct {
+	engine  *fakeEngine
+	ctx     context.Context
+	plan    *plan
+	run     *fakeRun
+	next    int
+	breakAt int
+}
+
+func (s *fakeStream) Next() (engine.Event, error) {
+	if s.plan.gate != nil && s.next == s.plan.gateAt {
+		s.engine.waiting <- struct{}{}
+		select {
+		case <-s.plan.gate:
+		case <-s.ctx.Done():
+		}
+	}
+	if err := s.ctx.Err(); err != nil {
+		return engine.Event{}, &engine.Error{Verdict: verdict.MayHaveRun, Err: err}
+	}
+	if s.next == s.breakAt {
+		return engine.Event{}, s.breakNow()
+	}
+	if s.next >= len(s.plan.events) {
+		return engine.Event{}, io.EOF
+	}
+	ev := s.plan.events[s.next]
+	s.next++
+	return ev, nil
+}
+
+func (s *fakeStream) breakNow() error {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	s.run.lost = s.run.lost || s.plan.forget
+	if s.plan.breakErr != nil {
+		return s.plan.breakErr
+	}
+	return &engine.Error{Verdict: verdict.MayHaveRun, Died: true, Err: errReset}
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// answer returns the events of an answer, one token per text, and a last event with the usage.
+func answer(texts ...string) []engine.Event {
+	var events []engine.Event
+	for i, text := range texts {
+		data := fmt.Sprintf(`{"id":"c1","object":"chat.completion.chunk","created":7,"model":"chef","choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}`, text)
+		events = append(events, engine.Event{Index: i, Data: []byte(data), Tokens: 1})
+	}
+	n := int64(len(texts))
+	usage := &engine.Usage{PromptTokens: 2, CompletionTokens: n, TotalTokens: n + 2}
+	data := fmt.Sprintf(`{"id":"c1","object":"chat.completion.chunk","created":7,"model":"chef","choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":2,"completion_tokens":%d,"total_tokens":%d}}`, n, n+2)
+	return append(events, engine.Event{Index: len(texts), Data: []byte(data), Usage: usage, Done: true})
+}
+
+// sse returns the bytes that a caller receives for events.
+func sse(events []engine.Event) string {
+	var text string
+	for _, ev := range events {
+		text += "data: " + string(ev.Data) + "\n\n"
+	}
+	return text
+}
+
+func notRun(err error) error { return &engine.Error{Verdict: verdict.NotRun, Died: true, Err: err} }
+
+func mayHaveRun(err error) error {
+	return &engine.Error{Verdict: verdict.MayHaveRun, Died: true, Err: err}
+}
--- /dev/null
+++ b/pkg/gateway/fake_home_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// fakeHome is an authority that knows running and completed requests.
+type fakeHome struct {
+	mu         sync.Mutex
+	next       int
+	running    map[string]home.ReserveReply // by request id; the attachment that a further request gets
+	prints     map[string]string            // fingerprint by request id
+	reserves   []home.ReserveRequest
+	settles    []home.SettleRequest
+	lines      map[string]home.SettleRequest // completed settlement by request id
+	reserve    func(home.ReserveRequest) (home.ReserveReply, error)
+	settle     func(context.Context, home.SettleRequest) (home.SettleReply, error)
+	duplicates int // completed settlements of a request under another stream
+}
+
+func newFakeHome() *fakeHome {
+	return &fakeHome{
+		running: make(map[string]home.ReserveReply),
+		prints:  make(map[string]string),
+		lines:   make(map[string]home.SettleRequest),
+	}
+}
+
+func (h *fakeHome) For(string, string) home.Authority { return h }
+
+func (h *fakeHome) Reserve(_ context.Context, req home.ReserveRequest) (home.ReserveReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reserves = append(h.reserves, req)
+	if h.reserve != nil {
+		return h.reserve(req)
+	}
+	if old, ok := h.prints[req.Request]; ok && old != req.Fingerprint {
+		return refused(verdict.New(verdict.NotRun, verdict.KeyReused, "another body")), nil
+	}
+	h.prints[req.Request] = req.Fingerprint
+	if attachment, ok := h.running[req.Request]; ok {
+		return attachment, nil
+	}
+	h.next++
+	stream := fmt.Sprintf("g1.%d", h.next)
+	h.running[req.Request] = home.ReserveReply{Outcome: home.Attach, Grant: "g1", Stream: stream, Target: req.Target}
+	return home.ReserveReply{Outcome: home.Granted, Grant: "g1", Stream: stream}, nil
+}
+
+func (h *fakeHome) Settle(ctx context.Context, req home.SettleRequest) (home.SettleReply, error) {
+	h.mu.Lock()
+	h.settles = append(h.settles, req)
+	script := h.settle
+	h.mu.Unlock()
+	if script != nil {
+		reply, err := script(ctx, req)
+		if err != nil || !reply.Durable {
+			return reply, err
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if req.Outcome == home.Completed {
+		if line, ok := h.lines[req.Request]; ok && line.Stream != req.Stream {
+			h.duplicates++
+		}
+		h.lines[req.Request] = req
+	} else if attachment, ok := h.running[req.Request]; ok && attachment.Stream == req.Stream {
+		delete(h.running, req.Request)
+	}
+	return home.SettleReply{Durable: true}, nil
+}
+
+// settled returns the settlements so far.
+func (h *fakeHome) settled() []home.SettleRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]home.SettleRequest(nil), h.settles...)
+}
+
+// line returns the completed settlement of a request.
+func (h *fakeHome) line(request string) (home.SettleRequest, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	line, ok := h.lines[request]
+	return line, ok
+}
+
+func refused(e *verdict.Error) home.ReserveReply {
+	return home.ReserveReply{Outcome: home.Refused, Refusal: e}
+}
--- /dev/null
+++ b/pkg/gateway/inflight.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+)
+
+// inflight counts open requests and stops new ones at shutdown.
+type inflight struct {
+	mu      sync.Mutex
+	count   int
+	closing bool
+	idle    chan struct{} // closed when closing and no request is open
+}
+
+func newInflight() *inflight {
+	return &inflight{idle: make(chan struct{})}
+}
+
+// enter counts a request. It returns false after close.
+func (f *inflight) enter() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closing {
+		return false
+	}
+	f.count++
+	return true
+}
+
+// leave ends a request that entered.
+func (f *inflight) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count--
+	if f.closing && f.count == 0 {
+		close(f.idle)
+	}
+}
+
+// close lets no further request enter.
+func (f *inflight) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closing {
+		return
+	}
+	f.closing = true
+	if f.count == 0 {
+		close(f.idle)
+	}
+}
+
+// wait returns when no request is open after close, or with the error of ctx.
+func (f *inflight) wait(ctx context.Context) error {
+	select {
+	case <-f.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/gateway/outbox_entry.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+)
+
+// outboxEntry is a settlement that is not known to be durable.
+type outboxEntry struct {
+	request home.SettleRequest
+	at      time.Time     // next submission
+	backoff time.Duration // wait after the next failure
+	index   int           // position in the heap; -1 during a submission
+}
+
+// retry sets the time of the next submission.
+func (e *outboxEntry) retry(now time.Time, draining bool) {
+	longest := maxBackoff
+	if draining {
+		longest = drainMaxBackoff
+	}
+	wait := min(e.backoff, longest)
+	e.at = now.Add(wait)
+	e.backoff = min(e.backoff*backoffMultiples, maxBackoff)
+}
--- /dev/null
+++ b/pkg/gateway/picker.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"github.com/peppertrail/peppertrail/pkg/route"
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// Picker chooses targets. It is safe for concurrent use.
+type Picker interface {
+	// Pick returns a target, or a refusal with verdict NotRun.
+	Pick(req route.Request) (target.Target, *verdict.Error)
+	// Started counts a dispatch to a target until Ended.
+	Started(id string)
+	// Ended ends what Started counted. Failed means that the target did not
+	// answer or answered with an error, not that the caller left.
+	Ended(id string, failed bool)
+}
+
+// Targets looks up targets, also those that take no new work.
+type Targets interface {
+	// Target returns a target by its id.
+	Target(id string) (target.Target, bool)
+}
--- /dev/null
+++ b/pkg/gateway/refusal_test.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request that is admitted although it cannot be billed or
+// recognised, and against a wrong verdict or status of a refusal.
+func TestAdmissionRefusals(t *testing.T) {
+	cases := []struct {
+		desc   string
+		method string
+		path   string
+		body   string
+		set    []setHeader
+		reason verdict.Reason
+		says   string
+	}{
+		{desc: "no key", set: []setHeader{func(h http.Header) { h.Del("Authorization") }}, reason: verdict.Unauthorized, says: "Authorization"},
+		{desc: "another scheme", set: []setHeader{with("Authorization", "Basic abc")}, reason: verdict.Unauthorized},
+		{desc: "empty bearer", set: []setHeader{with("Authorization", "Bearer ")}, reason: verdict.Unauthorized},
+		{desc: "unknown key", set: []setHeader{with("Authorization", "Bearer sk-other")}, reason: verdict.UnknownCustomer},
+		{desc: "foreign budget", set: []setHeader{with(budgetHeader, "office-main")}, reason: verdict.UnknownBudget, says: "office-main"},
+		{desc: "unknown model", body: `{"model":"none","messages":[{"role":"user","content":"x"}]}`, reason: verdict.UnknownModel, says: "none"},
+		{desc: "model not permitted", body: `{"model":"other","messages":[{"role":"user","content":"x"}]}`, reason: verdict.UnknownModel},
+		{desc: "unknown service", method: http.MethodGet, path: "/v1/services/none/x", reason: verdict.UnknownService, says: "none"},
+		{desc: "engine called as a plain service", method: http.MethodGet, path: "/v1/services/chef-llm/x", reason: verdict.UnknownService},
+		{desc: "path that climbs", method: http.MethodPost, path: "/v1/services/cantine/menu/../orders", reason: verdict.BadRequest, says: "path"},
+		{desc: "path with an encoded climb", method: http.MethodPost, path: "/v1/services/cantine/menu/%2e%2e/orders", reason: verdict.BadRequest, says: "path"},
+		{desc: "path with an encoded slash", method: http.MethodPost, path: "/v1/services/cantine/menu%2forders", reason: verdict.BadRequest, says: "path"},
+		{desc: "path with an empty segment", method: http.MethodPost, path: "/v1/services/cantine//orders", reason: verdict.BadRequest, says: "path"},
+		{desc: "non-idempotent path without key", method: http.MethodPost, path: orderPath, reason: verdict.BadRequest, says: keyHeader},
+		{desc: "non-idempotent path, encoded, without key", method: http.MethodPost, path: "/v1/services/cantine/%6frders", reason: verdict.BadRequest, says: keyHeader},
+		{desc: "non-idempotent without key", set: []setHeader{with(nonIdempotentHeader, "true")}, reason: verdict.BadRequest, says: keyHeader},
+		{desc: "non-idempotent header with another value", set: []setHeader{with(nonIdempotentHeader, "yes")}, reason: verdict.BadRequest, says: `"yes": allowed: true or false`},
+		{desc: "misspelt header", set: []setHeader{with("X-Peppertrail-Nonidempotent", "true")}, reason: verdict.BadRequest, says: "Nonidempotent"},
+		{desc: "key with a slash", set: []setHeader{with(keyHeader, "a/b")}, reason: verdict.BadRequest, says: `"a/b"`},
+		{desc: "key of 129 characters", set: []setHeader{with(keyHeader, strings.Repeat("k", 129))}, reason: verdict.BadRequest, says: "1 to 128"},
+		{desc: "two keys", set: []setHeader{func(h http.Header) { h[keyHeader] = []string{"a", "b"} }}, reason: verdict.BadRequest, says: "a, b"},
+		{desc: "priority of 10", set: []setHeader{with(priorityHeader, "10")}, reason: verdict.BadRequest, says: `"10": allowed: a whole number from 0 to 9`},
+		{desc: "negative priority", set: []setHeader{with(priorityHeader, "-1")}, reason: verdict.BadRequest, says: priorityHeader},
+		{desc: "deadline of zero", set: []setHeader{with(deadlineHeader, "0")}, reason: verdict.BadRequest, says: deadlineHeader},
+		{desc: "deadline with a unit", set: []setHeader{with(deadlineHeader, "5s")}, reason: verdict.BadRequest, says: deadlineHeader},
+		{desc: "body too large", body: strings.Repeat(" ", testMaxBody+1), reason: verdict.TooLarge, says: "4096"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := newRig(t)
+			method, path, body := tc.method, tc.path, tc.body
+			if method == "" {
+				method, path = http.MethodPost, chatPath
+			}
+			if body == "" && path == chatPath {
+				body = chatBody
+			}
+			w := r.do(newRequest(method, path, body, tc.set...))
+			e := assertRefused(t, w, verdict.NotRun, tc.reason)
+			assert.Assert(t, strings.Contains(e.Message, tc.says), e.Message)
+			assert.Equal(t, r.engine.dispatches(), 0)
+			assert.Equal(t, len(r.home.reserves), 0)
+			assertCounted(t, r, `refusals_total{reason="`+string(tc.reason)+`",verdict="not_run"} 1`)
+			r.drain(t)
+		})
+	}
+}
+
+// assertCounted checks one line of the metrics.
+func assertCounted(t testing.TB, r *rig, line string) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r.metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	assert.Assert(t, strings.Contains(w.Body.String(), "\npeppertrail_"+line+"\n"), line)
+}
+
+// Guards against a body at the limit being refused, and one byte more being accepted.
+func TestBodyAtTheLimit(t *testing.T) {
+	r := newRig(t)
+	pad := func(n int) string { return chatBody + strings.Repeat(" ", n-len(chatBody)) }
+	assert.Equal(t, r.chat(pad(testMaxBody)).Code, http.StatusOK)
+	assertRefused(t, r.chat(pad(testMaxBody+1)), verdict.NotRun, verdict.TooLarge)
+	r.drain(t)
+}
+
+// Guards against paths and methods outside the API that get an answer without a reason.
+func TestUnknownRoutes(t *testing.T) {
+	r := newRig(t)
+	w := r.do(newRequest(http.MethodGet, "/v1/nothing", ""))
+	assert.Equal(t, w.Code, http.StatusNotFound)
+	assert.Assert(t, strings.Contains(w.Body.String(), `"verdict":"not_run"`))
+	w = r.do(newRequest(http.MethodGet, chatPath, ""))
+	assert.Equal(t, w.Code, http.StatusMethodNotAllowed)
+	assert.Assert(t, strings.Contains(w.Body.String(), `"verdict":"not_run"`))
+}
+
+// Guards against serving without a bundle or with one that is too old.
+func TestDirectoryRefusal(t *testing.T) {
+	for _, reason := range []verdict.Reason{verdict.NoBundle, verdict.StaleBundle} {
+		t.Run(string(reason), func(t *testing.T) {
+			r := newRig(t)
+			r.directory.refusal = verdict.New(verdict.NotRun, reason, "none")
+			assertRefused(t, r.chat(chatBody), verdict.NotRun, reason)
+		})
+	}
+}
+
+// Guards against a refusal by the picker that is changed on its way, and a
+// Retry-After rounded down.
+func TestPickerRefusal(t *testing.T) {
+	r := newRig(t)
+	r.picker.targets = nil
+	w := r.chat(chatBody)
+	assertRefused(t, w, verdict.NotRun, verdict.NoTarget)
+	assert.Equal(t, w.Header().Get("Retry-After"), "2")
+	assert.Equal(t, len(r.home.reserves), 0)
+}
+
+// Guards against a refusal by the home that is changed on its way.
+func TestHomeRefusals(t *testing.T) {
+	cases := []struct {
+		v verdict.Verdict
+		r verdict.Reason
+	}{
+		{verdict.NotRun, verdict.BudgetExhausted},
+		{verdict.NotRun, verdict.ClaimUnavailable},
+		{verdict.NotRun, verdict.KeyReused},
+		{verdict.MayHaveRun, verdict.ClaimHeld},
+		{verdict.MayHaveRun, verdict.RequestCrashesTargets},
+		{verdict.Ran, verdict.ClaimHeld},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("%s %s", tc.v, tc.r), func(t *testing.T) {
+			r := newRig(t)
+			r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+				return refused(verdict.New(tc.v, tc.r, "home says no")), nil
+			}
+			e := assertRefused(t, r.chat(chatBody, once), tc.v, tc.r)
+			assert.Equal(t, e.Message, "home says no")
+			assert.Equal(t, r.engine.dispatches(), 0)
+			r.drain(t)
+		})
+	}
+}
+
+// Guards against a dispatch without a reservation when the home does not answer.
+func TestHomeUnreachable(t *testing.T) {
+	r := newRig(t)
+	r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+		return home.ReserveReply{}, errors.New("no route")
+	}
+	w := r.chat(chatBody)
+	assertRefused(t, w, verdict.NotRun, verdict.BudgetUnreachable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	assert.Equal(t, r.engine.dispatches(), 0)
+}
+
+// Guards against dispatching under an empty stream id.
+func TestIncompleteReservation(t *testing.T) {
+	r := newRig(t)
+	r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+		return home.ReserveReply{Outcome: home.Granted}, nil
+	}
+	assertRefused(t, r.chat(chatBody), verdict.MayHaveRun, verdict.Internal)
+	assert.Equal(t, r.engine.dispatches(), 0)
+}
+
+// Guards against new work after the shutdown began.
+func TestShutdownRefusesNewRequests(t *testing.T) {
+	r := newRig(t)
+	r.server.BeginShutdown()
+	w := r.chat(chatBody)
+	assertRefused(t, w, verdict.NotRun, verdict.ShuttingDown)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	assert.Equal(t, r.engine.dispatches(), 0)
+	assert.NilError(t, r.server.Drain(context.Background()))
+}
+
+// Guards against the caller's deadline not reaching the choice of the target.
+func TestRouteRequest(t *testing.T) {
+	r := newRig(t)
+	r.chat(chatBody, with(deadlineHeader, "5000"), with(priorityHeader, "3"))
+	got := r.picker.requests[0]
+	assert.Equal(t, got.Service, "chef-llm")
+	assert.Equal(t, got.Priority, 3)
+	assert.Equal(t, got.Prefix, "user\nsoup?\n")
+	assert.Assert(t, !got.Deadline.IsZero())
+}
+
+// Guards against an outbox that grows without bound while the store is down.
+func TestFullOutboxRefuses(t *testing.T) {
+	r := newRig(t)
+	r.server.outbox.limit = 0
+	assertRefused(t, r.chat(chatBody), verdict.NotRun, verdict.BudgetUnreachable)
+}
--- /dev/null
+++ b/pkg/gateway/reserve.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// reserveTimeout bounds one reservation. It covers one claim at the table and
+// a failover of the home; a caller should not wait longer for a refusal.
+const reserveTimeout = 3 * time.Second
+
+// reserve asks the home of the budget for one attempt at t.
+func (x *exchange) reserve(number int, t target.Target) (*attempt, *verdict.Error) {
+	// A reservation is not cut short when the caller leaves: its outcome has to be settled.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), reserveTimeout)
+	defer cancel()
+	entry := x.server.Identity.Incarnation()
+	reply, err := x.authority().Reserve(ctx, home.ReserveRequest{
+		Customer:      x.req.customer.ID,
+		Budget:        x.req.budget,
+		Request:       x.req.id,
+		Fingerprint:   x.req.fingerprint,
+		NonIdempotent: x.req.nonIdempotent,
+		Attempt:       number,
+		Bound:         x.req.bound,
+		Target:        t.ID,
+		Entry:         entry,
+	})
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.BudgetUnreachable, "the home of budget %q cannot be reached: %v", x.req.budget, err).After(shortRetry)
+	}
+	switch {
+	case reply.Outcome == home.Refused && reply.Refusal != nil:
+		return nil, reply.Refusal
+	case reply.Outcome == home.Granted && reply.Stream != "":
+		x.note(telemetry.Step{Kind: telemetry.StepReserved, Attempt: number, Target: t.ID, Stream: reply.Stream, Tokens: x.req.bound})
+		return newAttempt(number, reply, t, entry), nil
+	case reply.Outcome == home.Attach && reply.Stream != "":
+		return x.attachment(number, reply, entry)
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.Internal, "the home of budget %q gave an incomplete reply", x.req.budget)
+}
+
+// attachment returns the attempt that reads a stream which exists already. The
+// home naming the same stream again after it could not be read is a refusal.
+func (x *exchange) attachment(number int, reply home.ReserveReply, entry string) (*attempt, *verdict.Error) {
+	x.dispatch = true
+	t, known := x.server.Targets.Target(reply.Target)
+	if !known {
+		t = target.Target{ID: reply.Target}
+	}
+	x.note(telemetry.Step{Kind: telemetry.StepAttached, Attempt: number, Target: reply.Target, Stream: reply.Stream})
+	if x.attached == reply.Stream {
+		return nil, x.refusal(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched before and its stream cannot be read")
+	}
+	x.attached = reply.Stream
+	return newAttempt(number, reply, t, entry), nil
+}
+
+// authority returns the authority that is the home of the budget now.
+func (x *exchange) authority() home.Authority {
+	return x.server.Authorities.For(x.req.customer.ID, x.req.budget)
+}
--- /dev/null
+++ b/pkg/gateway/retry.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// maxAttempts bounds the targets that one request is tried at.
+const maxAttempts = 3
+
+// next returns the target of the next attempt, or the refusal that ends the
+// request.
+func (x *exchange) next(a *attempt, f *failure) (target.Target, *verdict.Error) {
+	if refusal := x.final(a, f); refusal != nil {
+		return target.Target{}, refusal
+	}
+	t, refusal := x.pick()
+	if refusal != nil {
+		return target.Target{}, refusal
+	}
+	if !x.server.RetryBudget.Allow() {
+		return target.Target{}, x.refusal(f.verdict, verdict.RetryBudget, "target %s failed and this host's retry budget is spent", a.target.ID)
+	}
+	x.server.Metrics.Retried(f.reason)
+	return t, nil
+}
+
+// final returns a refusal if the failure permits no further attempt.
+func (x *exchange) final(a *attempt, f *failure) *verdict.Error {
+	switch {
+	case x.sink.started():
+		return x.refusal(verdict.MayHaveRun, verdict.TargetFailed, "target %s stopped answering during the answer", a.target.ID)
+	case x.timedOut():
+		return x.refusal(f.verdict, verdict.Deadline, "the request took longer than %v", x.server.RequestTimeout)
+	case a.attached && (x.req.nonIdempotent || x.req.plain || a.number >= maxAttempts):
+		return x.refusal(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched before and its stream cannot be read")
+	case f.permanent:
+		return x.refusal(f.verdict, f.reason, "target %s refused the request: %v", a.target.ID, f.err)
+	case x.req.nonIdempotent && f.verdict != verdict.NotRun:
+		return x.refusal(f.verdict, f.reason, "target %s failed; a non-idempotent request is not repeated", a.target.ID)
+	case a.number >= maxAttempts:
+		return x.refusal(f.verdict, f.reason, "%d targets failed, the last one was %s", a.number, a.target.ID)
+	}
+	return nil
+}
+
+// refusal returns a refusal after an attempt. It asks the caller to come back
+// later unless the body is at fault.
+func (x *exchange) refusal(v verdict.Verdict, r verdict.Reason, format string, args ...any) *verdict.Error {
+	e := verdict.New(v, r, format, args...)
+	if r == verdict.BadRequest {
+		return e
+	}
+	return e.After(shortRetry)
+}
--- /dev/null
+++ b/pkg/gateway/rig_test.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/route"
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	testKey     = "sk-test"
+	testID      = "order-1"
+	chatBody    = `{"model":"chef","messages":[{"role":"user","content":"soup?"}],"max_tokens":8}`
+	streamBody  = `{"model":"chef","messages":[{"role":"user","content":"soup?"}],"max_tokens":8,"stream":true}`
+	orderPath   = "/v1/services/cantine/orders"
+	lookupPath  = "/v1/services/cantine/menu"
+	testMaxBody = 4096
+)
+
+func testBundle() bundle.Bundle {
+	return bundle.Bundle{
+		Version: 1,
+		Customers: []bundle.Customer{{
+			ID: "regie", KeyHashes: []string{hashKey(testKey)}, Services: []string{"chef-llm", "cantine"},
+			Budget: "regie-main", Budgets: []string{"regie-extra"}, MaxPriority: 7,
+		}},
+		Services: []bundle.Service{
+			{Name: "chef-llm", Model: "chef", Kind: target.PromText, MaxOutput: 16},
+			{Name: "other-llm", Model: "other", Kind: target.PromText, MaxOutput: 16},
+			{Name: "cantine", Kind: target.Service, CallCost: 5, NonIdempotent: []string{"/orders"}},
+		},
+	}
+}
+
+// fakeDirectory returns a fixed catalog or a refusal.
+type fakeDirectory struct {
+	catalog Catalog
+	refusal *verdict.Error
+}
+
+func (d *fakeDirectory) Current() (Catalog, *verdict.Error) { return d.catalog, d.refusal }
+
+// fakePicker picks the first target that is not excluded.
+type fakePicker struct {
+	mu       sync.Mutex
+	targets  []target.Target
+	requests []route.Request
+	open     map[string]int
+	failed   []string
+}
+
+func (p *fakePicker) Pick(req route.Request) (target.Target, *verdict.Error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, req)
+	for _, t := range p.targets {
+		if !slices.Contains(req.Exclude, t.ID) {
+			return t, nil
+		}
+	}
+	return target.Target{}, verdict.New(verdict.NotRun, verdict.NoTarget, "no target").After(1500 * time.Millisecond)
+}
+
+func (p *fakePicker) Started(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[id]++
+}
+
+func (p *fakePicker) Ended(id string, failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[id]--
+	if failed {
+		p.failed = append(p.failed, id)
+	}
+}
+
+func (p *fakePicker) Target(id string) (target.Target, bool) {
+	for _, t := range p.targets {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return target.Target{}, false
+}
+
+// fakeRetries allows a number of retries.
+type fakeRetries struct {
+	mu   sync.Mutex
+	left int
+}
+
+func (r *fakeRetries) Allow() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left--
+	return r.left >= 0
+}
+
+type fakeIdentity struct{}
+
+func (fakeIdentity) Incarnation() string { return "h1-1" }
+func (fakeIdentity) Fencing() uint64     { return 42 }
+
+// rig is a server with fakes around it.
+type rig struct {
+	server    *Server
+	directory *fakeDirectory
+	picker    *fakePicker
+	home      *fakeHome
+	engine    *fakeEngine
+	retries   *fakeRetries
+	journal   *telemetry.Journal
+	metrics   *telemetry.Metrics
+}
+
+// newRig returns a rig with three targets that answer "ab" to everything.
+func newRig(t testing.TB) *rig {
+	t.Helper()
+	r := &rig{
+		directory: &fakeDirectory{catalog: NewCatalog(testBundle())},
+		picker:    &fakePicker{open: make(map[string]int)},
+		home:      newFakeHome(),
+		engine:    newFakeEngine(),
+		retries:   &fakeRetries{left: 1000},
+		journal:   telemetry.NewJournal(100),
+		metrics:   telemetry.NewMetrics(),
+	}
+	for _, id := range []string{"t1", "t2", "t3"} {
+		r.picker.targets = append(r.picker.targets, target.Target{ID: id, Addr: id + ":1"})
+		r.engine.plans[id] = &plan{events: answer("a", "b"), answer: plainAnswer()}
+	}
+	var err error
+	r.server, err = New(Options{
+		Directory: r.directory, Picker: r.picker, Targets: r.picker, Authorities: r.home, Engine: r.engine,
+		RetryBudget: r.retries, Identity: fakeIdentity{}, Metrics: r.metrics, Journal: r.journal,
+		Logger: telemetry.Discard().Logger("gateway"), MaxBodyBytes: testMaxBody,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+// setHeader changes the headers of a test request.
+type setHeader func(http.Header)
+
+func withKey(h http.Header) { h.Set(keyHeader, testID) }
+
+func with(name, value string) setHeader {
+	return func(h http.Header) { h.Set(name, value) }
+}
+
+func once(h http.Header) {
+	h.Set(nonIdempotentHeader, "true")
+	withKey(h)
+}
+
+func newRequest(method, path, body string, set ...setHeader) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for _, f := range set {
+		f(r.Header)
+	}
+	return r
+}
+
+// do sends a request through the handler.
+func (r *rig) do(req *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r.server.ServeHTTP(w, req)
+	return w
+}
+
+func (r *rig) chat(body string, set ...setHeader) *httptest.ResponseRecorder {
+	return r.do(newRequest(http.MethodPost, chatPath, body, set...))
+}
+
+// drain shuts the server down and waits until all settlements are durable.
+func (r *rig) drain(t testing.TB) {
+	t.Helper()
+	r.server.BeginShutdown()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, r.server.Drain(ctx))
+	for id, n := range r.picker.open {
+		assert.Equal(t, n, 0, "target %s: Started without Ended", id)
+	}
+	assert.Equal(t, len(r.server.readers.streams), 0, "a reader was not removed")
+}
+
+// refusalIn decodes a refusal from a whole response.
+func refusalIn(t testing.TB, w *httptest.ResponseRecorder) refusalError {
+	t.Helper()
+	var body refusalBody
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body), w.Body.String())
+	assert.Equal(t, w.Code, body.Error.Reason.HTTPStatus())
+	assert.Equal(t, w.Header().Get(verdictHeader), string(body.Error.Verdict))
+	assert.Equal(t, w.Header().Get(requestIDHeader), body.Error.RequestID)
+	assert.Assert(t, body.Error.RequestID != "")
+	return body.Error
+}
+
+// assertRefused checks the verdict and reason of a response.
+func assertRefused(t testing.TB, w *httptest.ResponseRecorder, v verdict.Verdict, r verdict.Reason) refusalError {
+	t.Helper()
+	e := refusalIn(t, w)
+	assert.Equal(t, e.Verdict, v, e.Message)
+	assert.Equal(t, e.Reason, r, e.Message)
+	return e
+}
--- /dev/null
+++ b/pkg/gateway/settle.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// settlement returns the settlement of an attempt with the fields common to all outcomes.
+func (x *exchange) settlement(a *attempt, o home.AttemptOutcome) home.SettleRequest {
+	return home.SettleRequest{
+		Customer:    x.req.customer.ID,
+		Budget:      x.req.budget,
+		Request:     x.req.id,
+		Grant:       a.grant,
+		Stream:      a.stream,
+		Target:      a.target.ID,
+		Entry:       a.entry,
+		Outcome:     o,
+		Fingerprint: x.req.fingerprint,
+		Bound:       x.req.bound,
+	}
+}
+
+// notDispatched returns the final settlement of an attempt that no target received.
+func (x *exchange) notDispatched(a *attempt) home.SettleRequest {
+	s := x.settlement(a, home.NotDispatched)
+	s.UsageKnown = true
+	s.Final = true
+	return s
+}
+
+// cancelled cancels an attempt at its target and returns the final settlement
+// with the usage that the target reports.
+func (x *exchange) cancelled(a *attempt) home.SettleRequest {
+	s := x.settlement(a, home.Failed)
+	s.Tokens = x.req.bound
+	s.Final = true
+	if x.req.plain {
+		return s
+	}
+	s.Tokens, s.UsageKnown = x.usageOf(x.cancelAtTarget(a))
+	return s
+}
+
+// failed returns the settlement of a failed attempt. Last means that no other
+// request reads its stream.
+func (x *exchange) failed(a *attempt, f *failure, last bool) home.SettleRequest {
+	if f.verdict == verdict.NotRun {
+		return x.notDispatched(a)
+	}
+	if last && !f.died {
+		return x.cancelled(a)
+	}
+	s := x.settlement(a, home.Failed)
+	s.Tokens = x.req.bound
+	s.TargetDied = f.died
+	return s
+}
+
+// settleCompleted settles an answered attempt. It waits at most the settle
+// wait; after that the outbox goes on.
+func (x *exchange) settleCompleted(a *attempt, tokens int64, known bool) {
+	s := x.settlement(a, home.Completed)
+	s.Tokens = tokens
+	s.UsageKnown = known
+	s.Final = true
+	x.server.Metrics.Billed(x.req.service.Name, tokens)
+	x.settleNow(a, s)
+}
+
+// settleFailed settles a failed attempt. When the request ends with it, the
+// caller does not wait: the outbox submits the settlement. An attached stream
+// is settled by the request that dispatched it.
+func (x *exchange) settleFailed(a *attempt, f *failure, final bool) {
+	last := x.unjoin(a)
+	if a.attached {
+		return
+	}
+	x.server.readers.disown(a.stream)
+	s := x.failed(a, f, last)
+	s.Final = final
+	a.settle = s
+	if final {
+		x.pending = nil
+		x.settleLater(a, s)
+		return
+	}
+	x.pending = a
+	x.settleNow(a, s)
+}
+
+// finalizePending marks the last failed attempt as final when no further
+// attempt follows after all. The home takes the later settlement of a stream
+// as the mark only.
+func (x *exchange) finalizePending() {
+	if x.pending == nil {
+		return
+	}
+	s := x.pending.settle
+	s.Final = true
+	x.settleLater(x.pending, s)
+}
+
+// settleNow submits a settlement and waits for it up to the settle wait.
+func (x *exchange) settleNow(a *attempt, s home.SettleRequest) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.server.SettleWait)
+	defer cancel()
+	reply, err := x.authority().Settle(ctx, s)
+	if err == nil && reply.Durable {
+		x.noteSettled(a, s, "durable")
+		return
+	}
+	x.settleLater(a, s)
+}
+
+// settleLater leaves a settlement to the outbox.
+func (x *exchange) settleLater(a *attempt, s home.SettleRequest) {
+	x.server.outbox.Add(s)
+	x.noteSettled(a, s, "queued")
+}
+
+func (x *exchange) noteSettled(a *attempt, s home.SettleRequest, how string) {
+	x.note(telemetry.Step{
+		Kind: telemetry.StepSettled, Attempt: a.number, Target: a.target.ID, Stream: a.stream,
+		Tokens: s.Tokens, Detail: string(s.Outcome) + ", " + how,
+	})
+}
