bundle: checks, signatures, acceptance, store and watcher

Cause: daemons and operators need one strict reading of a bundle and one way for a version to come into force that survives races and lost replies.

Change: strict decoding that also refuses repeated fields, Check, defaults, canonical encoding, digest, Diff, sign-offs, CanAccept, Store and Watcher. The digest commits to the operators separately from the body, so that a short Link proves a change of operators; an accepted version carries one Link per such change. Acceptance writes proposal, version text and head in one transaction that requires the old head and the absence of the text. Package resubmit repeats a transaction id after a lost reply.

Measured: go test -race passes.

Conclusion: the first bundle needs a signature by every bootstrap key. The signatures prove approval, not the win of the compare-and-set; a watcher lets the table's text replace a rival of the same version on its next poll.

--- /dev/null
+++ b/pkg/bundle/canonical.go
@@ -0,0 +1,37 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// Encode returns the canonical JSON of a bundle: the normalized form, fields
+// in the order of the types, no spaces. Equal bundles have equal encodings.
+func Encode(b Bundle) ([]byte, error) {
+	raw, err := json.Marshal(Normalized(b))
+	if err != nil {
+		return nil, fmt.Errorf("encode bundle: %w", err)
+	}
+	return raw, nil
+}
+
+// Digest returns the SHA-256 that identifies a bundle, in hex. It covers the
+// version, the operators and the canonical encoding.
+func Digest(b Bundle) (string, error) {
+	link, err := linkOf(b, nil)
+	if err != nil {
+		return "", err
+	}
+	sum := link.digest()
+	return hex.EncodeToString(sum[:]), nil
+}
+
+func bodyDigest(b Bundle) ([sha256.Size]byte, error) {
+	raw, err := Encode(b)
+	if err != nil {
+		return [sha256.Size]byte{}, err
+	}
+	return sha256.Sum256(raw), nil
+}
--- /dev/null
+++ b/pkg/bundle/change.go
@@ -0,0 +1,33 @@
+package bundle
+
+import "fmt"
+
+// ChangeKind tells what happened to a field or entry.
+type ChangeKind string
+
+// Kinds of change.
+const (
+	AddedEntry   ChangeKind = "added"
+	RemovedEntry ChangeKind = "removed"
+	ChangedField ChangeKind = "changed"
+)
+
+// Change is one difference between two bundles.
+type Change struct {
+	Path   string     `json:"path"` // for example customers[regie].max_priority
+	Kind   ChangeKind `json:"kind"`
+	Before string     `json:"before,omitempty"` // JSON
+	After  string     `json:"after,omitempty"`  // JSON
+}
+
+// String returns the change in one line.
+func (c Change) String() string {
+	switch c.Kind {
+	case AddedEntry:
+		return fmt.Sprintf("+ %s: %s", c.Path, c.After)
+	case RemovedEntry:
+		return fmt.Sprintf("- %s: %s", c.Path, c.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Before, c.After)
+	}
+}
--- /dev/null
+++ b/pkg/bundle/diff.go
@@ -0,0 +1,99 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// fieldText is a bundle entry as the JSON text of each field.
+type fieldText map[string]json.RawMessage
+
+// Diff returns what changes from a to b, for people who review b. Entries are
+// matched by name or id and their order is ignored. Version and base are left
+// out because they differ in every submission. Pass an empty bundle as a for
+// a first version.
+func Diff(a, b Bundle) []Change {
+	before, after := withDefaults(a), withDefaults(b)
+	if isEmpty(a) {
+		before = a
+	}
+	changes := diffFields("", topLevel(before), topLevel(after))
+	changes = append(changes, diffEntries("operators", before.Operators, after.Operators, func(o Operator) string { return o.Name })...)
+	changes = append(changes, diffEntries("services", before.Services, after.Services, func(s Service) string { return s.Name })...)
+	changes = append(changes, diffEntries("customers", before.Customers, after.Customers, func(c Customer) string { return c.ID })...)
+	return changes
+}
+
+func isEmpty(b Bundle) bool {
+	return b.Version == 0 && len(b.Operators) == 0 && len(b.Customers) == 0 && len(b.Services) == 0
+}
+
+func topLevel(b Bundle) fieldText {
+	return fieldText{
+		"required_signoffs":    textOf(b.RequiredSignoffs),
+		"stale_bundle":         textOf(b.StaleBundle),
+		"stale_bundle_seconds": textOf(b.StaleBundleSeconds),
+	}
+}
+
+func diffEntries[T any](list string, before, after []T, name func(T) string) []Change {
+	old, updated := byName(before, name), byName(after, name)
+	var changes []Change
+	for _, id := range sortedUnion(old, updated) {
+		path := fmt.Sprintf("%s[%s]", list, id)
+		x, had := old[id]
+		y, has := updated[id]
+		switch {
+		case !had:
+			changes = append(changes, Change{Path: path, Kind: AddedEntry, After: string(textOf(y))})
+		case !has:
+			changes = append(changes, Change{Path: path, Kind: RemovedEntry, Before: string(textOf(x))})
+		default:
+			changes = append(changes, diffFields(path+".", fieldsOf(x), fieldsOf(y))...)
+		}
+	}
+	return changes
+}
+
+func diffFields(prefix string, before, after fieldText) []Change {
+	var changes []Change
+	for _, field := range sortedUnion(before, after) {
+		x, y := string(before[field]), string(after[field])
+		if x != y {
+			changes = append(changes, Change{Path: prefix + field, Kind: ChangedField, Before: x, After: y})
+		}
+	}
+	return changes
+}
+
+func byName[T any](list []T, name func(T) string) map[string]T {
+	entries := make(map[string]T, len(list))
+	for _, entry := range list {
+		entries[name(entry)] = entry
+	}
+	return entries
+}
+
+func sortedUnion[T any](a, b map[string]T) []string {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(a)), maps.Keys(b))
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func fieldsOf(entry any) fieldText {
+	var fields fieldText
+	if err := json.Unmarshal(textOf(entry), &fields); err != nil { // a struct marshals to an object
+		panic(err)
+	}
+	return fields
+}
+
+func textOf(value any) json.RawMessage {
+	raw, err := json.Marshal(value)
+	if err != nil { // NaN is the only value of these types that does not marshal
+		return json.RawMessage(fmt.Sprintf("%q", err))
+	}
+	return raw
+}
--- /dev/null
+++ b/pkg/bundle/index.go
@@ -0,0 +1,76 @@
+package bundle
+
+// Index is a bundle in force with its lookups. It is never changed after it
+// was published and may be read from any goroutine.
+type Index struct {
+	Bundle   *Bundle
+	Digest   string // SHA-256, hex
+	byKey    map[string]*Customer
+	byID     map[string]*Customer
+	services map[string]*Service
+	models   map[string]*Service
+}
+
+// NewIndex builds the lookups of a bundle. The bundle must not change afterwards.
+func NewIndex(b Bundle) (*Index, error) {
+	digest, err := Digest(b)
+	if err != nil {
+		return nil, err
+	}
+	n := Normalized(b)
+	index := &Index{
+		Bundle:   &n,
+		Digest:   digest,
+		byKey:    make(map[string]*Customer),
+		byID:     make(map[string]*Customer),
+		services: make(map[string]*Service),
+		models:   make(map[string]*Service),
+	}
+	for i := range n.Customers {
+		index.addCustomer(&n.Customers[i])
+	}
+	for i := range n.Services {
+		index.addService(&n.Services[i])
+	}
+	return index, nil
+}
+
+func (x *Index) addCustomer(c *Customer) {
+	x.byID[c.ID] = c
+	for _, hash := range c.KeyHashes {
+		x.byKey[hash] = c
+	}
+}
+
+func (x *Index) addService(s *Service) {
+	x.services[s.Name] = s
+	if s.Model != "" {
+		x.models[s.Model] = s
+	}
+}
+
+// CustomerByKeyHash returns the customer that owns an API key, by the key's
+// SHA-256 in hex. The map lookup is not constant in time, which tells an
+// attacker nothing usable: steering a SHA-256 prefix needs the key itself.
+func (x *Index) CustomerByKeyHash(hash string) (*Customer, bool) {
+	c, ok := x.byKey[hash]
+	return c, ok
+}
+
+// Customer returns a customer by id.
+func (x *Index) Customer(id string) (*Customer, bool) {
+	c, ok := x.byID[id]
+	return c, ok
+}
+
+// Service returns a service by name.
+func (x *Index) Service(name string) (*Service, bool) {
+	s, ok := x.services[name]
+	return s, ok
+}
+
+// ServiceByModel returns the engine service that serves a model.
+func (x *Index) ServiceByModel(model string) (*Service, bool) {
+	s, ok := x.models[model]
+	return s, ok
+}
--- /dev/null
+++ b/pkg/bundle/race_rapid_test.go
@@ -0,0 +1,209 @@
+package bundle
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// raceAction is one step of an operator or a watcher in the race test.
+type raceAction struct {
+	Operator string
+	Priority int  // distinguishes rival bundles
+	Required int  // sign-offs for the version after it
+	Watch    bool // a watcher polls or is pushed to instead
+	Push     uint64
+	Fault    fault
+}
+
+func genRaceAction(t *rapid.T) raceAction {
+	return raceAction{
+		Operator: rapid.SampledFrom([]string{"alice", "bob", "carol"}).Draw(t, "operator"),
+		Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+		Required: rapid.IntRange(1, 2).Draw(t, "required"),
+		Watch:    rapid.IntRange(0, 4).Draw(t, "watch") == 0,
+		Push:     rapid.Uint64Range(0, 4).Draw(t, "push"),
+		Fault:    rapid.SampledFrom([]fault{noFault, lostReply, lostCall}).Draw(t, "fault"),
+	}
+}
+
+// Guards against two bundles with one version and against a watcher going back,
+// when operators race with lost calls and replies. Operator steps interleave:
+// while one commits, the next step runs between its read and its commit.
+func TestRacingOperatorsRapid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		table := newFakeTable()
+		stores := map[string]*Store{}
+		for _, name := range []string{"alice", "bob", "carol"} {
+			stores[name] = testStore(table, name)
+		}
+		var adopted []uint64
+		w := testWatcher(stores["alice"], &testClock{}, &adopted)
+		actions := rapid.SliceOfN(rapid.Custom(genRaceAction), 6, 14).Draw(t, "actions")
+		nest := rapid.SliceOfN(rapid.Bool(), len(actions), len(actions)).Draw(t, "nest")
+		seen := uint64(0)
+		run := func(a raceAction) {
+			if a.Watch {
+				watchStep(t, stores["alice"], w, a)
+			} else {
+				operatorStep(t, ctx, stores[a.Operator], a)
+			}
+			if w.Version() < seen {
+				t.Fatalf("watcher went from version %d to %d", seen, w.Version())
+			}
+			seen = w.Version()
+		}
+		for i := 0; i < len(actions); i++ {
+			a := actions[i]
+			remaining := 1
+			table.fault = func() fault { // one fault per step, so that resubmission ends
+				if remaining == 0 {
+					return noFault
+				}
+				remaining--
+				return a.Fault
+			}
+			if nest[i] && i+1 < len(actions) {
+				i++
+				inner := actions[i]
+				table.beforeCommit = func() { run(inner) }
+			}
+			run(a)
+			table.beforeCommit = nil
+		}
+		table.fault = func() fault { return noFault }
+		if len(table.violations) > 0 {
+			t.Fatalf("written twice: %v", table.violations)
+		}
+		assertOneWinner(t, stores["alice"], w)
+	})
+}
+
+// operatorStep submits a rival bundle on the version in force, or signs it off
+// if it is already stored.
+func operatorStep(t *rapid.T, ctx context.Context, s *Store, a raceAction) {
+	b := sample(0)
+	current, err := s.Current(ctx)
+	if err == nil {
+		b = sample(current.Bundle.Version)
+	} else if !errors.Is(err, ErrNoBundle) {
+		t.Fatalf("read current: %v", err)
+	}
+	b.Customers[0].MaxPriority = a.Priority
+	b.RequiredSignoffs = a.Required
+	signature, err := Sign(b, a.Operator, keyOf(a.Operator))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = s.Submit(ctx, Proposal{Author: a.Operator, Bundle: b, Signatures: []Signature{signature}})
+	var conflict *ConflictError
+	expected := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrSignature) || errors.Is(err, ErrBusy)
+	if !expected {
+		t.Fatalf("submit: %v", err)
+	}
+	if errors.Is(err, ErrSignature) && (a.Operator != "carol" || current != nil) {
+		t.Fatalf("operator %s refused: %v", a.Operator, err)
+	}
+}
+
+// watchStep polls, or pushes a stored version of any age.
+func watchStep(t *rapid.T, s *Store, w *Watcher, a raceAction) {
+	ctx := context.Background()
+	if a.Push == 0 {
+		if err := w.Poll(ctx); err != nil && !errors.Is(err, ErrNoBundle) {
+			t.Fatalf("poll: %v", err)
+		}
+		return
+	}
+	accepted, err := s.Get(ctx, a.Push)
+	if errors.Is(err, ErrNoVersion) {
+		return
+	}
+	if err != nil {
+		t.Fatalf("get: %v", err)
+	}
+	raw, err := accepted.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Offer(raw); err != nil {
+		t.Fatalf("offer of version %d: %v", a.Push, err)
+	}
+}
+
+// assertOneWinner requires that the head names the highest stored version and
+// that the watcher agrees with it.
+func assertOneWinner(t *rapid.T, s *Store, w *Watcher) {
+	ctx := context.Background()
+	current, err := s.Current(ctx)
+	if errors.Is(err, ErrNoBundle) {
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Get(ctx, current.Bundle.Version+1); !errors.Is(err, ErrNoVersion) {
+		t.Fatalf("a version above the head exists: %v", err)
+	}
+	if err := w.Poll(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if w.Version() != current.Bundle.Version {
+		t.Fatalf("watcher has %d, table %d", w.Version(), current.Bundle.Version)
+	}
+}
+
+// Guards against a data race or two winners when operators submit from several
+// goroutines at once; each round must bring exactly one version into force.
+func TestRacingOperatorsConcurrent(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	bring(t, testStore(table, "setup"), sample(0))
+	n := 0
+	table.fault = func() fault { // called under the table's lock
+		n++
+		return []fault{noFault, lostReply, noFault, lostCall}[n%4]
+	}
+	w := NewWatcher(WatcherConfig{Store: testStore(table, "watch")})
+	const rounds = 5
+	for round := uint64(1); round <= rounds; round++ {
+		var group sync.WaitGroup
+		for i, author := range []string{"alice", "bob", "carol"} {
+			group.Go(func() {
+				b := sample(round)
+				b.Customers[0].MaxPriority = i
+				s := testStore(table, author+string(rune('0'+round)))
+				for _, signer := range []string{"alice", "bob", "carol"} {
+					_, err := s.Submit(ctx, proposalBy(t, b, signer))
+					var conflict *ConflictError
+					if err != nil && !errors.As(err, &conflict) && !errors.Is(err, ErrBusy) {
+						t.Errorf("submit by %s: %v", signer, err)
+					}
+				}
+			})
+		}
+		group.Go(func() {
+			before := w.Version()
+			if err := w.Poll(ctx); err != nil {
+				t.Errorf("poll: %v", err)
+			}
+			if w.Version() < before {
+				t.Errorf("watcher went back from %d to %d", before, w.Version())
+			}
+		})
+		group.Wait()
+		current, err := testStore(table, "check").Current(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, current.Bundle.Version, round+1)
+	}
+	assert.Equal(t, len(table.violations), 0, "written twice: %v", table.violations)
+}
+
+var _ platform.Table = (*fakeTable)(nil)
--- /dev/null
+++ b/pkg/bundle/repeated_fields.go
@@ -0,0 +1,72 @@
+package bundle
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// maxDepth bounds the nesting of a document. A bundle nests five levels.
+const maxDepth = 32
+
+// rejectRepeatedFields refuses a field that occurs twice in one object.
+// encoding/json keeps the last one, so a reviewer could read the other. Names
+// are compared without case because encoding/json matches them that way.
+func rejectRepeatedFields(raw []byte) error {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	return walkValue(dec, 0)
+}
+
+func walkValue(dec *json.Decoder, depth int) error {
+	token, err := dec.Token()
+	if errors.Is(err, io.EOF) {
+		return errors.New("document is empty or cut off")
+	}
+	if err != nil {
+		return err
+	}
+	if depth > maxDepth {
+		return fmt.Errorf("nested deeper than %d levels at byte %d", maxDepth, dec.InputOffset())
+	}
+	switch token {
+	case json.Delim('{'):
+		return walkObject(dec, depth)
+	case json.Delim('['):
+		return walkArray(dec, depth)
+	}
+	return nil
+}
+
+func walkObject(dec *json.Decoder, depth int) error {
+	seen := make(map[string]bool)
+	for dec.More() {
+		token, err := dec.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := token.(string)
+		folded := strings.ToLower(name)
+		if seen[folded] {
+			return fmt.Errorf("field %q occurs twice at byte %d", name, dec.InputOffset())
+		}
+		seen[folded] = true
+		if err := walkValue(dec, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := dec.Token()
+	return err
+}
+
+func walkArray(dec *json.Decoder, depth int) error {
+	for dec.More() {
+		if err := walkValue(dec, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := dec.Token()
+	return err
+}
--- /dev/null
+++ b/pkg/bundle/resubmit/policy_test.go
@@ -0,0 +1,60 @@
+package resubmit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// scriptedTable answers commits with a list of errors.
+type scriptedTable struct {
+	platform.Table
+	errs []error
+	ids  []string
+}
+
+func (t *scriptedTable) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
+	err := t.errs[len(t.ids)]
+	t.ids = append(t.ids, txn.ID)
+	return platform.Outcome{Committed: err == nil}, err
+}
+
+// Guards against a resubmission under a new id, which could apply twice.
+func TestCommitKeepsID(t *testing.T) {
+	table := &scriptedTable{errs: []error{platform.ErrUnavailable, platform.ErrUnavailable, nil}}
+	outcome, err := Policy{Attempts: 3}.Commit(context.Background(), table, platform.Txn{ID: "a"})
+	assert.NilError(t, err)
+	assert.Assert(t, outcome.Committed)
+	assert.DeepEqual(t, table.ids, []string{"a", "a", "a"})
+}
+
+// Guards against endless resubmission in an outage, and against an unknown
+// outcome being reported as a decided one.
+func TestCommitGivesUp(t *testing.T) {
+	table := &scriptedTable{errs: []error{platform.ErrUnavailable, platform.ErrUnavailable}}
+	_, err := Policy{Attempts: 2}.Commit(context.Background(), table, platform.Txn{ID: "a"})
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, len(table.ids), 2)
+}
+
+// Guards against an error that the table decided being submitted again.
+func TestCommitReturnsOtherErrors(t *testing.T) {
+	table := &scriptedTable{errs: []error{errors.New("bad transaction")}}
+	_, err := Policy{Attempts: 5}.Commit(context.Background(), table, platform.Txn{ID: "a"})
+	assert.ErrorContains(t, err, "bad transaction")
+}
+
+// Guards against a wait that outlives the caller.
+func TestCommitStopsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	table := &scriptedTable{errs: []error{platform.ErrUnavailable, nil}}
+	_, err := Policy{Attempts: 2, FirstWait: time.Hour}.Commit(ctx, table, platform.Txn{ID: "a"})
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, len(table.ids), 1)
+}
--- /dev/null
+++ b/pkg/bundle/signature.go
@@ -0,0 +1,30 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+)
+
+// signDomain separates sign-offs from every other use of an operator key.
+const signDomain = "peppertrail bundle sign-off v1\x00"
+
+// Signature is an operator's sign-off of one bundle.
+type Signature struct {
+	Operator string `json:"operator"`
+	Value    string `json:"signature"` // Ed25519, base64
+}
+
+// Sign returns the sign-off of a bundle by an operator.
+func Sign(b Bundle, operator string, key ed25519.PrivateKey) (Signature, error) {
+	link, err := linkOf(b, nil)
+	if err != nil {
+		return Signature{}, err
+	}
+	raw := ed25519.Sign(key, signedMessage(link.digest()))
+	return Signature{Operator: operator, Value: base64.StdEncoding.EncodeToString(raw)}, nil
+}
+
+func signedMessage(digest [sha256.Size]byte) []byte {
+	return append([]byte(signDomain), digest[:]...)
+}
--- /dev/null
+++ b/pkg/bundle/store_sign.go
@@ -0,0 +1,247 @@
+package bundle
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	// maxRounds bounds how often a submission is tried again after another
+	// operator changed the same rows.
+	maxRounds = 8
+	// maxPruned is how many superseded proposals one acceptance deletes.
+	maxPruned = 16
+)
+
+// signState is what one round of a submission has read.
+type signState struct {
+	digest   string
+	headRow  platform.Row
+	row      platform.Row // proposal row
+	head     Head
+	current  *Accepted // nil: none in force
+	proposal *Proposal // nil: none stored
+}
+
+// Submit stores a proposal with the signature of its author and accepts it if
+// that is enough. Submitting the same bundle again is harmless. Errors:
+// *CheckError, *ConflictError, ErrSignature, ErrBusy, platform.ErrUnavailable
+// (repeat the call: it does not apply twice).
+func (s *Store) Submit(ctx context.Context, p Proposal) (Progress, error) {
+	if err := Check(p.Bundle); err != nil {
+		return Progress{}, err
+	}
+	p.Bundle = Normalized(p.Bundle)
+	if !p.signedBy(p.Author) || len(p.Signatures) != 1 {
+		return Progress{}, fmt.Errorf("%w: a submission carries one signature, by its author %q", ErrSignature, p.Author)
+	}
+	digest, err := Digest(p.Bundle)
+	if err != nil {
+		return Progress{}, err
+	}
+	return s.sign(ctx, digest, p.Signatures[0], &p)
+}
+
+// SignOff adds a signature to a stored proposal and accepts it once enough
+// operators of the bundle in force have signed. Signing off a version that is
+// already in force succeeds. Errors: as for Submit, and ErrNoProposal.
+func (s *Store) SignOff(ctx context.Context, digest string, signature Signature) (Progress, error) {
+	return s.sign(ctx, digest, signature, nil)
+}
+
+// sign repeats signOnce until no other operator interferes.
+func (s *Store) sign(ctx context.Context, digest string, signature Signature, submitted *Proposal) (Progress, error) {
+	for range maxRounds {
+		state, err := s.readState(ctx, digest)
+		if err != nil {
+			return Progress{}, err
+		}
+		progress, done, err := s.signOnce(ctx, state, signature, submitted)
+		if done || err != nil {
+			return progress, err
+		}
+	}
+	return Progress{}, ErrBusy
+}
+
+// signOnce makes one attempt; done is false if a row changed in the meantime.
+func (s *Store) signOnce(ctx context.Context, state signState, signature Signature, submitted *Proposal) (Progress, bool, error) {
+	if state.current != nil && state.head.Digest == state.digest {
+		return state.inForce(), true, nil
+	}
+	p, err := state.base(submitted)
+	if err != nil {
+		return Progress{}, false, err
+	}
+	if err := checkBase(state.current.bundle(), p.Bundle); err != nil {
+		return Progress{}, false, err
+	}
+	trust := trustFor(state.current.bundle(), s.bootstrap)
+	if err := verifySignature(trust, p.Bundle, signature); err != nil {
+		return Progress{}, false, err
+	}
+	p = p.with(signature)
+	accepted, err := s.acceptIfSigned(state, p)
+	if err != nil {
+		return Progress{}, false, err
+	}
+	txn, err := s.transaction(ctx, state, p, accepted)
+	if err != nil {
+		return Progress{}, false, err
+	}
+	outcome, err := s.policy.Commit(ctx, s.table, txn)
+	if err != nil {
+		return Progress{}, false, fmt.Errorf("store proposal: %w", err)
+	}
+	if !outcome.Committed {
+		return Progress{}, false, conflictAt(outcome, accepted)
+	}
+	return progressOf(state.digest, p, trust, accepted != nil), true, nil
+}
+
+func verifySignature(trust Trust, b Bundle, signature Signature) error {
+	link, err := linkOf(b, nil)
+	if err != nil {
+		return err
+	}
+	if err := trust.verifyOne(link.digest(), signature); err != nil {
+		return fmt.Errorf("%w: %w", ErrSignature, err)
+	}
+	return nil
+}
+
+// acceptIfSigned returns the acceptance record, or nil if sign-offs are missing.
+func (s *Store) acceptIfSigned(state signState, p Proposal) (*Accepted, error) {
+	err := CanAccept(state.current.bundle(), p, s.bootstrap)
+	var missing *SignoffError
+	if errors.As(err, &missing) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return accept(state.current, p)
+}
+
+// transaction writes the proposal and, if it is accepted, the version text and
+// the head, all under the condition that neither row changed since it was read.
+func (s *Store) transaction(ctx context.Context, state signState, p Proposal, accepted *Accepted) (platform.Txn, error) {
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return platform.Txn{}, fmt.Errorf("encode proposal: %w", err)
+	}
+	txn := platform.Txn{
+		ID: s.newID(),
+		Conditions: []platform.Condition{
+			{Key: HeadKey, Version: state.headRow.Version},
+			{Key: state.row.Key, Version: state.row.Version},
+		},
+		Puts: []platform.Put{{Key: state.row.Key, Value: raw}},
+	}
+	if accepted == nil {
+		return txn, nil
+	}
+	return s.withAcceptance(ctx, txn, state, accepted)
+}
+
+// withAcceptance adds the compare-and-set of the head. The version text must be
+// absent, so that a head that was reset by hand cannot replace a version.
+func (s *Store) withAcceptance(ctx context.Context, txn platform.Txn, state signState, accepted *Accepted) (platform.Txn, error) {
+	text, err := accepted.Encode()
+	if err != nil {
+		return txn, err
+	}
+	version := accepted.Bundle.Version
+	head, err := json.Marshal(Head{Version: version, Digest: state.digest})
+	if err != nil {
+		return txn, fmt.Errorf("encode bundle head: %w", err)
+	}
+	txn.Conditions = append(txn.Conditions, platform.Condition{Key: VersionKey(version)})
+	txn.Puts = append(txn.Puts,
+		platform.Put{Key: VersionKey(version), Value: text},
+		platform.Put{Key: HeadKey, Value: head},
+	)
+	txn.Deletes, err = s.superseded(ctx, state)
+	return txn, err
+}
+
+// superseded returns keys of proposals that were already superseded before
+// this acceptance. They can no longer be accepted, so they need no condition.
+func (s *Store) superseded(ctx context.Context, state signState) ([]string, error) {
+	rows, err := s.table.Scan(ctx, ProposalPrefix, "", maxPruned)
+	if err != nil {
+		return nil, fmt.Errorf("read proposals: %w", err)
+	}
+	var keys []string
+	for _, row := range rows {
+		p, err := decodeProposal(row)
+		if err == nil && p.Bundle.Base < state.head.Version {
+			keys = append(keys, row.Key)
+		}
+	}
+	return keys, nil
+}
+
+// conflictAt returns nil if another round can succeed.
+func conflictAt(outcome platform.Outcome, accepted *Accepted) error {
+	if accepted == nil {
+		return nil
+	}
+	key := VersionKey(accepted.Bundle.Version)
+	taken := func(row platform.Row) bool { return row.Key == key }
+	raced := func(row platform.Row) bool { return row.Key == HeadKey }
+	if slices.ContainsFunc(outcome.Conflicts, taken) && !slices.ContainsFunc(outcome.Conflicts, raced) {
+		return fmt.Errorf("%w: %s exists although the head is older", ErrCorrupt, key)
+	}
+	return nil
+}
+
+func (s *Store) readState(ctx context.Context, digest string) (signState, error) {
+	rows, err := s.table.Get(ctx, HeadKey, ProposalKey(digest))
+	if err != nil {
+		return signState{}, fmt.Errorf("read proposal: %w", err)
+	}
+	state := signState{digest: digest, headRow: rows[0], row: rows[1]}
+	if state.head, err = decodeHead(state.headRow); err != nil {
+		return signState{}, err
+	}
+	if state.head.Version > 0 {
+		if state.current, err = s.at(ctx, state.head); err != nil {
+			return signState{}, err
+		}
+	}
+	if state.row.Version > 0 {
+		p, err := decodeProposal(state.row)
+		if err != nil {
+			return signState{}, err
+		}
+		state.proposal = &p
+	}
+	return state, nil
+}
+
+// base returns the proposal to sign: the stored one, else the submitted one.
+func (state signState) base(submitted *Proposal) (Proposal, error) {
+	if state.proposal != nil {
+		return *state.proposal, nil
+	}
+	if submitted == nil {
+		return Proposal{}, proposalGone(state.digest, state.head.Version)
+	}
+	return *submitted, nil
+}
+
+// inForce is the progress of a proposal that was accepted before.
+func (state signState) inForce() Progress {
+	p := Proposal{
+		Author:     state.current.Author,
+		Bundle:     state.current.Bundle,
+		Signatures: state.current.Signatures,
+	}
+	return progressOf(state.digest, p, TrustOf(state.current.Bundle), true)
+}
--- /dev/null
+++ b/pkg/bundle/store_test.go
@@ -0,0 +1,188 @@
+package bundle
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// Guards against a bundle coming into force with the author's signature alone,
+// and against its text or head being missing afterwards.
+func TestSubmitAndSignOff(t *testing.T) {
+	ctx := context.Background()
+	s := testStore(newFakeTable(), "s")
+	_, err := s.Current(ctx)
+	assert.ErrorIs(t, err, ErrNoBundle)
+
+	first := sample(0)
+	progress, err := s.Submit(ctx, proposalBy(t, first, "alice"))
+	assert.NilError(t, err)
+	assert.Assert(t, !progress.InForce)
+	assert.DeepEqual(t, progress.Missing, []string{"bob"})
+	_, err = s.Current(ctx)
+	assert.ErrorIs(t, err, ErrNoBundle)
+
+	progress, err = s.SignOff(ctx, progress.Digest, signed(t, first, "bob")[0])
+	assert.NilError(t, err)
+	assert.Assert(t, progress.InForce)
+	current, err := s.Current(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, current.Bundle.Version, uint64(1))
+	again, err := s.Get(ctx, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again.Bundle, current.Bundle)
+	_, err = s.Get(ctx, 2)
+	assert.ErrorIs(t, err, ErrNoVersion)
+}
+
+// Guards against a repeated command failing after its first run took effect.
+func TestSubmitAndSignOffAreRepeatable(t *testing.T) {
+	ctx := context.Background()
+	s := testStore(newFakeTable(), "s")
+	first := sample(0)
+	_, err := s.Submit(ctx, proposalBy(t, first, "alice"))
+	assert.NilError(t, err)
+	progress, err := s.Submit(ctx, proposalBy(t, first, "alice"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, progress.SignedBy, []string{"alice"})
+	for range 2 {
+		progress, err = s.SignOff(ctx, progress.Digest, signed(t, first, "bob")[0])
+		assert.NilError(t, err)
+		assert.Assert(t, progress.InForce)
+	}
+	current, err := s.Current(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, current.Bundle.Version, uint64(1))
+}
+
+// Guards against the losing operator not learning which version is in force.
+func TestRivalProposalConflicts(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	bring(t, s, sample(0))
+	rival := sample(1)
+	rival.Customers[0].MaxPriority = 3
+	progress, err := s.Submit(ctx, proposalBy(t, rival, "carol"))
+	assert.NilError(t, err)
+	// The winner is accepted between the loser's read and its commit.
+	loser := testStore(table, "loser")
+	winner := sample(1)
+	winner.Customers[0].MaxPriority = 4
+	table.beforeCommit = func() { bring(t, s, winner) }
+	_, err = loser.SignOff(ctx, progress.Digest, signed(t, rival, "bob")[0])
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.InForce, uint64(2))
+	current, err := s.Current(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, current.Bundle.Customers[0].MaxPriority, 4)
+}
+
+// Guards against signatures of strangers being stored and counted later.
+func TestSignOffRefusesStrangers(t *testing.T) {
+	ctx := context.Background()
+	s := testStore(newFakeTable(), "s")
+	_, err := s.Submit(ctx, proposalBy(t, sample(0), "mallory"))
+	assert.ErrorIs(t, err, ErrSignature)
+	p := proposalBy(t, sample(0), "alice")
+	p.Author = "bob"
+	_, err = s.Submit(ctx, p)
+	assert.ErrorIs(t, err, ErrSignature)
+	progress, err := s.Submit(ctx, proposalBy(t, sample(0), "alice"))
+	assert.NilError(t, err)
+	_, err = s.SignOff(ctx, progress.Digest, signed(t, sample(0), "carol")[0])
+	assert.ErrorIs(t, err, ErrSignature)
+	_, err = s.SignOff(ctx, "no-such-digest", signed(t, sample(0), "bob")[0])
+	assert.ErrorIs(t, err, ErrNoProposal)
+}
+
+// Guards against a lost reply being reported as a failure or applied twice.
+func TestLostReplyIsResolved(t *testing.T) {
+	table := newFakeTable()
+	s := testStore(table, "s")
+	faults := []fault{lostReply, lostCall, noFault, lostReply, lostReply, noFault}
+	table.fault = func() fault {
+		if len(faults) == 0 {
+			return noFault
+		}
+		f := faults[0]
+		faults = faults[1:]
+		return f
+	}
+	bring(t, s, sample(0))
+	assert.Equal(t, table.commits, 6)
+	assert.Equal(t, table.revision, uint64(2))
+}
+
+// Guards against an outage being reported as a refusal.
+func TestOutageIsUnavailable(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	table.fault = func() fault { return lostCall }
+	_, err := s.Submit(ctx, proposalBy(t, sample(0), "alice"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	table.down = true
+	_, err = s.Current(ctx)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Guards against one bad row hiding every proposal, and against superseded
+// proposals filling the table.
+func TestProposals(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	bring(t, s, sample(0))
+	open := sample(1)
+	open.Customers[0].MaxPriority = 1
+	_, err := s.Submit(ctx, proposalBy(t, open, "carol"))
+	assert.NilError(t, err)
+	table.set(ProposalKey("bad"), `{"x":1}`)
+	list, err := s.Proposals(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, list.Unreadable, []string{"proposal/bad"})
+	assert.Equal(t, len(list.Proposals), 2)
+
+	bring(t, s, sample(1))
+	list, err = s.Proposals(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Proposals), 2)
+	assert.Equal(t, countSuperseded(list), 1)
+
+	bring(t, s, sample(2))
+	list, err = s.Proposals(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Proposals), 1)
+	assert.Equal(t, countSuperseded(list), 0)
+}
+
+func countSuperseded(list ProposalList) int {
+	n := 0
+	for _, p := range list.Proposals {
+		if p.Superseded {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a head that was reset by hand replacing an accepted version.
+func TestResetHeadDoesNotReplaceVersion(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	bring(t, s, sample(0))
+	delete(table.rows, HeadKey)
+	other := sample(0)
+	other.Customers[0].MaxPriority = 9
+	progress, err := s.Submit(ctx, proposalBy(t, other, "alice"))
+	assert.NilError(t, err)
+	_, err = s.SignOff(ctx, progress.Digest, signed(t, other, "bob")[0])
+	assert.ErrorIs(t, err, ErrCorrupt)
+}
--- /dev/null
+++ b/pkg/bundle/watcher_test.go
@@ -0,0 +1,219 @@
+package bundle
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// testClock is a clock that tests move by hand.
+type testClock struct{ now time.Time }
+
+func (c *testClock) Now() time.Time { return c.now }
+
+func testWatcher(s *Store, clock *testClock, adopted *[]uint64) *Watcher {
+	return NewWatcher(WatcherConfig{
+		Store:     s,
+		Bootstrap: operatorsOf("alice", "bob"),
+		Now:       clock.Now,
+		OnAdopt:   func(a Adoption) { *adopted = append(*adopted, a.Index.Bundle.Version) },
+	})
+}
+
+// Guards against missing a new version, and against adopting one twice.
+func TestWatcherPolls(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	clock := &testClock{now: time.Unix(1000, 0)}
+	var adopted []uint64
+	w := testWatcher(s, clock, &adopted)
+	assert.ErrorIs(t, w.Poll(ctx), ErrNoBundle)
+	assert.Assert(t, w.Current() == nil)
+	bring(t, s, sample(0))
+	assert.NilError(t, w.Poll(ctx))
+	assert.NilError(t, w.Poll(ctx))
+	bring(t, s, sample(1))
+	assert.NilError(t, w.Poll(ctx))
+	assert.DeepEqual(t, adopted, []uint64{1, 2})
+	customer, ok := w.Current().CustomerByKeyHash(keyHash(3))
+	assert.Assert(t, ok && customer.ID == "office")
+	service, ok := w.Current().ServiceByModel("chef")
+	assert.Assert(t, ok && service.Name == "chef-llm")
+	_, ok = w.Current().Service("cantine-app")
+	assert.Assert(t, ok)
+	_, ok = w.Current().Customer("nobody")
+	assert.Assert(t, !ok)
+}
+
+// Guards against a daemon in an outage claiming that its version is confirmed,
+// and against the refuse policy not taking effect.
+func TestWatcherUnconfirmed(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	clock := &testClock{now: time.Unix(1000, 0)}
+	var adopted []uint64
+	w := testWatcher(s, clock, &adopted)
+	b := sample(0)
+	b.StaleBundle = RefuseStale
+	b.StaleBundleSeconds = 30
+	bring(t, s, b)
+	assert.NilError(t, w.Poll(ctx))
+	table.setDown(true)
+	clock.now = clock.now.Add(30 * time.Second)
+	assert.ErrorIs(t, w.Poll(ctx), platform.ErrUnavailable)
+	assert.Equal(t, w.Unconfirmed(), 30*time.Second)
+	assert.Assert(t, !w.Stale())
+	clock.now = clock.now.Add(time.Second)
+	assert.Assert(t, w.Stale())
+	table.setDown(false)
+	assert.NilError(t, w.Poll(ctx))
+	assert.Assert(t, !w.Stale())
+}
+
+// Guards against a return to an older version when the table was restored from
+// a backup.
+func TestWatcherIgnoresOlderHead(t *testing.T) {
+	ctx := context.Background()
+	table := newFakeTable()
+	s := testStore(table, "s")
+	clock := &testClock{now: time.Unix(1000, 0)}
+	var adopted []uint64
+	w := testWatcher(s, clock, &adopted)
+	bring(t, s, sample(0))
+	old := string(table.rows[HeadKey].Value)
+	bring(t, s, sample(1))
+	assert.NilError(t, w.Poll(ctx))
+	table.set(HeadKey, old)
+	clock.now = clock.now.Add(time.Minute)
+	assert.ErrorIs(t, w.Poll(ctx), ErrOlderHead)
+	assert.Equal(t, w.Version(), uint64(2))
+	assert.Equal(t, w.Unconfirmed(), time.Minute)
+}
+
+// rawAt returns the pushed form of a version.
+func rawAt(t *testing.T, s *Store, version uint64) []byte {
+	t.Helper()
+	a, err := s.Get(context.Background(), version)
+	assert.NilError(t, err)
+	raw, err := a.Encode()
+	assert.NilError(t, err)
+	return raw
+}
+
+// Guards against a daemon without the store being unable to follow pushes
+// after it missed versions, one of which replaced the operators.
+func TestOfferAcrossMissedVersions(t *testing.T) {
+	ctx := context.Background()
+	s := testStore(newFakeTable(), "s")
+	bring(t, s, sample(0))
+	bring(t, s, sample(1))
+	handover := sample(2)
+	handover.Operators = operatorsOf("dave", "erin")
+	bring(t, s, handover)
+	next := handover
+	next.Base = 3
+	progress, err := s.Submit(ctx, proposalBy(t, next, "dave"))
+	assert.NilError(t, err)
+	_, err = s.SignOff(ctx, progress.Digest, signed(t, next, "erin")[0])
+	assert.NilError(t, err)
+
+	for held := uint64(0); held < 4; held++ {
+		clock := &testClock{}
+		var adopted []uint64
+		w := testWatcher(s, clock, &adopted)
+		if held > 0 {
+			ok, err := w.Offer(rawAt(t, s, held))
+			assert.NilError(t, err)
+			assert.Assert(t, ok)
+		}
+		ok, err := w.Offer(rawAt(t, s, 4))
+		assert.NilError(t, err, "from version %d", held)
+		assert.Assert(t, ok)
+		assert.Equal(t, w.Version(), uint64(4))
+		ok, err = w.Offer(rawAt(t, s, 2))
+		assert.NilError(t, err)
+		assert.Assert(t, !ok)
+		assert.Equal(t, w.Version(), uint64(4))
+	}
+}
+
+// Guards against a push that operators did not sign: changed content, a raised
+// version, signatures of strangers, a forged or missing handover.
+func TestOfferRefusesForgeries(t *testing.T) {
+	s := testStore(newFakeTable(), "s")
+	bring(t, s, sample(0))
+	handover := sample(1)
+	handover.Operators = operatorsOf("alice", "dave", "erin")
+	bring(t, s, handover)
+	last := handover
+	last.Base = 2
+	last.Customers = last.Customers[:1]
+	ctx := context.Background()
+	progress, err := s.Submit(ctx, proposalBy(t, last, "dave"))
+	assert.NilError(t, err)
+	_, err = s.SignOff(ctx, progress.Digest, signed(t, last, "erin")[0])
+	assert.NilError(t, err)
+
+	forgeries := map[string]func(*Accepted){
+		"content":         func(a *Accepted) { a.Bundle.Customers[0].MaxPriority = 9 },
+		"version":         func(a *Accepted) { a.Bundle.Base, a.Bundle.Version = 8, 9 },
+		"strangers":       func(a *Accepted) { a.Signatures = signed(t, a.Bundle, "mallory", "trudy") },
+		"no handover":     func(a *Accepted) { a.Handovers = a.Handovers[:1] },
+		"forged handover": func(a *Accepted) { a.Handovers[1].Trust.Operators = operatorsOf("dave", "erin") },
+		"lower threshold": func(a *Accepted) { a.Handovers[1].Trust.Required = 1 },
+		"one signature":   func(a *Accepted) { a.Signatures = a.Signatures[:1] },
+	}
+	for name, forge := range forgeries {
+		var adopted []uint64
+		w := testWatcher(s, &testClock{}, &adopted)
+		_, err := w.Offer(rawAt(t, s, 1))
+		assert.NilError(t, err)
+		a, err := s.Get(ctx, 3)
+		assert.NilError(t, err)
+		forge(a)
+		raw, err := json.Marshal(a)
+		assert.NilError(t, err)
+		ok, err := w.Offer(raw)
+		assert.Assert(t, !ok && err != nil, "%s was adopted", name)
+		assert.Equal(t, w.Version(), uint64(1), name)
+	}
+}
+
+// Guards against two hosts keeping different bundles under one version after a
+// peer pushed a rival that lost the compare-and-set.
+func TestTableReplacesRivalOfSameVersion(t *testing.T) {
+	ctx := context.Background()
+	s := testStore(newFakeTable(), "s")
+	bring(t, s, sample(0))
+	rival := sample(0)
+	rival.Customers[0].MaxPriority = 7
+	a, err := accept(nil, Proposal{Author: "alice", Bundle: rival, Signatures: signed(t, rival, "alice", "bob")})
+	assert.NilError(t, err)
+	raw, err := a.Encode()
+	assert.NilError(t, err)
+	var adopted []uint64
+	w := testWatcher(s, &testClock{}, &adopted)
+	ok, err := w.Offer(raw)
+	assert.NilError(t, err)
+	assert.Assert(t, ok)
+	assert.NilError(t, w.Poll(ctx))
+	assert.Equal(t, w.Current().Bundle.Customers[0].MaxPriority, 0)
+	assert.DeepEqual(t, adopted, []uint64{1, 1})
+}
+
+// Guards against Run missing the first poll or outliving its context.
+func TestWatcherRun(t *testing.T) {
+	s := testStore(newFakeTable(), "s")
+	bring(t, s, sample(0))
+	ctx, cancel := context.WithCancel(context.Background())
+	w := NewWatcher(WatcherConfig{Store: s, PollEvery: time.Hour, OnPoll: func(error) { cancel() }})
+	assert.ErrorIs(t, w.Run(ctx), context.Canceled)
+	assert.Equal(t, w.Version(), uint64(1))
+}
