access: API keys, operator keys, signed requests and TLS settings

Cause: callers, operators and daemons must prove who they are, and no secret may reach a log line or an error message.

Considered: covering the host in request signatures (a load balancer may rewrite it, so a captured request stays valid at another daemon for 60 s; all operator writes are idempotent); a shared replay cache in the table (a write per operator call, and no calls in an outage).

Errors leave out the causes of key parsers and do not repeat a setting that looks like a key. The bundle index uses the salted index.

--- /dev/null
+++ b/pkg/access/signer.go
@@ -0,0 +1,39 @@
+package access
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Signer signs operator requests.
+type Signer struct {
+	Operator string
+	Key      ed25519.PrivateKey
+	Now      func() time.Time // default time.Now
+}
+
+// Sign sets the signature headers of a request with this body. Sign a request
+// anew before sending it again, since its nonce is accepted once.
+func (s Signer) Sign(r *http.Request, body []byte) {
+	now := time.Now
+	if s.Now != nil {
+		now = s.Now
+	}
+	head := requestHead{operator: s.Operator, at: now(), nonce: newNonce()}
+	signature := ed25519.Sign(s.Key, head.message(r.Method, r.URL.RequestURI(), body))
+	r.Header.Set(OperatorHeader, head.operator)
+	r.Header.Set(TimeHeader, strconv.FormatInt(head.at.UnixMilli(), 10))
+	r.Header.Set(NonceHeader, head.nonce)
+	r.Header.Set(SignatureHeader, base64.StdEncoding.EncodeToString(signature))
+}
+
+func newNonce() string {
+	raw := make([]byte, nonceBytes)
+	_, _ = rand.Read(raw) // never fails since Go 1.24
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/pkg/access/verifier.go
@@ -0,0 +1,80 @@
+package access
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// KeySource returns the public key of an operator, false for an unknown name.
+type KeySource func(operator string) (ed25519.PublicKey, bool)
+
+// Verifier checks operator requests. It may be used from any goroutine.
+type Verifier struct {
+	now    func() time.Time
+	replay *replayCache
+}
+
+// NewVerifier returns a verifier with an empty replay cache. A nil clock means
+// time.Now.
+func NewVerifier(now func() time.Time) *Verifier {
+	if now == nil {
+		now = time.Now
+	}
+	return &Verifier{now: now, replay: newReplayCache()}
+}
+
+// Verify returns the operator who signed a request. It reads the body and
+// leaves a copy in its place. It returns an *AuthError for a request to refuse.
+func (v *Verifier) Verify(r *http.Request, keys KeySource) (operator string, err error) {
+	head, err := parseHead(r.Header)
+	if err != nil {
+		return "", err
+	}
+	now := v.now()
+	if err := checkWindow(head.at, now); err != nil {
+		return "", err
+	}
+	key, ok := keys(head.operator)
+	if !ok {
+		return "", refuse("%q is not an operator of the bundle in force", head.operator)
+	}
+	body, err := takeBody(r)
+	if err != nil {
+		return "", err
+	}
+	if !ed25519.Verify(key, head.message(r.Method, r.URL.RequestURI(), body), head.signature) {
+		return "", refuse("signature of operator %q does not match the request: check --key", head.operator)
+	}
+	if !v.replay.add(head.operator+"/"+head.nonce, now, head.at.Add(SignatureWindow)) {
+		return "", refuse("request was received before: sign it anew")
+	}
+	return head.operator, nil
+}
+
+func checkWindow(at, now time.Time) error {
+	skew := now.Sub(at)
+	if skew.Abs() > SignatureWindow {
+		return refuse("request time is %s away from the daemon's clock, allowed are %s: set the clock", skew.Abs().Round(time.Second), SignatureWindow)
+	}
+	return nil
+}
+
+// takeBody reads the body and puts a copy in its place.
+func takeBody(r *http.Request) ([]byte, error) {
+	if r.Body == nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
+	if err != nil {
+		return nil, fmt.Errorf("read request body: %w", err)
+	}
+	if len(body) > MaxBody {
+		return nil, refuse("request body is larger than %d bytes", MaxBody)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return body, nil
+}
--- a/pkg/bundle/index.go
+++ b/pkg/bundle/index.go
@@ -1,11 +1,13 @@
 package bundle
 
+import "github.com/peppertrail/peppertrail/pkg/access"
+
 // Index is a bundle in force with its lookups. It is never changed after it
 // was published and may be read from any goroutine.
 type Index struct {
 	Bundle   *Bundle
 	Digest   string // SHA-256, hex
-	byKey    map[string]*Customer
+	byKey    *access.KeyIndex[*Customer]
 	byID     map[string]*Customer
 	services map[string]*Service
 	models   map[string]*Service
@@ -21,7 +23,7 @@
 	index := &Index{
 		Bundle:   &n,
 		Digest:   digest,
-		byKey:    make(map[string]*Customer),
+		byKey:    access.NewKeyIndex[*Customer](),
 		byID:     make(map[string]*Customer),
 		services: make(map[string]*Service),
 		models:   make(map[string]*Service),
@@ -38,7 +40,7 @@
 func (x *Index) addCustomer(c *Customer) {
 	x.byID[c.ID] = c
 	for _, hash := range c.KeyHashes {
-		x.byKey[hash] = c
+		x.byKey.Add(hash, c)
 	}
 }
 
@@ -49,12 +51,10 @@
 	}
 }
 
-// CustomerByKeyHash returns the customer that owns an API key, by the key's
-// SHA-256 in hex. The map lookup is not constant in time, which tells an
-// attacker nothing usable: steering a SHA-256 prefix needs the key itself.
+// CustomerByKeyHash returns the customer that owns an API key, by
+// access.HashAPIKey of the key.
 func (x *Index) CustomerByKeyHash(hash string) (*Customer, bool) {
-	c, ok := x.byKey[hash]
-	return c, ok
+	return x.byKey.Find(hash)
 }
 
 // Customer returns a customer by id.
