Charge each stream of a request once on its bill line

Change: a line lists every stream that it charges; a resubmitted settlement of a listed stream is answered as durable. Conclusion: settlement by another home is idempotent by stream.

--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -4,6 +4,8 @@
 // It does no I/O. Table rows, time and messages are its inputs.
 package budget
 
+import "slices"
+
 // Record is the table row of a budget, at key BudgetKey. All amounts are tokens.
 //
 // Invariant: Settled + Granted <= Limit.
@@ -50,17 +52,17 @@
 // further attempts of the same request used; it is debited from the budget
 // because it ran, and shown apart because it gave no answer.
 type Line struct {
-	Customer    string `json:"customer"`
-	Budget      string `json:"budget"`
-	Request     string `json:"request"`
-	Stream      string `json:"stream"` // stream that was answered, or the last one tried
-	Target      string `json:"target"`
-	Tokens      int64  `json:"tokens"`
-	ExtraTokens int64  `json:"extra_tokens,omitempty"`
-	Attempts    int    `json:"attempts"` // attempts charged by this line
-	Completed   bool   `json:"completed"`
-	Estimated   bool   `json:"estimated,omitempty"` // a bound was charged because a target did not report its usage
-	BilledAt    int64  `json:"billed_at"`           // Unix time, milliseconds
+	Customer    string   `json:"customer"`
+	Budget      string   `json:"budget"`
+	Request     string   `json:"request"`
+	Streams     []string `json:"streams"` // every stream charged by this line, the answered one first
+	Target      string   `json:"target"`  // target of the first stream
+	Tokens      int64    `json:"tokens"`
+	ExtraTokens int64    `json:"extra_tokens,omitempty"`
+	Attempts    int      `json:"attempts"` // attempts charged by this line
+	Completed   bool     `json:"completed"`
+	Estimated   bool     `json:"estimated,omitempty"` // a bound was charged because a target did not report its usage
+	BilledAt    int64    `json:"billed_at"`           // Unix time, milliseconds
 }
 
 // Merge adds a later attempt of the same request to the line. The first
@@ -70,14 +72,21 @@
 	if next.Completed && !l.Completed {
 		merged = next
 		merged.ExtraTokens += l.Tokens + l.ExtraTokens
+		merged.Streams = slices.Concat(next.Streams, l.Streams)
 	} else {
 		merged.ExtraTokens += next.Tokens + next.ExtraTokens
+		merged.Streams = slices.Concat(l.Streams, next.Streams)
 	}
 	merged.Attempts = l.Attempts + next.Attempts
 	merged.Estimated = l.Estimated || next.Estimated
 	return merged
 }
 
+// Covers reports whether the line charges a stream.
+func (l Line) Covers(stream string) bool {
+	return slices.Contains(l.Streams, stream)
+}
+
 // Total returns every token that the line debits from the budget.
 func (l Line) Total() int64 {
 	return l.Tokens + l.ExtraTokens
--- a/pkg/home/authority_fuzz_test.go
+++ b/pkg/home/authority_fuzz_test.go
@@ -104,14 +104,14 @@
 // collect reads the replies that have come and runs what was granted.
 func (m *authorityMachine) collect() {
 	for _, a := range m.attempts {
-		if a.reply != nil && len(a.reply) > 0 {
+		if len(a.reply) > 0 {
 			r := <-a.reply
 			a.reply = nil
 			if r.err == nil && r.reply.Outcome == Granted {
 				a.stream = r.reply.Stream
 			}
 		}
-		if a.settled != nil && len(a.settled) > 0 {
+		if len(a.settled) > 0 {
 			a.durable = (<-a.settled).Durable
 			a.settled = nil
 		}
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -50,7 +50,7 @@
 	if json.Unmarshal(row.Value, &line) != nil {
 		return false
 	}
-	return line.Stream == stream || line.Completed
+	return line.Covers(stream)
 }
 
 // submitForeign moves tokens from the written-off part of the grant to the line.
--- a/pkg/home/lines.go
+++ b/pkg/home/lines.go
@@ -32,7 +32,7 @@
 func (l *Local) queueLine(_ time.Time, grantID string, line budget.Line) {
 	g := l.grants[grantID]
 	g.queued = append(g.queued, line)
-	g.streams = append(g.streams, line.Stream)
+	g.streams = append(g.streams, line.Streams...)
 }
 
 // flushLines submits the queued lines, one operation per grant, so that the
@@ -122,7 +122,7 @@
 	}
 	for _, line := range lines {
 		_ = l.ledger.Durable(m.grant, line.Total())
-		l.settled[line.Stream].resolve(true)
+		l.settled[line.Streams[0]].resolve(true)
 		l.opts.Observer.LineBilled(line.Customer, line.Total())
 		l.wake(line.Budget)
 	}
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -152,7 +152,7 @@
 		Customer:  req.Customer,
 		Budget:    req.Budget,
 		Request:   req.Request,
-		Stream:    req.Stream,
+		Streams:   []string{req.Stream},
 		Target:    req.Target,
 		Attempts:  1,
 		Completed: req.Outcome == Completed,
