admin: signed operator API and its client

Cause: operators drive bundles, budgets, targets and audits through any daemon, also while other operators act and replies are lost.

Considered: letting bootstrap keys in whenever the daemon holds no version (a new daemon in an outage would then trust keys that were replaced long ago), so the table must say that no version is in force. Creating budgets for unknown customers (a misspelt one could never be used or removed), so the customer must be in the bundle in force.

Errors are JSON with a code and what to change; 503 carries Retry-After.

--- /dev/null
+++ b/pkg/admin/client.go
@@ -0,0 +1,111 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/access"
+)
+
+// maxReply bounds the size of a reply in bytes.
+const maxReply = 64 << 20
+
+// Client calls the admin API of a daemon. Failed calls return an *Error if the
+// daemon answered.
+type Client struct {
+	URL    string // base, for example https://127.0.0.1:9443
+	Signer access.Signer
+	HTTP   *http.Client // default http.DefaultClient
+}
+
+// request is one call.
+type request struct {
+	method string
+	path   string // below prefix, escaped
+	query  url.Values
+	body   any // nil: none
+}
+
+// do sends a call and decodes the reply.
+func (c *Client) do(ctx context.Context, req request, into any) error {
+	httpRequest, err := c.build(ctx, req)
+	if err != nil {
+		return err
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(httpRequest)
+	if err != nil {
+		return fmt.Errorf("call %s: %w", c.URL, err)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return fmt.Errorf("read reply of %s: %w", c.URL, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return errorOf(response, raw)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("decode reply of %s: %w", c.URL, err)
+	}
+	return nil
+}
+
+func (c *Client) build(ctx context.Context, req request) (*http.Request, error) {
+	var body []byte
+	if req.body != nil {
+		var err error
+		if body, err = json.Marshal(req.body); err != nil {
+			return nil, fmt.Errorf("encode request: %w", err)
+		}
+	}
+	target := c.URL + prefix + req.path
+	if len(req.query) > 0 {
+		target += "?" + req.query.Encode()
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, req.method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("admin URL %q: %w", c.URL, err)
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	c.Signer.Sign(httpRequest, body)
+	return httpRequest, nil
+}
+
+// errorOf reads the error of a reply. A reply that is not by a daemon, for
+// example by a load balancer, keeps its status in the message.
+func errorOf(response *http.Response, raw []byte) error {
+	var reply errorReply
+	if err := json.Unmarshal(raw, &reply); err != nil || reply.Error == nil {
+		return fmt.Errorf("unexpected reply with status %s", response.Status)
+	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		reply.Error.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return reply.Error
+}
+
+// segment escapes a path parameter the way the server's router reads it.
+func segment(value string) string { return "/" + url.QueryEscape(value) }
+
+// pageQuery asks for the page after a key; a limit of 0 leaves it to the server.
+func pageQuery(after string, limit int) url.Values {
+	query := url.Values{}
+	if after != "" {
+		query.Set("after", after)
+	}
+	if limit > 0 {
+		query.Set("limit", strconv.Itoa(limit))
+	}
+	return query
+}
--- /dev/null
+++ b/pkg/admin/page.go
@@ -0,0 +1,101 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	defaultPage = 200
+	maxPage     = 1000
+	// scanPage is how many rows one scan reads when all rows are needed.
+	scanPage = 500
+)
+
+// page is the part of a list that a call asks for.
+type page struct {
+	after string // last key of the page before
+	limit int
+}
+
+func pageOf(r *http.Request) (page, error) {
+	p := page{after: r.URL.Query().Get("after"), limit: defaultPage}
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return p, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 || limit > maxPage {
+		return p, fail(BadRequest, "limit %q: allowed are 1 to %d", text, maxPage)
+	}
+	p.limit = limit
+	return p, nil
+}
+
+// rowPage is the decoded part of one page of rows.
+type rowPage[T any] struct {
+	values     []T
+	unreadable []string // keys of rows that cannot be decoded
+	next       string   // after of the next page, empty at the end
+}
+
+// scanRows reads one page of rows with a key prefix.
+func scanRows[T any](ctx context.Context, table platform.Table, prefix string, p page) (rowPage[T], error) {
+	result := rowPage[T]{values: []T{}}
+	rows, err := table.Scan(ctx, prefix, p.after, p.limit)
+	if err != nil {
+		return result, err
+	}
+	for _, row := range rows {
+		var value T
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			result.unreadable = append(result.unreadable, row.Key)
+			continue
+		}
+		result.values = append(result.values, value)
+	}
+	if len(rows) == p.limit {
+		result.next = rows[len(rows)-1].Key
+	}
+	return result, nil
+}
+
+// scanAll calls each with every row that has a key prefix and can be decoded,
+// and returns the keys of the others.
+func scanAll[T any](ctx context.Context, table platform.Table, prefix string, each func(T)) (unreadable []string, err error) {
+	p := page{limit: scanPage}
+	for {
+		rows, err := scanRows[T](ctx, table, prefix, p)
+		if err != nil {
+			return unreadable, err
+		}
+		unreadable = append(unreadable, rows.unreadable...)
+		for _, value := range rows.values {
+			each(value)
+		}
+		if rows.next == "" {
+			return unreadable, nil
+		}
+		p.after = rows.next
+	}
+}
+
+// readRow reads one row. It returns nil if the row is absent.
+func readRow[T any](ctx context.Context, table platform.Table, key string) (*T, error) {
+	rows, err := table.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if rows[0].Version == 0 {
+		return nil, nil
+	}
+	var value T
+	if err := json.Unmarshal(rows[0].Value, &value); err != nil {
+		return nil, fail(Internal, "row %s cannot be decoded: %v", key, err)
+	}
+	return &value, nil
+}
--- /dev/null
+++ b/pkg/admin/reply.go
@@ -0,0 +1,47 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+		raw = []byte(`{"error":{"code":"internal","message":"the reply cannot be encoded"}}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n')) // the operator has gone; there is no one to tell
+}
+
+func writeError(w http.ResponseWriter, e *Error) {
+	if e.RetryAfter > 0 {
+		seconds := int((e.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(w, e.Status(), errorReply{Error: e})
+}
+
+// decodeBody reads a JSON body without unknown fields or trailing data.
+func decodeBody(r *http.Request, into any) error {
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return fail(BadRequest, "read request body: %v", err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return fail(BadRequest, "request body: %v", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return fail(BadRequest, "request body: data after the JSON document")
+	}
+	return nil
+}
--- a/pkg/bundle/proposal.go
+++ b/pkg/bundle/proposal.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"fmt"
 	"slices"
 )
 
@@ -28,3 +29,13 @@
 	p.Signatures = append(others, s)
 	return p
 }
+
+// DecodeProposal reads a proposal from JSON as strictly as Decode. It checks
+// the form only.
+func DecodeProposal(raw []byte) (Proposal, error) {
+	var p Proposal
+	if err := decodeStrict(raw, &p); err != nil {
+		return Proposal{}, fmt.Errorf("decode proposal: %w", err)
+	}
+	return p, nil
+}
