Measure the CPU time per token of the client and the engine stand-in

Cause: 890,000 tokens/s over 340 daemons is 2,600 tokens/s per daemon; the cost per token decides how much of a core that takes.

Considered: wall time per operation, which shows the token time instead of the cost where streams are paced; CPU time of the process is reported.

Change: BenchmarkClientStream (no peer, no system calls), BenchmarkLoopbackStreams (client, stand-in and kernel), and BenchmarkEngineStreams (no network).

--- /dev/null
+++ b/pkg/engine/bench_test.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// benchTokens is the number of tokens per stream in benchmarks.
+const benchTokens = 200
+
+// scriptedConn is a connection that answers each request with the same pieces,
+// one per read, so that a benchmark of the client includes no peer and no kernel.
+type scriptedConn struct {
+	net.Conn
+	answer  [][]byte
+	next    int
+	written chan struct{}
+}
+
+// Write starts the answer.
+func (c *scriptedConn) Write(p []byte) (int, error) {
+	select {
+	case c.written <- struct{}{}:
+	default:
+	}
+	return len(p), nil
+}
+
+// Read returns the next piece and waits for a request before the first one.
+func (c *scriptedConn) Read(p []byte) (int, error) {
+	if c.next == len(c.answer) {
+		c.next = 0
+	}
+	if c.next == 0 {
+		if _, ok := <-c.written; !ok {
+			return 0, io.EOF
+		}
+	}
+	c.next++
+	return copy(p, c.answer[c.next-1]), nil
+}
+
+// scriptedAnswer returns an HTTP answer in one piece per event.
+func scriptedAnswer(tokens int) [][]byte {
+	pieces := [][]byte{[]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Stream-Id: s.1\r\nTransfer-Encoding: chunked\r\n\r\n")}
+	const format = "id: %d\ndata: {\"id\":\"s.1\",\"object\":\"chat.completion.chunk\",\"created\":0,\"model\":\"m\"," +
+		"\"choices\":[{\"index\":0,\"delta\":{\"content\":\" a74fb3\"},\"finish_reason\":null}]}\n\n"
+	var all []string
+	for i := range tokens {
+		all = append(all, fmt.Sprintf(format, i))
+	}
+	all = append(all, strings.SplitAfter(ending(tokens), "\n\n")[:2]...)
+	for _, event := range all {
+		pieces = append(pieces, fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event))
+	}
+	return append(pieces, []byte("0\r\n\r\n"))
+}
+
+// cpuTime returns the CPU time of this process, user and system.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// reportCPU reports the CPU time since start per token.
+func reportCPU(b *testing.B, start time.Duration, tokens int) {
+	b.ReportMetric(float64(cpuTime()-start)/float64(tokens), "cpu-ns/token")
+}
+
+// drainStream reads a stream of benchTokens tokens to its end. It is called
+// from several goroutines and makes no assertion per token, which would cost a
+// tenth of the whole.
+func drainStream(b *testing.B, s Stream) {
+	defer s.Close()
+	tokens := 0
+	for done := false; !done; {
+		e, err := s.Next()
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		tokens += e.Tokens
+		done = e.Done
+	}
+	if tokens != benchTokens {
+		b.Errorf("%d tokens, want %d", tokens, benchTokens)
+	}
+}
+
+// BenchmarkClientStream measures the client alone: HTTP, server-sent events
+// and chunks, without a peer and without system calls. One operation is one
+// stream of benchTokens tokens.
+func BenchmarkClientStream(b *testing.B) {
+	c := newClient(b, Options{})
+	c.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+		here, _ := net.Pipe()
+		conn := &scriptedConn{Conn: here, answer: scriptedAnswer(benchTokens), written: make(chan struct{}, 1)}
+		return &trackedConn{Conn: conn}, nil
+	}
+	call := callTo(closedTarget(b))
+	b.ReportAllocs()
+	start := cpuTime()
+	for b.Loop() {
+		s, err := c.Open(context.Background(), call)
+		assert.NilError(b, err)
+		drainStream(b, s)
+	}
+	reportCPU(b, start, b.N*benchTokens)
+}
+
+// BenchmarkLoopbackStreams measures client, engine stand-in and kernel
+// together: 32 concurrent streams, a token every 2 ms each. One operation is
+// one stream of benchTokens tokens.
+func BenchmarkLoopbackStreams(b *testing.B) {
+	const streams = 32
+	to, _ := startEngine(b, 2*time.Millisecond)
+	c := newClient(b, Options{})
+	body := fmt.Appendf(nil, `{"model":"m","messages":[{"role":"user","content":"abcd"}],"metadata":{"x_tokens":"%d"}}`, benchTokens)
+	numbers := make(chan int)
+	var readers sync.WaitGroup
+	b.ResetTimer()
+	start := cpuTime()
+	for range streams {
+		readers.Go(func() {
+			for n := range numbers {
+				call := callTo(to)
+				call.Stream, call.Body = fmt.Sprintf("s.%d", n), body
+				s, err := c.Open(context.Background(), call)
+				if err != nil {
+					b.Error(err)
+					continue
+				}
+				drainStream(b, s)
+			}
+		})
+	}
+	for n := range b.N {
+		numbers <- n
+	}
+	close(numbers)
+	readers.Wait()
+	reportCPU(b, start, b.N*benchTokens)
+}
--- /dev/null
+++ b/pkg/standin/engine/bench_test.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// benchTokens is the number of tokens per stream in benchmarks.
+const benchTokens = 200
+
+// discard is a response writer that counts flushes.
+type discard struct {
+	header  http.Header
+	flushes int
+}
+
+// Header implements http.ResponseWriter.
+func (d *discard) Header() http.Header { return d.header }
+
+// Write implements http.ResponseWriter.
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (d *discard) WriteHeader(int) {}
+
+// Flush implements http.Flusher.
+func (d *discard) Flush() { d.flushes++ }
+
+// cpuTime returns the CPU time of this process, user and system.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkEngineStreams measures generation and handlers without the network:
+// 32 concurrent streams, a token every 2 ms each. One operation is one stream
+// of benchTokens tokens.
+func BenchmarkEngineStreams(b *testing.B) {
+	const streams = 32
+	o := testOptions()
+	o.Slots, o.TokenTime = streams, 2*time.Millisecond
+	e, err := New(o)
+	assert.NilError(b, err)
+	defer func() { assert.NilError(b, e.Close()) }()
+	h := e.Handler()
+	numbers := make(chan int)
+	var clients sync.WaitGroup
+	b.ResetTimer()
+	start := cpuTime()
+	for range streams {
+		clients.Go(func() {
+			for n := range numbers {
+				r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(request("abcd", benchTokens)))
+				r.Header.Set(headerStream, fmt.Sprintf("s.%d", n))
+				w := &discard{header: make(http.Header)}
+				h.ServeHTTP(w, r)
+				if w.flushes < benchTokens/4 {
+					b.Errorf("%d flushes: the machine is too busy for a figure per token", w.flushes)
+				}
+			}
+		})
+	}
+	for n := range b.N {
+		numbers <- n
+	}
+	close(numbers)
+	clients.Wait()
+	b.ReportMetric(float64(cpuTime()-start)/float64(b.N*benchTokens), "cpu-ns/token")
+}
