Refuse a repeated stream id before any other check

Cause: a stale fencing number or a drain was checked first, so a repeated id could be refused with a status that means "did not run" although the stream with this id had run.

Considered: leaving the order, since ids are unique in the fleet. The check exists for the case that they are not.

Change: the repeated id takes precedence over fencing, drain, loading and a full queue.

Conclusion: 409 with code stream_exists is returned whenever the id was used.

--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -125,15 +125,17 @@
 }
 
 // admissible checks a new stream against the state of the engine and records
-// its fencing number.
+// its fencing number. A repeated id takes precedence, since the other refusals
+// state that the stream did not run.
 func (e *Engine) admissible(id string, fencing uint64, now time.Time) error {
+	if e.used[id] {
+		return errRepeated
+	}
 	if e.options.CheckFencing && fencing < e.fencing {
 		return errStale
 	}
 	e.fencing = max(e.fencing, fencing)
 	switch {
-	case e.used[id]:
-		return errRepeated
 	case e.draining:
 		return errDraining
 	case e.loading(now):
--- a/pkg/standin/engine/engine_test.go
+++ b/pkg/standin/engine/engine_test.go
@@ -317,6 +317,8 @@
 	status, answer := f.complete("b", request("a", 1), headerFencing, "6")
 	assert.Equal(t, status, http.StatusConflict)
 	assert.Equal(t, strings.TrimSpace(answer), `{"error":"stale fencing number"}`)
+	_, answer = f.complete("a", request("a", 1), headerFencing, "6")
+	assert.Assert(t, strings.Contains(answer, CodeStreamExists), "a stream that ran is not refused as one that did not: %s", answer)
 	open := start(t, testOptions())
 	open.complete("a", request("a", 1), headerFencing, "7")
 	status, _ = open.complete("b", request("a", 1), headerFencing, "6")
