Test slow settlement, leaving callers, attachment and shutdown of the gateway

Considered: real clocks against synctest for outages and timeouts; synctest makes a one-minute outage and the 250 ms limit exact and quick. Change: tests for settlement before the last event, store outages, drain, callers that leave, two callers with one key, failed attachment, timeouts, shutdown with an open stream, stalled and disconnected TCP callers. Found while writing them: a stream whose first caller had left was not settled when its attached reader failed; it is now. A deadline that passes during the reservation now refuses before the dispatch.

--- /dev/null
+++ b/pkg/gateway/caller_test.go
@@ -0,0 +1,362 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+	"gotest.tools/v3/assert"
+)
+
+// background runs a request until its result is read.
+func (r *rig) background(req *http.Request) <-chan *httptest.ResponseRecorder {
+	result := make(chan *httptest.ResponseRecorder, 1)
+	go func() { result <- r.do(req) }()
+	return result
+}
+
+// Guards against an idempotent request that runs on without its caller, and
+// against charging its bound although the target reports the usage.
+func TestIdempotentCallerLeaves(t *testing.T) {
+	for _, gateAt := range []int{0, 1} {
+		r := newRig(t)
+		r.engine.plans["t1"].gate = make(chan struct{})
+		r.engine.plans["t1"].gateAt = gateAt
+		ctx, leave := context.WithCancel(t.Context())
+		result := r.background(newRequest("POST", chatPath, streamBody, withKey).WithContext(ctx))
+		<-r.engine.waiting
+		leave()
+		<-result
+		r.drain(t)
+		assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+		settles := r.home.settled()
+		assert.Equal(t, len(settles), 1)
+		assert.Equal(t, settles[0].Outcome, home.Failed)
+		assert.Equal(t, settles[0].Tokens, int64(3))
+		assert.Equal(t, settles[0].UsageKnown, true)
+		assert.Equal(t, settles[0].TargetDied, false, "a caller that leaves must not count as a crash")
+		assert.Equal(t, settles[0].Final, true)
+		assert.Equal(t, len(r.picker.failed), 0)
+		assertCounted(t, r, `requests_total{outcome="cancelled",service="chef-llm"} 1`)
+	}
+}
+
+// Guards against a non-idempotent request that is cut when its caller leaves,
+// so that a retry could not get its answer.
+func TestNonIdempotentCallerLeavesAndRetries(t *testing.T) {
+	r := newRig(t)
+	gate := make(chan struct{})
+	r.engine.plans["t1"].gate = gate
+	r.engine.plans["t1"].gateAt = 1
+	ctx, leave := context.WithCancel(t.Context())
+	result := r.background(newRequest("POST", chatPath, streamBody, once).WithContext(ctx))
+	<-r.engine.waiting
+	leave()
+	close(gate)
+	<-result
+	assert.Equal(t, len(r.engine.cancelled), 0)
+	line, ok := r.home.line(testID)
+	assert.Assert(t, ok)
+	assert.Equal(t, line.Tokens, int64(4))
+	w := r.chat(streamBody, once)
+	assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+doneEvent)
+	assert.Equal(t, r.engine.dispatches(), 1)
+	r.drain(t)
+}
+
+// Guards against a dispatch for a caller that left during the reservation.
+func TestCallerLeavesDuringReservation(t *testing.T) {
+	for _, set := range []setHeader{withKey, once} {
+		r := newRig(t)
+		ctx, leave := context.WithCancel(t.Context())
+		r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+			leave()
+			return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+		}
+		r.do(newRequest("POST", chatPath, streamBody, set).WithContext(ctx))
+		assert.Equal(t, r.engine.dispatches(), 0)
+		r.drain(t)
+		settles := r.home.settled()
+		assert.Equal(t, len(settles), 1)
+		assert.Equal(t, settles[0].Outcome, home.NotDispatched)
+	}
+}
+
+// Guards against two dispatches, or a mixed answer, for two callers with the same key.
+func TestTwoCallersWithOneKey(t *testing.T) {
+	for _, set := range []setHeader{withKey, once} {
+		r := newRig(t)
+		gate := make(chan struct{})
+		r.engine.plans["t1"].gate = gate
+		r.engine.plans["t1"].gateAt = 1
+		first := r.background(newRequest("POST", chatPath, streamBody, set))
+		<-r.engine.waiting
+		second := r.background(newRequest("POST", chatPath, streamBody, set))
+		<-r.engine.waiting
+		close(gate)
+		want := sse(answer("a", "b")) + doneEvent
+		assert.Equal(t, (<-first).Body.String(), want)
+		assert.Equal(t, (<-second).Body.String(), want)
+		assert.Equal(t, r.engine.dispatches(), 1)
+		assert.Equal(t, r.home.duplicates, 0)
+		r.drain(t)
+	}
+}
+
+// Guards against the same key being used for another body.
+func TestSameKeyAnotherBody(t *testing.T) {
+	r := newRig(t)
+	r.chat(streamBody, withKey)
+	assertRefused(t, r.chat(chatBody, withKey), verdict.NotRun, verdict.KeyReused)
+	r.drain(t)
+}
+
+// Guards against a caller that leaves and takes the stream from a retry that
+// attached to it, and against a stream that no one settles then.
+func TestFirstCallerLeavesAttachedCaller(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		r := newRig(t)
+		gate := make(chan struct{})
+		r.engine.plans["t1"].gate = gate
+		r.engine.plans["t1"].gateAt = 1
+		ctx, leave := context.WithCancel(t.Context())
+		first := r.background(newRequest("POST", chatPath, streamBody, withKey).WithContext(ctx))
+		<-r.engine.waiting
+		ctx2, leave2 := context.WithCancel(t.Context())
+		defer leave2()
+		second := r.background(newRequest("POST", chatPath, streamBody, withKey).WithContext(ctx2))
+		<-r.engine.waiting
+		leave()
+		<-first
+		assert.Equal(t, len(r.engine.cancelled), 0)
+		assert.Equal(t, len(r.home.settled()), 0)
+		if both {
+			leave2()
+			<-second
+			assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+		} else {
+			close(gate)
+			assert.Equal(t, (<-second).Body.String(), sse(answer("a", "b"))+doneEvent)
+		}
+		r.drain(t)
+		assert.Equal(t, len(r.home.settled()), 1)
+	}
+}
+
+// Guards against a wrong verdict or a second run when a stream that the home
+// names cannot be read.
+func TestAttachmentFails(t *testing.T) {
+	attach := func(req home.ReserveRequest) (home.ReserveReply, error) {
+		if req.Attempt == 1 || req.NonIdempotent {
+			return home.ReserveReply{Outcome: home.Attach, Stream: "g9.1", Target: "t2"}, nil
+		}
+		return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+	}
+	always := func(home.ReserveRequest) (home.ReserveReply, error) {
+		return home.ReserveReply{Outcome: home.Attach, Stream: "g9.1", Target: "t2"}, nil
+	}
+	gone := func(home.ReserveRequest) (home.ReserveReply, error) {
+		return home.ReserveReply{Outcome: home.Attach, Stream: "g9.1", Target: "t9"}, nil
+	}
+	cases := []struct {
+		desc       string
+		reserve    func(home.ReserveRequest) (home.ReserveReply, error)
+		path       string
+		set        setHeader
+		reserves   int
+		dispatches int
+		refused    bool
+	}{
+		{"idempotent, home grants a new run", attach, chatPath, withKey, 2, 1, false},
+		{"idempotent, home insists", always, chatPath, withKey, 2, 0, true},
+		{"once", attach, chatPath, once, 1, 0, true},
+		{"once, target unknown", gone, chatPath, once, 1, 0, true},
+		{"idempotent, target unknown", gone, chatPath, withKey, 2, 0, true},
+		{"plain order", attach, orderPath, once, 1, 0, true},
+		{"plain lookup", attach, lookupPath, withKey, 1, 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				r.home.reserve = tc.reserve
+				w := r.do(newRequest("POST", tc.path, streamBody, tc.set))
+				if tc.refused {
+					assertRefused(t, w, verdict.MayHaveRun, verdict.ClaimHeld)
+				} else {
+					assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+doneEvent)
+				}
+				assert.Equal(t, len(r.home.reserves), tc.reserves)
+				assert.Equal(t, r.engine.dispatches(), tc.dispatches)
+				r.drain(t)
+				assert.Equal(t, len(r.home.settled()), tc.dispatches, "a stream of another daemon was settled")
+				r.server.Close()
+			})
+		})
+	}
+}
+
+// Guards against giving up an attachment while the first dispatch is still on its way.
+func TestAttachmentBeforeDispatchArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+			return home.ReserveReply{Outcome: home.Attach, Stream: "g9.1", Target: "t2"}, nil
+		}
+		result := r.background(newRequest("POST", chatPath, streamBody, once))
+		time.Sleep(50 * time.Millisecond)
+		_, err := r.engine.Open(t.Context(), engine.Call{Target: target.Target{ID: "t2"}, Stream: "g9.1"})
+		assert.NilError(t, err)
+		assert.Equal(t, (<-result).Body.String(), sse(answer("a", "b"))+doneEvent)
+		r.drain(t)
+		r.server.Close()
+	})
+}
+
+// Guards against a request that is held open for ever.
+func TestRequestTimeout(t *testing.T) {
+	for _, set := range []setHeader{withKey, once} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			r.engine.plans["t1"].gate = make(chan struct{})
+			began := time.Now()
+			w := r.chat(streamBody, set)
+			assertRefused(t, w, verdict.MayHaveRun, verdict.Deadline)
+			assert.Equal(t, time.Since(began), DefaultRequestTimeout)
+			assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+			assert.Equal(t, r.engine.dispatches(), 1)
+			r.drain(t)
+			r.server.Close()
+		})
+	}
+}
+
+// Guards against running work whose caller does not need it any more.
+func TestDeadlinePassesBeforeDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+			time.Sleep(20 * time.Millisecond)
+			return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+		}
+		assertRefused(t, r.chat(streamBody, with(deadlineHeader, "10")), verdict.NotRun, verdict.Deadline)
+		assert.Equal(t, r.engine.dispatches(), 0)
+		r.drain(t)
+		assert.Equal(t, r.home.settled()[0].Outcome, home.NotDispatched)
+		r.server.Close()
+	})
+}
+
+// Guards against a shutdown that interrupts an open stream.
+func TestShutdownWithOpenStream(t *testing.T) {
+	r := newRig(t)
+	gate := make(chan struct{})
+	r.engine.plans["t1"].gate = gate
+	r.engine.plans["t1"].gateAt = 1
+	result := r.background(newRequest("POST", chatPath, streamBody))
+	<-r.engine.waiting
+	r.server.BeginShutdown()
+	assertRefused(t, r.chat(streamBody), verdict.NotRun, verdict.ShuttingDown)
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, r.server.Drain(expired), context.Canceled)
+	close(gate)
+	r.drain(t)
+	assert.Equal(t, (<-result).Body.String(), sse(answer("a", "b"))+doneEvent)
+}
+
+// Guards against added latency that includes the target's time, or leaves out the daemon's.
+func TestFirstTokenAdded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.engine.plans["t1"].delay = 100 * time.Millisecond
+		r.home.reserve = func(home.ReserveRequest) (home.ReserveReply, error) {
+			time.Sleep(3 * time.Millisecond)
+			return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+		}
+		r.chat(streamBody)
+		assertCounted(t, r, "first_token_added_seconds_sum 0.003")
+		r.drain(t)
+		r.server.Close()
+	})
+}
+
+// Guards against a disconnected connection that is not noticed, and against
+// events that wait in a buffer until the answer ends.
+func TestDisconnectOverTCP(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].gate = make(chan struct{})
+	r.engine.plans["t1"].gateAt = 1
+	ts := httptest.NewUnstartedServer(nil)
+	ts.Config = r.server.HTTPServer()
+	ts.Start()
+	defer ts.Close()
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, ts.URL+chatPath, strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := ts.Client().Do(req)
+	assert.NilError(t, err)
+	first, err := bufio.NewReader(response.Body).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, first+"\n", sse(answer("a")[:1]))
+	leave()
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	r.drain(t)
+	assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+}
+
+// Guards against a caller that reads nothing and holds its target for ever.
+func TestStalledCallerIsDropped(t *testing.T) {
+	r := newRig(t)
+	r.server.StallTimeout = 50 * time.Millisecond
+	big := answer("x")
+	big[0].Data = []byte(`"` + strings.Repeat("x", 64<<10) + `"`)
+	var events []engine.Event
+	for i := range 4000 {
+		ev := big[0]
+		ev.Index, ev.Tokens = i, 0
+		events = append(events, ev)
+	}
+	r.engine.plans["t1"].events = events
+	ts := httptest.NewUnstartedServer(nil)
+	ts.Config = r.server.HTTPServer()
+	ts.Start()
+	defer ts.Close()
+	req, err := http.NewRequest(http.MethodPost, ts.URL+chatPath, strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := ts.Client().Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	r.drain(t)
+	assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+}
+
+// Guards against an explanation that leaves out an attempt or its reason.
+func TestJournalExplainsRetry(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].openErr = notRun(errDial)
+	r.chat(streamBody, withKey)
+	steps, _ := r.journal.Explain("regie", testID)
+	var kinds []string
+	for _, s := range steps {
+		kinds = append(kinds, string(s.Kind)+" "+s.Target)
+	}
+	assert.DeepEqual(t, kinds, []string{
+		"admitted ", "target t1", "reserved t1", "failed t1", "target t2", "settled t1",
+		"reserved t2", "dispatched t2", "settled t2", "completed t2",
+	})
+	r.drain(t)
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -91,7 +91,7 @@
 
 // pick chooses a target that was not tried.
 func (x *exchange) pick() (target.Target, *verdict.Error) {
-	if !x.req.deadline.IsZero() && !time.Now().Before(x.req.deadline) {
+	if x.late() {
 		return target.Target{}, verdict.New(verdict.NotRun, verdict.Deadline, "the deadline passed before the request could be dispatched")
 	}
 	t, refusal := x.server.Picker.Pick(x.req.routeRequest(x.exclude))
@@ -102,6 +102,11 @@
 	return t, nil
 }
 
+// late reports whether the caller's deadline has passed.
+func (x *exchange) late() bool {
+	return !x.req.deadline.IsZero() && !time.Now().Before(x.req.deadline)
+}
+
 // callerGone reports whether no one waits for the answer.
 func (x *exchange) callerGone() bool {
 	return x.lost || x.r.Context().Err() != nil
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -17,6 +17,7 @@
 
 var (
 	errCallerGone = errors.New("the caller left")
+	errLate       = errors.New("the deadline passed before the dispatch")
 	errNoStream   = errors.New("a plain service keeps no stream to attach to")
 	errNoTarget   = errors.New("the target of the stream is not known to this host")
 )
@@ -30,6 +31,9 @@
 	if x.callerGone() {
 		return &failure{verdict: verdict.NotRun, reason: verdict.TargetFailed, gone: true, err: errCallerGone}
 	}
+	if x.late() {
+		return &failure{verdict: verdict.NotRun, reason: verdict.Deadline, permanent: true, err: errLate}
+	}
 	x.join(a)
 	x.server.Picker.Started(a.target.ID)
 	f := x.dispatchTo(a)
--- a/pkg/gateway/fake_engine_test.go
+++ b/pkg/gateway/fake_engine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/engine"
 	"github.com/peppertrail/peppertrail/pkg/target"
@@ -24,6 +25,7 @@
 	forget   bool           // the target does not know streams after a break
 	gate     chan struct{}  // if set, event gateAt waits until it is closed
 	gateAt   int
+	delay    time.Duration   // before an answer to Open and before each event
 	answer   engine.Response // answer of a plain call
 }
 
@@ -81,6 +83,7 @@
 	if _, err := e.receive(call); err != nil {
 		return nil, err
 	}
+	time.Sleep(e.plans[call.Target.ID].delay)
 	return e.connect(ctx, call.Target.ID, call.Stream, 0)
 }
 
@@ -144,6 +147,7 @@
 }
 
 func (s *fakeStream) Next() (engine.Event, error) {
+	time.Sleep(s.plan.delay)
 	if s.plan.gate != nil && s.next == s.plan.gateAt {
 		s.engine.waiting <- struct{}{}
 		select {
--- a/pkg/gateway/fake_home_test.go
+++ b/pkg/gateway/fake_home_test.go
@@ -14,6 +14,7 @@
 	mu         sync.Mutex
 	next       int
 	running    map[string]home.ReserveReply // by request id; the attachment that a further request gets
+	claims     map[string]bool              // non-idempotent requests that may have run
 	prints     map[string]string            // fingerprint by request id
 	reserves   []home.ReserveRequest
 	settles    []home.SettleRequest
@@ -26,6 +27,7 @@
 func newFakeHome() *fakeHome {
 	return &fakeHome{
 		running: make(map[string]home.ReserveReply),
+		claims:  make(map[string]bool),
 		prints:  make(map[string]string),
 		lines:   make(map[string]home.SettleRequest),
 	}
@@ -48,6 +50,7 @@
 		return attachment, nil
 	}
 	h.next++
+	h.claims[req.Request] = req.NonIdempotent
 	stream := fmt.Sprintf("g1.%d", h.next)
 	h.running[req.Request] = home.ReserveReply{Outcome: home.Attach, Grant: "g1", Stream: stream, Target: req.Target}
 	return home.ReserveReply{Outcome: home.Granted, Grant: "g1", Stream: stream}, nil
@@ -71,12 +74,20 @@
 			h.duplicates++
 		}
 		h.lines[req.Request] = req
-	} else if attachment, ok := h.running[req.Request]; ok && attachment.Stream == req.Stream {
+	} else if h.mayMove(req) {
 		delete(h.running, req.Request)
 	}
 	return home.SettleReply{Durable: true}, nil
 }
 
+// mayMove reports whether a further dispatch is permitted after the end of an attempt.
+func (h *fakeHome) mayMove(req home.SettleRequest) bool {
+	if h.running[req.Request].Stream != req.Stream {
+		return false
+	}
+	return req.Outcome == home.NotDispatched || !h.claims[req.Request]
+}
+
 // settled returns the settlements so far.
 func (h *fakeHome) settled() []home.SettleRequest {
 	h.mu.Lock()
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -34,6 +34,8 @@
 		return x.refusal(f.verdict, verdict.Deadline, "the request took longer than %v", x.server.RequestTimeout)
 	case a.attached && (x.req.nonIdempotent || x.req.plain || a.number >= maxAttempts):
 		return x.refusal(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched before and its stream cannot be read")
+	case f.reason == verdict.Deadline:
+		return x.refusal(f.verdict, f.reason, "the deadline passed before the request could be dispatched")
 	case f.permanent:
 		return x.refusal(f.verdict, f.reason, "target %s refused the request: %v", a.target.ID, f.err)
 	case x.req.nonIdempotent && f.verdict != verdict.NotRun:
@@ -45,10 +47,10 @@
 }
 
 // refusal returns a refusal after an attempt. It asks the caller to come back
-// later unless the body is at fault.
+// later unless the body or the deadline is at fault.
 func (x *exchange) refusal(v verdict.Verdict, r verdict.Reason, format string, args ...any) *verdict.Error {
 	e := verdict.New(v, r, format, args...)
-	if r == verdict.BadRequest {
+	if r == verdict.BadRequest || r == verdict.Deadline {
 		return e
 	}
 	return e.After(shortRetry)
--- a/pkg/gateway/settle.go
+++ b/pkg/gateway/settle.go
@@ -73,10 +73,10 @@
 
 // settleFailed settles a failed attempt. When the request ends with it, the
 // caller does not wait: the outbox submits the settlement. An attached stream
-// is settled by the request that dispatched it.
+// is settled by the request that dispatched it, unless that one has left.
 func (x *exchange) settleFailed(a *attempt, f *failure, final bool) {
 	last := x.unjoin(a)
-	if a.attached {
+	if a.attached && !last {
 		return
 	}
 	x.server.readers.disown(a.stream)
--- /dev/null
+++ b/pkg/gateway/settle_test.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a final token that is released before the bill line is durable.
+func TestLastEventWaitsForSettlement(t *testing.T) {
+	r := newRig(t)
+	w := httptest.NewRecorder()
+	var before string
+	r.home.settle = func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+		before = w.Body.String()
+		return home.SettleReply{Durable: true}, nil
+	}
+	r.server.ServeHTTP(w, newRequest("POST", chatPath, streamBody))
+	events := answer("a", "b")
+	assert.Equal(t, before, sse(events[:2]))
+	assert.Equal(t, w.Body.String(), sse(events)+doneEvent)
+	r.drain(t)
+}
+
+// Guards against an answer that is held while the store is down, and against
+// a settlement that is dropped then.
+func TestSlowSettlement(t *testing.T) {
+	cases := []struct {
+		desc   string
+		settle func(context.Context, home.SettleRequest) (home.SettleReply, error)
+	}{
+		{"home waits for the store", func(ctx context.Context, _ home.SettleRequest) (home.SettleReply, error) {
+			<-ctx.Done()
+			return home.SettleReply{}, ctx.Err()
+		}},
+		{"home queues the line", func(ctx context.Context, _ home.SettleRequest) (home.SettleReply, error) {
+			<-ctx.Done()
+			return home.SettleReply{Durable: false}, nil
+		}},
+		{"home is unreachable", func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+			time.Sleep(DefaultSettleWait)
+			return home.SettleReply{}, errors.New("no route")
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				outage := time.Now().Add(time.Minute)
+				r.home.settle = func(ctx context.Context, s home.SettleRequest) (home.SettleReply, error) {
+					if time.Now().Before(outage) {
+						return tc.settle(ctx, s)
+					}
+					return home.SettleReply{Durable: true}, nil
+				}
+				began := time.Now()
+				w := r.chat(streamBody, withKey)
+				assert.Equal(t, time.Since(began), DefaultSettleWait)
+				assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+doneEvent)
+				assert.Equal(t, r.server.Pending(), 1)
+				_, durable := r.home.line(testID)
+				assert.Assert(t, !durable)
+				time.Sleep(time.Until(outage) + maxBackoff + outboxTimeout)
+				synctest.Wait()
+				assert.Equal(t, r.server.Pending(), 0)
+				line, durable := r.home.line(testID)
+				assert.Assert(t, durable)
+				assert.Equal(t, line.Tokens, int64(4))
+				for _, s := range r.home.settled() {
+					assert.Equal(t, s, line, "a resubmission differs from the first")
+				}
+				r.drain(t)
+				r.server.Close()
+			})
+		})
+	}
+}
+
+// Guards against a shutdown that forgets settlements, or that waits a whole
+// backoff although the home is back.
+func TestDrainWaitsForSettlements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		outage := time.Now().Add(20 * time.Second)
+		r.home.settle = func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+			return home.SettleReply{Durable: !time.Now().Before(outage)}, nil
+		}
+		r.chat(streamBody, withKey)
+		time.Sleep(19 * time.Second)
+		r.server.BeginShutdown()
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		assert.ErrorIs(t, r.server.Drain(short), context.DeadlineExceeded)
+		assert.NilError(t, r.server.Drain(t.Context()))
+		assert.Assert(t, time.Since(outage) <= drainMaxBackoff, "%v", time.Since(outage))
+		assert.Equal(t, r.server.Pending(), 0)
+		r.server.Close()
+	})
+}
+
+// Guards against more submissions at once than a recovering home can take,
+// and against entries that starve behind others.
+func TestOutboxBoundsSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		active, most := 0, 0
+		r.home.settle = func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+			r.home.mu.Lock()
+			active++
+			most = max(most, active)
+			r.home.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			r.home.mu.Lock()
+			active--
+			r.home.mu.Unlock()
+			return home.SettleReply{Durable: true}, nil
+		}
+		for i := range 100 {
+			r.server.outbox.Add(home.SettleRequest{Stream: strings.Repeat("s", i+1)})
+		}
+		assert.NilError(t, r.server.outbox.Drain(t.Context()))
+		assert.Equal(t, most, outboxWorkers)
+		assert.Equal(t, len(r.home.settled()), 100)
+		r.server.Close()
+	})
+}
+
+// Guards against an earlier settlement of a stream that removes the later one from the outbox.
+func TestOutboxKeepsLaterSettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.home.settle = func(_ context.Context, s home.SettleRequest) (home.SettleReply, error) {
+			if !s.Final {
+				time.Sleep(time.Second)
+			}
+			return home.SettleReply{Durable: true}, nil
+		}
+		r.server.outbox.Add(home.SettleRequest{Stream: "g1.1"})
+		synctest.Wait()
+		r.server.outbox.Add(home.SettleRequest{Stream: "g1.1", Final: true})
+		assert.NilError(t, r.server.outbox.Drain(t.Context()))
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		settles := r.home.settled()
+		assert.Equal(t, len(settles), 2)
+		assert.Equal(t, settles[1].Final, true)
+		assert.Equal(t, r.server.Pending(), 0)
+		r.server.Close()
+	})
+}
