Join the parts into the daemon, with home routing and the repair role

Cause: the parts existed without a process that runs them. Weighed: one table client per part against one shared client (shared: one connection pool); a committer that survives fencing against one per registration (one per registration, handed to the home with its new incarnation, so that no operation of the old one can commit under the new row).

--- a/cmd/peppertraild/main.go
+++ b/cmd/peppertraild/main.go
@@ -1,4 +1,50 @@
 // Command peppertraild is the router daemon, the same on every host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peppertrail/peppertrail/pkg/config"
+	"github.com/peppertrail/peppertrail/pkg/daemon"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+// version is set at build time.
+var version = "dev"
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	c, err := config.Parse(os.Args[1:], os.Getenv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		return exitBadInput
+	}
+	if c.ShowVersion {
+		fmt.Println("peppertraild", version)
+		return 0
+	}
+	d, err := daemon.New(c, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		return exitBadInput
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/pkg/admin/explain.go
+++ b/pkg/admin/explain.go
@@ -7,7 +7,6 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/claim"
-	"github.com/peppertrail/peppertrail/pkg/home"
 )
 
 const noTrace = "The table holds nothing about this request: it was not billed and not claimed. " +
@@ -34,18 +33,17 @@
 
 func explainLine(l budget.Line) []string {
 	sentences := []string{
-		fmt.Sprintf("It was billed once, at %s: %d tokens from grant %s of budget %s, for %d attempts.",
-			milliTime(l.BilledAt), l.Tokens, l.Grant, l.Budget, l.Attempts),
+		fmt.Sprintf("It was billed once, at %s: %d tokens of budget %s, for %d attempts.",
+			milliTime(l.BilledAt), l.Tokens, l.Budget, l.Attempts),
 	}
-	switch home.AttemptOutcome(l.Outcome) {
-	case home.Completed:
-		sentences = append(sentences, fmt.Sprintf("Target %s answered it completely on stream %s.", l.Target, l.Stream))
-	case home.Failed:
-		sentences = append(sentences, fmt.Sprintf("The last attempt, stream %s at target %s, failed and may have run.", l.Stream, l.Target))
-	case home.NotDispatched:
-		sentences = append(sentences, "The last attempt did not reach a target.")
-	default:
-		sentences = append(sentences, fmt.Sprintf("The last attempt has the outcome %q.", l.Outcome))
+	streams := strings.Join(l.Streams, ", ")
+	if l.Completed {
+		sentences = append(sentences, fmt.Sprintf("Target %s answered it completely (streams %s).", l.Target, streams))
+	} else {
+		sentences = append(sentences, fmt.Sprintf("No attempt completed; the first was at target %s (streams %s) and may have run.", l.Target, streams))
+	}
+	if l.ExtraTokens > 0 {
+		sentences = append(sentences, fmt.Sprintf("Other attempts used %d tokens, which the budget paid too.", l.ExtraTokens))
 	}
 	if l.Estimated {
 		sentences = append(sentences, "Part of the cost is an upper bound, because a target did not report its usage.")
--- a/pkg/admin/fleet_test.go
+++ b/pkg/admin/fleet_test.go
@@ -45,7 +45,7 @@
 	assertContains(t, reply.Explanation, "never run again", "no bill line yet")
 
 	f.put(t, claim.CrashKey("fp"), claim.CrashRecord{Fingerprint: "fp", Targets: []string{"t1", "t2"}, LastSeen: testNow.UnixMilli()})
-	f.put(t, budget.LineKey("regie", id), budget.Line{Customer: "regie", Request: id, Tokens: 9, Outcome: "failed", Estimated: true, Attempts: 2, BilledAt: testNow.UnixMilli()})
+	f.put(t, budget.LineKey("regie", id), budget.Line{Customer: "regie", Request: id, Tokens: 9, Estimated: true, Attempts: 2, BilledAt: testNow.UnixMilli()})
 	reply, err = f.as("alice").Request(ctx, "regie", id)
 	assert.NilError(t, err)
 	assertContains(t, reply.Explanation, "billed once, at 2027-01-15T08:00:00Z: 9 tokens", "may have run", "upper bound", "crashed 2 targets (t1, t2)")
--- /dev/null
+++ b/pkg/daemon/admin.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/admin"
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+// adminHeaderTimeout bounds the reading of an operator's request header.
+const adminHeaderTimeout = 5 * time.Second
+
+// backend gives operators what only this daemon knows.
+type backend struct {
+	daemon *Daemon
+}
+
+// Targets implements admin.Backend.
+func (b backend) Targets() []target.Status {
+	return b.daemon.poller.View()
+}
+
+// LiveHolders implements admin.Backend.
+func (b backend) LiveHolders() []string {
+	s := b.daemon.session.Load()
+	if s == nil {
+		return nil
+	}
+	var live []string
+	for _, p := range s.view.Peers() {
+		live = append(live, p.Incarnation)
+	}
+	return live
+}
+
+// Journal implements admin.Backend.
+func (b backend) Journal() []admin.JournalEntry {
+	return b.daemon.repairs.list()
+}
+
+// adminHandler joins the operators' API with metrics and health checks.
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/admin/", admin.NewServer(admin.Config{
+		Table:   d.platform,
+		Store:   d.store,
+		Watcher: d.watcher,
+		Backend: backend{d},
+		OnCall:  d.logAdminCall,
+	}))
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", d.ready)
+	return mux
+}
+
+// readiness is the answer of /readyz.
+type readiness struct {
+	Ready   bool   `json:"ready"`
+	Phase   string `json:"phase"`
+	Bundle  uint64 `json:"bundle_version"`
+	Targets int    `json:"targets"`
+}
+
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	r := readiness{Phase: d.life.phase(), Bundle: d.watcher.Version(), Targets: len(d.poller.View())}
+	r.Ready = r.Phase == phaseServing && r.Bundle > 0
+	w.Header().Set("Content-Type", "application/json")
+	if !r.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(r) // the client left
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,168 @@
+// Package daemon joins the parts of peppertraild: it starts them in order,
+// registers the host, and stops it without cutting off a request.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/config"
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"github.com/peppertrail/peppertrail/pkg/gateway"
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/peer"
+	"github.com/peppertrail/peppertrail/pkg/platform/remote"
+	"github.com/peppertrail/peppertrail/pkg/route"
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+)
+
+// journalSize is how many requests the daemon can explain.
+const journalSize = 20000
+
+// Daemon is one router process.
+type Daemon struct {
+	config   config.Config
+	logs     *telemetry.Logs
+	log      *log.Logger
+	metrics  *telemetry.Metrics
+	journal  *telemetry.Journal
+	repairs  *repairLog
+	platform *remote.Client
+	store    *bundle.Store
+	watcher  *bundle.Watcher
+	poller   *target.Poller
+	picker   *picker
+	engine   *engine.HTTPClient
+	pool     *peer.Pool
+	local    *home.Local
+	gateway  *gateway.Server
+	admin    http.Handler
+	life     *lifecycle
+	session  atomic.Pointer[session]
+	peerAddr string // address that other daemons connect to
+	targets  targetList
+	listen   *listeners
+}
+
+// New builds a daemon from checked settings. Logs go to out. It does no I/O
+// apart from reading the TLS files.
+func New(c config.Config, out io.Writer) (*Daemon, error) {
+	logs, err := telemetry.NewLogs(c.LogLevel, c.LogFormat, out)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		config:   c,
+		logs:     logs,
+		log:      logs.Logger("daemon"),
+		metrics:  telemetry.NewMetrics(),
+		journal:  telemetry.NewJournal(journalSize),
+		platform: remote.New(c.Platform.String(), c.PlatformTimeout),
+		engine:   engine.NewHTTPClient(engine.Options{IdleTimeout: c.IdleTimeout}),
+	}
+	d.life = newLifecycle(d.log)
+	d.repairs = newRepairLog(logs.Logger("repair"), d.metrics)
+	if d.listen, err = newListeners(c); err != nil {
+		return nil, err
+	}
+	d.pool = peer.NewPool(peer.Options{TLS: d.listen.peerClient})
+	d.buildBundles()
+	d.buildTargets()
+	d.buildHome()
+	return d, d.buildServers()
+}
+
+func (d *Daemon) buildBundles() {
+	bootstrap := bootstrapOperators(d.config)
+	d.store = bundle.NewStore(d.platform, bootstrap)
+	d.watcher = bundle.NewWatcher(bundle.WatcherConfig{
+		Store:     d.store,
+		Bootstrap: bootstrap,
+		PollEvery: d.config.BundlePoll,
+		OnAdopt:   d.bundleAdopted,
+		OnPoll:    d.bundlePolled,
+	})
+}
+
+func (d *Daemon) buildTargets() {
+	d.poller = target.NewPoller(target.PollerSettings{Interval: d.config.ReportInterval})
+	d.picker = newPicker(d.poller, route.NewPicker(route.DefaultSettings()))
+}
+
+func (d *Daemon) buildHome() {
+	d.local = home.NewLocal(home.Options{
+		Table:     d.platform,
+		Committer: noCommitter{},
+		Policies:  d.grantPolicy,
+		Observer:  &homeObserver{log: d.logs.Logger("home"), metrics: d.metrics, repairs: d.repairs},
+	})
+}
+
+func (d *Daemon) buildServers() error {
+	router := home.NewRouter(d.local, remotes{d.pool}, d.ring, d.Incarnation, d.config.Region)
+	server, err := gateway.New(gateway.Options{
+		Directory:      directory{d.watcher},
+		Picker:         d.picker,
+		Targets:        d.picker,
+		Authorities:    router,
+		Engine:         d.engine,
+		RetryBudget:    d.picker,
+		Identity:       d,
+		Metrics:        d.metrics,
+		Journal:        d.journal,
+		Logger:         d.logs.Logger("gateway"),
+		MaxBodyBytes:   d.config.MaxBodyBytes,
+		SettleWait:     d.config.SettleWait,
+		RequestTimeout: d.config.RequestTimeout,
+	})
+	if err != nil {
+		return fmt.Errorf("build gateway: %w", err)
+	}
+	d.gateway = server
+	d.admin = d.adminHandler()
+	return nil
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns an error if the
+// daemon could not start, lost a listener, or could not stop within the drain
+// timeout.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := d.listen.open(ctx); err != nil {
+		return err
+	}
+	d.peerAddr = advertised(d.config, d.listen.peer.Addr())
+	failed := make(chan error, 3)
+	d.serve(background, failed)
+	if err := d.startSession(ctx); err != nil {
+		return err
+	}
+	d.startLoops(background)
+	d.life.fire(triggerStarted)
+	d.log.Info().Str("callers", d.listen.callers.Addr().String()).Str("operators", d.listen.operators.Addr().String()).Str("peers", d.peerAddr).Msg("Daemon started.")
+	select {
+	case err := <-failed:
+		return fmt.Errorf("listener: %w", err)
+	case <-ctx.Done():
+		return d.shutdown()
+	}
+}
+
+// startLoops starts everything that runs until the daemon has stopped.
+func (d *Daemon) startLoops(ctx context.Context) {
+	go d.poller.Run(ctx)
+	go d.local.Run(ctx)
+	go d.watchBundles(ctx)
+	go d.watchMembers(ctx)
+	go d.watchDrains(ctx)
+	go d.repairLoop(ctx)
+	go d.updateGauges(ctx)
+}
--- /dev/null
+++ b/pkg/daemon/directory.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/gateway"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// bundleRetry is when a caller may come back while no usable bundle is known.
+const bundleRetry = 2 * time.Second
+
+// directory gives the gateway the bundle in force.
+type directory struct {
+	watcher *bundle.Watcher
+}
+
+// Current implements gateway.Directory.
+func (d directory) Current() (gateway.Catalog, *verdict.Error) {
+	index := d.watcher.Current()
+	if index == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.NoBundle, "this host has not received a bundle yet").After(bundleRetry)
+	}
+	if d.watcher.Stale() {
+		return nil, verdict.New(verdict.NotRun, verdict.StaleBundle, "this host cannot confirm that its bundle is the newest").After(bundleRetry)
+	}
+	return catalog{index}, nil
+}
+
+// catalog looks up customers and services in one bundle version.
+type catalog struct {
+	index *bundle.Index
+}
+
+// CustomerByKey implements gateway.Catalog.
+func (c catalog) CustomerByKey(hash string) (bundle.Customer, bool) {
+	return found(c.index.CustomerByKeyHash(hash))
+}
+
+// ServiceByModel implements gateway.Catalog.
+func (c catalog) ServiceByModel(model string) (bundle.Service, bool) {
+	return found(c.index.ServiceByModel(model))
+}
+
+// Service implements gateway.Catalog.
+func (c catalog) Service(name string) (bundle.Service, bool) {
+	return found(c.index.Service(name))
+}
+
+func found[T any](v *T, ok bool) (T, bool) {
+	if !ok {
+		var zero T
+		return zero, false
+	}
+	return *v, true
+}
+
+// grantPolicy implements home.Policies.
+func (d *Daemon) grantPolicy(customer string) (budget.Policy, bool) {
+	index := d.watcher.Current()
+	if index == nil {
+		return budget.Policy{}, false
+	}
+	c, ok := index.Customer(customer)
+	if !ok {
+		return budget.Policy{}, false
+	}
+	return budget.Policy{
+		Cover:     time.Duration(c.CoverSeconds) * time.Second,
+		MinTokens: c.MinTokens,
+		MaxShare:  c.MaxShare,
+	}, true
+}
--- /dev/null
+++ b/pkg/daemon/drains.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/admin"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	// drainPrefix holds the operators' drain orders, one row per target, read
+	// by every daemon.
+	drainPrefix   = "drain/"
+	drainInterval = 2 * time.Second
+	drainPage     = 1000 // rows per read
+)
+
+// drainOrder is the row of an operator's order to drain a target.
+type drainOrder struct {
+	Target    string `json:"target"`
+	OrderedAt int64  `json:"ordered_at"` // Unix time, milliseconds
+}
+
+// Drain implements admin.Backend.
+func (b backend) Drain(ctx context.Context, id string) error {
+	d := b.daemon
+	if _, ok := d.picker.Target(id); !ok {
+		return fmt.Errorf("drain %s: %w", id, admin.ErrUnknownTarget)
+	}
+	value, err := json.Marshal(drainOrder{Target: id, OrderedAt: time.Now().UnixMilli()})
+	if err != nil {
+		return fmt.Errorf("encode drain order: %w", err)
+	}
+	txn := platform.Txn{ID: newIncarnation("drain"), Puts: []platform.Put{{Key: drainPrefix + id, Value: value}}}
+	if _, err := d.platform.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("store drain order: %w", err)
+	}
+	d.poller.Drain(id)
+	return nil
+}
+
+// watchDrains follows the operators' drain orders until ctx ends.
+func (d *Daemon) watchDrains(ctx context.Context) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		rows, err := d.platform.Scan(ctx, drainPrefix, "", drainPage)
+		if err != nil {
+			d.log.Debug().Err(err).Msg("Drain orders not read.")
+		}
+		for _, row := range rows {
+			d.poller.Drain(strings.TrimPrefix(row.Key, drainPrefix))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/pkg/daemon/lifecycle.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+	"github.com/qmuntal/stateless"
+)
+
+// Phases of the daemon.
+const (
+	phaseStarting = "starting" // registering, not ready
+	phaseServing  = "serving"  // ready
+	phaseLeaving  = "leaving"  // not ready, still serves for a while
+	phaseDraining = "draining" // refuses new requests, finishes open ones
+	phaseStopped  = "stopped"
+)
+
+// Triggers of the daemon's life cycle.
+const (
+	triggerStarted = "started"
+	triggerLeave   = "leave"
+	triggerDrain   = "drain"
+	triggerStop    = "stop"
+)
+
+// lifecycle is the phase of the daemon. It is safe for concurrent use.
+type lifecycle struct {
+	mu      sync.Mutex
+	machine *stateless.StateMachine
+	log     *log.Logger
+}
+
+func newLifecycle(logger *log.Logger) *lifecycle {
+	m := stateless.NewStateMachine(phaseStarting)
+	m.Configure(phaseStarting).Permit(triggerStarted, phaseServing).Permit(triggerLeave, phaseLeaving)
+	m.Configure(phaseServing).Permit(triggerLeave, phaseLeaving)
+	m.Configure(phaseLeaving).Permit(triggerDrain, phaseDraining).Ignore(triggerStarted)
+	m.Configure(phaseDraining).Permit(triggerStop, phaseStopped)
+	return &lifecycle{machine: m, log: logger}
+}
+
+func (l *lifecycle) fire(trigger string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.machine.Fire(trigger); err != nil {
+		l.log.Error().Err(err).Msg("Life cycle trigger refused.")
+	}
+}
+
+func (l *lifecycle) phase() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state, err := l.machine.State(context.Background())
+	if err != nil {
+		return phaseStarting
+	}
+	return state.(string)
+}
+
+func (l *lifecycle) leaving() bool {
+	p := l.phase()
+	return p != phaseStarting && p != phaseServing
+}
--- /dev/null
+++ b/pkg/daemon/members.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+const (
+	memberInterval = time.Second
+	memberTimeout  = 2 * time.Second
+)
+
+// targetList joins the membership list with the services of the bundle.
+type targetList struct {
+	mu       sync.Mutex
+	members  []platform.Member
+	services map[string]target.ServiceInfo
+}
+
+// watchMembers reads the membership list until ctx ends. While the platform is
+// down the last list stays; the targets' own reports go on.
+func (d *Daemon) watchMembers(ctx context.Context) {
+	ticker := time.NewTicker(memberInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		d.readMembers(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *Daemon) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	members, err := d.platform.Members(ctx)
+	if err != nil {
+		d.log.Debug().Err(err).Msg("Membership list not read.")
+		return
+	}
+	targets := members[:0]
+	for _, m := range members {
+		if m.Kind == platform.TargetMember {
+			targets = append(targets, m)
+		}
+	}
+	d.targets.mu.Lock()
+	defer d.targets.mu.Unlock()
+	d.targets.members = targets
+	d.poller.Apply(targets, d.targets.services)
+}
+
+// applyServices takes over the services of a new bundle.
+func (d *Daemon) applyServices(b bundle.Bundle) {
+	services := make(map[string]target.ServiceInfo, len(b.Services))
+	names := make([]string, 0, len(b.Services))
+	for _, s := range b.Services {
+		services[s.Name] = target.ServiceInfo{Kind: s.Kind, Fenced: s.Fenced, SlowStart: time.Duration(s.SlowStart) * time.Second}
+		names = append(names, s.Name)
+	}
+	d.metrics.SetServices(names)
+	d.picker.policy.SetServices(services)
+	d.targets.mu.Lock()
+	defer d.targets.mu.Unlock()
+	d.targets.services = services
+	if d.targets.members != nil {
+		d.poller.Apply(d.targets.members, services)
+	}
+}
--- /dev/null
+++ b/pkg/daemon/observer.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"strings"
+
+	"github.com/phuslu/log"
+
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+)
+
+// homeObserver reports the decisions of the local authority.
+type homeObserver struct {
+	log     *log.Logger
+	metrics *telemetry.Metrics
+	repairs *repairLog
+}
+
+// GrantOpened implements home.Observer.
+func (o *homeObserver) GrantOpened(budget string, tokens int64) {
+	o.log.Info().Str("budget", budget).Int64("tokens", tokens).Msg("Grant opened.")
+}
+
+// GrantClosed implements home.Observer.
+func (o *homeObserver) GrantClosed(budget string, returned int64) {
+	o.log.Info().Str("budget", budget).Int64("returned", returned).Msg("Grant closed.")
+}
+
+// LineBilled implements home.Observer.
+func (o *homeObserver) LineBilled(customer string, tokens int64) {
+	o.log.Debug().Str("customer", customer).Int64("tokens", tokens).Msg("Line durable.")
+}
+
+// RequestStopped implements home.Observer.
+func (o *homeObserver) RequestStopped(fingerprint string, targets []string) {
+	o.repairs.add(telemetry.RepairRequestStopped, fingerprint, "Targets "+strings.Join(targets, ", ")+" died while they ran the request. It is refused from now on.")
+}
+
+// Overrun implements home.Observer.
+func (o *homeObserver) Overrun(stream string, bound, reported int64) {
+	o.log.Error().Str("stream", stream).Int64("bound", bound).Int64("reported", reported).Msg("Target reported more than the bound. The bound was charged.")
+}
--- /dev/null
+++ b/pkg/daemon/repairlog.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/peppertrail/peppertrail/pkg/admin"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+)
+
+// repairLogSize bounds the repairs kept in memory for operators.
+const repairLogSize = 1000
+
+// repairLog logs, counts and keeps the repairs made by this daemon.
+type repairLog struct {
+	log     *log.Logger
+	metrics *telemetry.Metrics
+	mu      sync.Mutex
+	entries []admin.JournalEntry
+}
+
+func newRepairLog(logger *log.Logger, metrics *telemetry.Metrics) *repairLog {
+	return &repairLog{log: logger, metrics: metrics}
+}
+
+// add records one repair: what was repaired, and what was seen and done.
+func (r *repairLog) add(kind telemetry.RepairKind, subject, text string) {
+	r.log.Warn().Str("kind", string(kind)).Str("subject", subject).Msg(text)
+	r.metrics.Repaired(kind)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries = append(r.entries, admin.JournalEntry{At: time.Now(), Subject: subject, Text: text})
+	if len(r.entries) > repairLogSize {
+		r.entries = r.entries[len(r.entries)-repairLogSize:]
+	}
+}
+
+// list returns the repairs, oldest first.
+func (r *repairLog) list() []admin.JournalEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]admin.JournalEntry(nil), r.entries...)
+}
--- /dev/null
+++ b/pkg/daemon/session.go
@@ -0,0 +1,140 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/cluster"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/lease"
+)
+
+const (
+	// registerRetry is the pause between attempts to register while the table is down.
+	registerRetry = 500 * time.Millisecond
+	// incarnationBytes makes incarnations of one host distinct.
+	incarnationBytes = 6
+)
+
+// session is one registration of this daemon in the table. A fenced daemon
+// starts another one.
+type session struct {
+	record    lease.HolderRecord
+	version   uint64 // of the holder row when it was registered; also the fencing number
+	committer *commit.Committer
+	view      *cluster.View
+	cancel    context.CancelFunc
+}
+
+// startSession registers the host and makes the new session the current one.
+// It tries until ctx ends.
+func (d *Daemon) startSession(ctx context.Context) error {
+	record := lease.HolderRecord{
+		Incarnation:   newIncarnation(d.config.Host),
+		Host:          d.config.Host,
+		PeerAddr:      d.peerAddr,
+		Region:        d.config.Region,
+		FailureDomain: d.config.FailureDomain,
+	}
+	version, err := d.register(ctx, record)
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := &session{record: record, version: version, cancel: cancel}
+	s.view = cluster.NewView(cluster.Options{Table: d.platform, Self: record, TTL: d.config.HolderTTL, OnBadRow: d.badRow})
+	_ = s.view.Poll(ctx) // an unread view holds only this daemon, until the first scan
+	s.committer = commit.New(commit.Options{
+		Table:         d.platform,
+		Holder:        record,
+		HolderVersion: version,
+		BundleVersion: d.watcher.Version,
+		OnFenced:      func() { go d.fenced(background, s) },
+		Rate:          d.config.CommitRate,
+		Burst:         d.config.CommitBurst,
+		RenewInterval: d.config.RenewInterval,
+	})
+	d.session.Store(s)
+	go d.runCommitter(background, s)
+	go s.view.Run(background)
+	d.local.Reset(record.Incarnation, s.committer)
+	d.log.Info().Str("incarnation", record.Incarnation).Msg("Host registered.")
+	return nil
+}
+
+// register writes the holder row. It tries until the table answers or ctx ends.
+func (d *Daemon) register(ctx context.Context, record lease.HolderRecord) (uint64, error) {
+	for {
+		version, err := lease.Register(ctx, d.platform, record)
+		if err == nil {
+			return version, nil
+		}
+		d.log.Warn().Err(err).Msg("Registration failed, trying again.")
+		select {
+		case <-time.After(registerRetry):
+		case <-ctx.Done():
+			return 0, fmt.Errorf("register host: %w", errors.Join(ctx.Err(), err))
+		}
+	}
+}
+
+func (d *Daemon) runCommitter(ctx context.Context, s *session) {
+	err := s.committer.Run(ctx)
+	if err != nil && !errors.Is(err, commit.ErrStopped) {
+		d.log.Warn().Err(err).Str("incarnation", s.record.Incarnation).Msg("Committer ended.")
+	}
+}
+
+// fenced registers again after another daemon took this one for dead.
+func (d *Daemon) fenced(ctx context.Context, s *session) {
+	if d.session.Load() != s || d.life.leaving() {
+		return
+	}
+	d.log.Warn().Str("incarnation", s.record.Incarnation).Msg("Host was fenced. Registering again.")
+	s.cancel()
+	if err := d.startSession(context.WithoutCancel(ctx)); err != nil {
+		d.log.Error().Err(err).Msg("Host stays unregistered.")
+	}
+}
+
+// Incarnation implements gateway.Identity.
+func (d *Daemon) Incarnation() string {
+	if s := d.session.Load(); s != nil {
+		return s.record.Incarnation
+	}
+	return ""
+}
+
+// Fencing implements gateway.Identity. Revisions of the table only rise, so
+// the version of the holder row orders the registrations of the whole fleet.
+func (d *Daemon) Fencing() uint64 {
+	if s := d.session.Load(); s != nil {
+		return s.version
+	}
+	return 0
+}
+
+func (d *Daemon) ring() home.Ring {
+	return d.session.Load().view
+}
+
+func newIncarnation(host string) string {
+	random := make([]byte, incarnationBytes)
+	if _, err := rand.Read(random); err != nil {
+		panic("daemon: no random numbers: " + err.Error())
+	}
+	return host + "~" + hex.EncodeToString(random)
+}
+
+// noCommitter refuses operations before the first registration.
+type noCommitter struct{}
+
+// Submit implements home.Committer.
+func (noCommitter) Submit(op commit.Op) {
+	go op.Done(commit.Result{Err: commit.ErrStopped})
+}
--- /dev/null
+++ b/pkg/daemon/shutdown.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// leaveDelay is how long the daemon still accepts requests after it stopped
+// being ready, so that the balancer can take it out.
+const leaveDelay = time.Second
+
+// shutdown stops the daemon without cutting off a request: it leaves the
+// balancer, refuses new requests, lets open ones end, waits until their lines
+// are durable, closes its grants and marks its holder row as stopped.
+func (d *Daemon) shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.config.DrainTimeout)
+	defer cancel()
+	d.life.fire(triggerLeave)
+	d.log.Info().Msg("Host is leaving.")
+	time.Sleep(leaveDelay)
+	d.gateway.BeginShutdown()
+	d.life.fire(triggerDrain)
+	err := errors.Join(
+		wrap("open requests", d.gateway.Drain(ctx)),
+		wrap("grants", d.local.Leave(ctx)),
+		wrap("last commit", d.session.Load().committer.Finish(ctx)),
+	)
+	d.life.fire(triggerStop)
+	if err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	d.log.Info().Msg("Daemon stopped.")
+	return nil
+}
+
+func wrap(part string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", part, err)
+}
--- a/pkg/home/lifecycle.go
+++ b/pkg/home/lifecycle.go
@@ -69,7 +69,8 @@
 
 // resetMessage starts over under a new incarnation.
 type resetMessage struct {
-	holder string
+	holder    string
+	committer Committer
 }
 
 func (m resetMessage) handle(l *Local, _ time.Time) {
@@ -83,12 +84,15 @@
 		p.message.refuse(claimUnavailable())
 	}
 	l.opts.Holder = m.holder
+	l.opts.Committer = m.committer
 	l.nextGrant = 0
 	l.clear()
 }
 
 // Reset drops all control state after the incarnation was fenced and goes on
-// under a new one. Grants of the old one are recovered by the repair role.
-func (l *Local) Reset(holder string) {
-	l.post(resetMessage{holder: holder})
+// under a new one with its committer. Grants of the old one are recovered by
+// the repair role. Until the message is handled, operations of the old
+// incarnation go to its own committer, which refuses them as fenced.
+func (l *Local) Reset(holder string, committer Committer) {
+	l.post(resetMessage{holder: holder, committer: committer})
 }
--- /dev/null
+++ b/pkg/home/router.go
@@ -0,0 +1,125 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/cluster"
+)
+
+const (
+	// remoteHomes is how many daemons are asked before this daemon opens a
+	// direct grant of its own. Each one that does not answer costs a timeout.
+	remoteHomes = 2
+	// releaseAttempts and releaseDelay bound the release of a reservation
+	// whose reply was lost. The home charges the bound if all of them fail.
+	releaseAttempts = 5
+	releaseDelay    = time.Second
+	releaseTimeout  = time.Second
+)
+
+// Ring gives the live daemons. *cluster.View implements it.
+type Ring interface {
+	// Home returns the daemons of a region in the order in which they are the
+	// home of a budget.
+	Home(budget, region string) []cluster.Peer
+	// Peers returns all live daemons.
+	Peers() []cluster.Peer
+	// Unreachable leaves a daemon out for a while.
+	Unreachable(incarnation string)
+}
+
+// Remotes returns the authority of the daemon at an address.
+type Remotes interface {
+	Authority(addr string) Authority
+}
+
+// Router sends each call to the home of its budget. When no home answers, the
+// local authority serves it from a direct grant.
+type Router struct {
+	local   Authority
+	remotes Remotes
+	ring    func() Ring
+	self    func() string // incarnation
+	region  string
+}
+
+// NewRouter returns a router. ring and self are asked for each call, since both
+// change when a fenced daemon registers again.
+func NewRouter(local Authority, remotes Remotes, ring func() Ring, self func() string, region string) *Router {
+	return &Router{local: local, remotes: remotes, ring: ring, self: self, region: region}
+}
+
+// For returns the authority over a budget. Customer is not used: a budget has
+// one home for all who draw on it.
+func (r *Router) For(_, budgetID string) Authority {
+	return routed{router: r, budget: budgetID}
+}
+
+// routed is the authority over one budget, wherever its home is.
+type routed struct {
+	router *Router
+	budget string
+}
+
+// Reserve implements Authority.
+func (a routed) Reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error) {
+	r := a.router
+	ring := r.ring()
+	for i, peer := range ring.Home(a.budget, r.region) {
+		if i >= remoteHomes || peer.Incarnation == r.self() {
+			break
+		}
+		reply, err := r.remotes.Authority(peer.Addr).Reserve(ctx, req)
+		if err == nil {
+			return reply, nil
+		}
+		ring.Unreachable(peer.Incarnation)
+		go r.release(peer.Addr, req)
+	}
+	return r.local.Reserve(ctx, req)
+}
+
+// release gives back what a home may have reserved whose reply was lost.
+func (r *Router) release(addr string, req ReserveRequest) {
+	settle := req.undispatched("")
+	for range releaseAttempts {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		_, err := r.remotes.Authority(addr).Settle(ctx, settle)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(releaseDelay)
+	}
+}
+
+// Settle implements Authority. It asks the holder of the attempt's grant, and
+// the present home of the budget if that holder is gone.
+func (a routed) Settle(ctx context.Context, req SettleRequest) (SettleReply, error) {
+	r := a.router
+	holder := budget.HolderOfGrant(budget.GrantOfStream(req.Stream))
+	if holder == r.self() {
+		return r.local.Settle(ctx, req)
+	}
+	ring := r.ring()
+	if addr, ok := addrOf(ring.Peers(), holder); ok {
+		reply, err := r.remotes.Authority(addr).Settle(ctx, req)
+		if err == nil || errors.Is(err, context.DeadlineExceeded) {
+			return reply, err
+		}
+		ring.Unreachable(holder)
+	}
+	return r.local.Settle(ctx, req)
+}
+
+func addrOf(peers []cluster.Peer, incarnation string) (string, bool) {
+	for _, p := range peers {
+		if p.Incarnation == incarnation {
+			return p.Addr, true
+		}
+	}
+	return "", false
+}
--- a/pkg/home/world_test.go
+++ b/pkg/home/world_test.go
@@ -182,7 +182,7 @@
 	old := d.holder
 	w.register(d)
 	d.local.opts.Holder = old
-	d.local.Reset(d.holder)
+	d.local.Reset(d.holder, d.committer)
 	w.pump(d)
 }
 
--- a/pkg/telemetry/labels.go
+++ b/pkg/telemetry/labels.go
@@ -29,11 +29,12 @@
 
 // Kinds of repairs.
 const (
-	RepairHolderFenced  RepairKind = "holder_fenced"  // a holder that stopped renewing was fenced
-	RepairGrantClosed   RepairKind = "grant_closed"   // the grant of a dead holder was closed, its remainder written off
-	RepairGrantRefunded RepairKind = "grant_refunded" // the unspent part of a closed grant was returned to its budget
-	RepairLateLine      RepairKind = "late_line"      // a line for a closed grant was moved out of its written-off part
-	RepairBadRow        RepairKind = "bad_row"        // a table row that cannot be decoded was skipped
+	RepairHolderFenced   RepairKind = "holder_fenced"   // a holder that stopped renewing was fenced
+	RepairGrantClosed    RepairKind = "grant_closed"    // the grant of a dead holder was closed, its remainder written off
+	RepairGrantRefunded  RepairKind = "grant_refunded"  // the unspent part of a closed grant was returned to its budget
+	RepairLateLine       RepairKind = "late_line"       // a line for a closed grant was moved out of its written-off part
+	RepairRequestStopped RepairKind = "request_stopped" // a request that killed several targets is refused from now on
+	RepairBadRow         RepairKind = "bad_row"         // a table row that cannot be decoded was skipped
 )
 
 func outcomes() []Outcome {
@@ -45,7 +46,7 @@
 }
 
 func repairKinds() []RepairKind {
-	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairBadRow}
+	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairRequestStopped, RepairBadRow}
 }
 
 func verdicts() []verdict.Verdict {
