peppertrail: command-line tool of operators and callers

Cause: operators need to bring bundles into force, manage budgets and audit requests, and callers need to send a request by hand.

Considered: typed flags of the parser (their errors do not name the allowed range), so numbers are read from text; signing the digest that the daemon names (it could pass off another bundle), so the tool signs the digest that it computes from the bundle it shows; short digest prefixes (another operator could match 32 bits on purpose), so 16 digits are needed.

A stream without its last event is a failure with verdict may_have_run, a failed connection is not_run.

Measured: go test -race -count=3 ./cmd/peppertrail passes against the admin server over a table in memory and a stand-in of the caller listener.

Conclusion: not yet run against a daemon.

--- /dev/null
+++ b/cmd/peppertrail/bill.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+)
+
+// billPage is how many lines one call asks for.
+const billPage = 1000
+
+// bill is the output of the bill command.
+type bill struct {
+	Customer  string        `json:"customer"`
+	Lines     []budget.Line `json:"lines"`
+	SumTokens int64         `json:"sum_tokens"`
+}
+
+func (a *app) registerBill() {
+	var customer string
+	sub := a.command(nil, "bill", "print the bill lines of a customer and their sum", func(ctx context.Context) error { return a.printBill(ctx, customer) })
+	sub.AddPositionalValue(&customer, "customer", 1, true, "id of the customer")
+}
+
+func (a *app) printBill(ctx context.Context, customer string) error {
+	client, err := a.settings.client()
+	if err != nil {
+		return err
+	}
+	total := bill{Customer: customer, Lines: []budget.Line{}}
+	for after := ""; ; {
+		page, err := client.Bill(ctx, customer, after, billPage)
+		if err != nil {
+			return err
+		}
+		total.Lines = append(total.Lines, page.Lines...)
+		total.SumTokens += page.SumTokens
+		a.warnUnreadable(page.Unreadable)
+		if after = page.Next; after == "" {
+			break
+		}
+	}
+	return a.show(total, func() {
+		var rows [][]string
+		for _, l := range total.Lines {
+			rows = append(rows, lineRow(l))
+		}
+		a.table([]string{"REQUEST", "BILLED AT", "BUDGET", "TOKENS", "ATTEMPTS", "OUTCOME", "TARGET", "ESTIMATED"}, rows)
+		fmt.Fprintf(a.stdout, "\n%d lines, %d tokens\n", len(total.Lines), total.SumTokens)
+	})
+}
+
+func lineRow(l budget.Line) []string {
+	return []string{
+		l.Request,
+		milliTime(l.BilledAt),
+		l.Budget,
+		tokens(l.Tokens),
+		strconv.Itoa(l.Attempts),
+		l.Outcome,
+		l.Target,
+		strconv.FormatBool(l.Estimated),
+	}
+}
+
+func milliTime(milli int64) string {
+	return time.UnixMilli(milli).UTC().Format(time.RFC3339)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/cmd/peppertrail/bundle_ref.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/peppertrail/peppertrail/pkg/admin"
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+)
+
+const (
+	// refCurrent names the version in force.
+	refCurrent = "current"
+	// refProposal starts the reference of a proposal.
+	refProposal = "proposal:"
+	// refAllowed describes a bundle reference in error messages.
+	refAllowed = "a bundle file, current, v<version> or proposal:<digest>"
+	// minDigestDigits is the shortest digest prefix that names a proposal. 64
+	// bits cannot be matched on purpose by another operator's proposal.
+	minDigestDigits = 16
+)
+
+// loadBundle reads the bundle that a reference names.
+func (a *app) loadBundle(ctx context.Context, ref string) (bundle.Bundle, error) {
+	version, isVersion := versionRef(ref)
+	digest, isProposal := strings.CutPrefix(ref, refProposal)
+	if ref != refCurrent && !isVersion && !isProposal {
+		return readBundleFile(ref)
+	}
+	client, err := a.settings.client()
+	if err != nil {
+		return bundle.Bundle{}, err
+	}
+	switch {
+	case isVersion:
+		accepted, err := client.Version(ctx, version)
+		return accepted.Bundle, err
+	case isProposal:
+		p, err := findProposal(ctx, client, digest)
+		return p.Proposal.Bundle, err
+	default:
+		accepted, err := client.Current(ctx)
+		return accepted.Bundle, err
+	}
+}
+
+// loadCurrent returns an empty bundle if no version is in force.
+func loadCurrent(ctx context.Context, client *admin.Client) (bundle.Bundle, error) {
+	accepted, err := client.Current(ctx)
+	var refused *admin.Error
+	if errors.As(err, &refused) && refused.Code == admin.NotFound {
+		return bundle.Bundle{}, nil
+	}
+	if err != nil {
+		return bundle.Bundle{}, err
+	}
+	return accepted.Bundle, nil
+}
+
+func versionRef(ref string) (uint64, bool) {
+	text, ok := strings.CutPrefix(ref, "v")
+	if !ok {
+		return 0, false
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	return version, err == nil
+}
+
+func readBundleFile(path string) (bundle.Bundle, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return bundle.Bundle{}, usage("bundle", path, refAllowed)
+	}
+	defer file.Close()
+	raw, err := io.ReadAll(io.LimitReader(file, bundle.MaxBytes+1))
+	if err != nil {
+		return bundle.Bundle{}, usage("bundle", path, refAllowed)
+	}
+	b, err := bundle.Decode(raw)
+	if err != nil {
+		return bundle.Bundle{}, usage("bundle", path, err.Error())
+	}
+	return b, nil
+}
+
+// findProposal returns the one proposal whose digest starts with a prefix.
+func findProposal(ctx context.Context, client *admin.Client, digest string) (bundle.ProposalStatus, error) {
+	if len(digest) < minDigestDigits {
+		return bundle.ProposalStatus{}, usage("digest", digest, fmt.Sprintf("at least the first %d digits of a proposal's digest", minDigestDigits))
+	}
+	list, err := client.Proposals(ctx)
+	if err != nil {
+		return bundle.ProposalStatus{}, err
+	}
+	var found []bundle.ProposalStatus
+	for _, p := range list.Proposals {
+		if strings.HasPrefix(p.Progress.Digest, digest) {
+			found = append(found, p)
+		}
+	}
+	if len(found) != 1 {
+		return bundle.ProposalStatus{}, usage("digest", digest, fmt.Sprintf("the digest of one stored proposal, %d match; see peppertrail bundle status", len(found)))
+	}
+	return found[0], nil
+}
--- /dev/null
+++ b/cmd/peppertrail/fake_table_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// fault is what the fake table does with one commit.
+type fault int
+
+const (
+	noFault   fault = iota
+	lostReply       // applied, then ErrUnavailable
+	lostCall        // not applied, ErrUnavailable
+)
+
+// fakeTable is a table in memory with injected faults.
+type fakeTable struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]platform.Row
+	decided  map[string]platform.Outcome
+	down     bool
+	fault    func() fault
+	// beforeCommit runs without the lock before a commit is applied.
+	beforeCommit func()
+	commits      int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{
+		rows:    make(map[string]platform.Row),
+		decided: make(map[string]platform.Outcome),
+		fault:   func() fault { return noFault },
+	}
+}
+
+func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
+	if hook := t.takeHook(); hook != nil {
+		hook()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	f := t.fault()
+	if t.down || f == lostCall {
+		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+	}
+	outcome := t.apply(txn)
+	if f == lostReply {
+		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+	}
+	return outcome, nil
+}
+
+func (t *fakeTable) takeHook() func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hook := t.beforeCommit
+	t.beforeCommit = nil
+	return hook
+}
+
+func (t *fakeTable) apply(txn platform.Txn) platform.Outcome {
+	if outcome, ok := t.decided[txn.ID]; ok {
+		return outcome
+	}
+	var outcome platform.Outcome
+	for _, c := range txn.Conditions {
+		if row := t.row(c.Key); row.Version != c.Version {
+			outcome.Conflicts = append(outcome.Conflicts, row)
+		}
+	}
+	if len(outcome.Conflicts) == 0 {
+		t.revision++
+		outcome = platform.Outcome{Committed: true, Revision: t.revision}
+		for _, p := range txn.Puts {
+			t.rows[p.Key] = platform.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.revision}
+		}
+		for _, key := range txn.Deletes {
+			delete(t.rows, key)
+		}
+	}
+	t.decided[txn.ID] = outcome
+	return outcome
+}
+
+func (t *fakeTable) row(key string) platform.Row {
+	if row, ok := t.rows[key]; ok {
+		return row
+	}
+	return platform.Row{Key: key}
+}
+
+func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+	}
+	rows := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		rows = append(rows, t.row(key))
+	}
+	return rows, nil
+}
+
+func (t *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+	}
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
+			rows = append(rows, t.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+// set writes a row directly, as a faulty or foreign writer would.
+func (t *fakeTable) set(key, value string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.revision++
+	t.rows[key] = platform.Row{Key: key, Value: []byte(value), Version: t.revision}
+}
+
+func (t *fakeTable) setDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
