Add the demo script

Cause: the issue asks for one command that shows the whole path. Change: test/demo/demo.sh and make demo; the command line prints what failed attempts used.

--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+demo: build
+	test/demo/demo.sh
--- a/cmd/peppertrail/bill.go
+++ b/cmd/peppertrail/bill.go
@@ -50,7 +50,7 @@
 		for _, l := range total.Lines {
 			rows = append(rows, lineRow(l))
 		}
-		a.table([]string{"REQUEST", "BILLED AT", "BUDGET", "TOKENS", "ATTEMPTS", "OUTCOME", "TARGET", "ESTIMATED"}, rows)
+		a.table([]string{"REQUEST", "BILLED AT", "BUDGET", "TOKENS", "ATTEMPTS", "EXTRA", "OUTCOME", "TARGET", "ESTIMATED"}, rows)
 		fmt.Fprintf(a.stdout, "\n%d lines, %d tokens\n", len(total.Lines), total.SumTokens)
 	})
 }
@@ -62,12 +62,20 @@
 		l.Budget,
 		tokens(l.Tokens),
 		strconv.Itoa(l.Attempts),
-		l.Outcome,
+		tokens(l.ExtraTokens),
+		outcomeWord(l.Completed),
 		l.Target,
 		strconv.FormatBool(l.Estimated),
 	}
 }
 
+func outcomeWord(completed bool) string {
+	if completed {
+		return "completed"
+	}
+	return "failed"
+}
+
 func milliTime(milli int64) string {
 	return time.UnixMilli(milli).UTC().Format(time.RFC3339)
 }
--- a/cmd/peppertrail/operator_test.go
+++ b/cmd/peppertrail/operator_test.go
@@ -95,7 +95,7 @@
 	f := newFixture(t)
 	f.bring(f.sample(0))
 	f.put(lease.HolderKey("d1"), lease.HolderRecord{Incarnation: "d1", Host: "h1", BundleVersion: 1})
-	f.put(budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 12, Outcome: "completed", Attempts: 1})
+	f.put(budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 12, Completed: true, Attempts: 1})
 	f.table.set("repair/2026-x", `{"text":"closed"}`)
 	assertContains(t, f.ok("customers", "list"), "regie", "chef-llm")
 	assertContains(t, f.ok("bill", "regie"), "r1", "1 lines, 12 tokens")
