--- a/pkg/target/lifecycle.go
+++ b/pkg/target/lifecycle.go
@@ -48,8 +48,8 @@
 		Ignore(triggerRecover).
 		Ignore(triggerWarm)
 	l.machine.Configure(Gone).
-		Permit(triggerLeave, Draining).
 		Permit(triggerJoin, Joining).
+		Ignore(triggerLeave).
 		Ignore(triggerSilent).
 		Ignore(triggerFail).
 		Ignore(triggerRecover).
--- a/pkg/target/record.go
+++ b/pkg/target/record.go
@@ -11,7 +11,7 @@
 	status       Status
 	listed       bool          // the newest list names the target
 	listLeaving  bool          // the newest list says that it leaves
-	dropped      bool          // the list stopped naming it after it began to drain
+	dropped      bool          // the list omitted it after it began to drain
 	missingSince time.Time     // when the list stopped naming it; zero while listed
 	slowStart    time.Duration // from the service's configuration
 	joinedAt     time.Time     // first report of this instance; zero before it
--- a/pkg/target/tracker.go
+++ b/pkg/target/tracker.go
@@ -46,6 +46,7 @@
 	for id, r := range t.records {
 		if !seen[id] {
 			unlist(r, now)
+			t.forgetIfGone(r)
 		}
 	}
 }
@@ -59,7 +60,7 @@
 		r = t.add(described, now)
 	case r.moved(described):
 		t.rejoin(r, now)
-	case r.dropped && r.status.State == Draining && m.State == platform.MemberLive:
+	case r.dropped && m.State == platform.MemberLive:
 		t.rejoin(r, now)
 	}
 	if r.status.Target != described {
@@ -70,7 +71,7 @@
 	r.listed = true
 	r.listLeaving = m.State == platform.MemberLeaving
 	r.missingSince = time.Time{}
-	if r.listLeaving && r.status.State != Gone {
+	if r.listLeaving {
 		t.fire(r, triggerLeave, now)
 	}
 }
@@ -114,12 +115,7 @@
 	case Suspect:
 		t.recover(r, s, now)
 	case Gone:
-		if r.listed {
-			t.rejoin(r, now)
-		}
-		if r.listed && r.listLeaving {
-			t.fire(r, triggerLeave, now)
-		}
+		t.revive(r, now)
 	case Joining:
 		if r.joinedAt.IsZero() {
 			r.status.Since = now
@@ -127,6 +123,18 @@
 	}
 }
 
+// revive takes a gone target back that reports again. One that the list calls
+// leaving only drains; a list that omitted it before still makes the next one
+// that calls it live announce a new instance.
+func (t *Tracker) revive(r *record, now time.Time) {
+	dropped := r.dropped
+	t.rejoin(r, now)
+	if r.listLeaving {
+		r.dropped = dropped
+		t.fire(r, triggerLeave, now)
+	}
+}
+
 // recover ends suspicion, unless the report was received before the dispatch that failed.
 func (t *Tracker) recover(r *record, s Snapshot, now time.Time) {
 	if s.ReportedAt.Before(r.failedAt) {
@@ -164,9 +172,13 @@
 	t.fire(r, triggerFail, now)
 }
 
-// Drain stops new work at the target on an operator's command.
+// Drain stops new work at the target on an operator's command. It concerns
+// the running instance, so it has no effect on a gone target. A target that
+// the list omits at the time stays drained if the next list names it again,
+// since the omission is older than the command.
 func (t *Tracker) Drain(id string, now time.Time) {
 	if r, ok := t.records[id]; ok {
+		r.dropped = false
 		t.fire(r, triggerLeave, now)
 	}
 }
@@ -195,20 +207,12 @@
 	r.status.SinceReport = min(r.status.SinceReport, r.status.Outstanding)
 }
 
-// Tick moves targets whose time limits have passed and forgets gone ones that
-// the list no longer names. It is due a few times per second.
+// Tick moves targets whose time limits have passed and forgets drained ones
+// that the list no longer names. It is due a few times per second.
 func (t *Tracker) Tick(now time.Time) {
-	var forgotten []string
-	for id, r := range t.records {
-		if r.status.State == Gone && !r.listed {
-			forgotten = append(forgotten, id)
-			continue
-		}
+	for _, r := range t.records {
 		t.advance(r, now)
 	}
-	for _, id := range forgotten {
-		t.remove(id)
-	}
 }
 
 // runsAt reports whether the target is known under this address.
@@ -228,14 +232,26 @@
 		r.dropped = true
 		t.fire(r, triggerLeave, now)
 	}
-	if r.status.State != Gone && (r.silent(now, t.limits.GoneAfter) || t.drained(r, now)) {
+	if r.status.State != Gone && r.silent(now, t.limits.GoneAfter) {
+		t.fire(r, triggerSilent, now)
+	}
+	if t.drained(r, now) {
 		t.fire(r, triggerSilent, now)
 	}
+	t.forgetIfGone(r)
+}
+
+// forgetIfGone forgets a gone target that the list does not name. It does so
+// at once: an unlisted target that still reports must not come back.
+func (t *Tracker) forgetIfGone(r *record) {
+	if r.status.State == Gone && !r.listed {
+		t.remove(r.status.Target.ID)
+	}
 }
 
-// drained reports whether an unlisted target has had time to drain and carries no dispatch.
+// drained reports whether a target that left the list has had time to drain and carries no dispatch.
 func (t *Tracker) drained(r *record, now time.Time) bool {
-	return r.status.State == Draining && !r.listed && r.status.Outstanding == 0 &&
+	return r.status.State == Draining && r.dropped && !r.listed && r.status.Outstanding == 0 &&
 		now.Sub(r.status.Since) >= t.limits.GoneAfter
 }
 
