--- /dev/null
+++ b/pkg/route/simclock_test.go
@@ -0,0 +1,57 @@
+package route
+
+import (
+	"container/heap"
+	"time"
+)
+
+// simClock runs events in the order of their time.
+type simClock struct {
+	now    time.Time
+	events simEvents
+	serial int
+}
+
+// simEvent is a function that is due at a time. Equal times run in the order of scheduling.
+type simEvent struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+// after schedules run in d.
+func (c *simClock) after(d time.Duration, run func()) {
+	c.serial++
+	heap.Push(&c.events, simEvent{at: c.now.Add(d), serial: c.serial, run: run})
+}
+
+// runUntil runs all events before end.
+func (c *simClock) runUntil(end time.Time) {
+	for len(c.events) > 0 && c.events[0].at.Before(end) {
+		e := heap.Pop(&c.events).(simEvent)
+		c.now = e.at
+		e.run()
+	}
+}
+
+// simEvents is a heap of events.
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+
+func (e simEvents) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].serial < e[j].serial
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *simEvents) Push(x any) { *e = append(*e, x.(simEvent)) }
+
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
