Lower the affinity bound from 1.25 to 1.1

Cause: at 1.25 times the mean load a prefix's target is full once the mean exceeds 0.8, and requests queue there for longer than a cached prompt saves. Change: the default of AffinityBound.

--- a/pkg/route/settings.go
+++ b/pkg/route/settings.go
@@ -26,7 +26,7 @@
 
 // Defaults of Settings.
 const (
-	DefaultAffinityBound = 1.25
+	DefaultAffinityBound = 1.1
 	DefaultAffinityDepth = 2
 	DefaultQueueFactor   = 2.0
 	DefaultOccupancy     = 2 * time.Second
