Keep prefix affinity on targets that are half empty

Cause: on quiet targets one request more than the mean exceeds the bound, so that prefixes wander and lose their cache although places are free. Change: AffinityFree, 0.5 requests per place, up to which affinity holds; a test.

--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -151,9 +151,9 @@
 }
 
 // affine returns the first target of the prefix's order whose load is within
-// AffinityBound times the mean.
+// AffinityBound times the mean or within AffinityFree.
 func (p *Picker) affine(prefix string, from []candidate) (candidate, bool) {
-	bound := p.settings.AffinityBound * meanLoad(from)
+	bound := max(p.settings.AffinityBound*meanLoad(from), p.settings.AffinityFree)
 	for _, c := range p.affinityOrder(prefix, from) {
 		if c.load() <= bound {
 			return c.candidate, true
--- a/pkg/route/picker_test.go
+++ b/pkg/route/picker_test.go
@@ -204,6 +204,24 @@
 	}
 }
 
+// Guards against a prefix losing its cache because its target runs one request
+// more than idle ones.
+func TestAffinityOnQuietTargets(t *testing.T) {
+	view := []target.Status{engine("a", 0, 0), engine("b", 0, 0), engine("c", 0, 0), engine("d", 0, 0)}
+	p := NewPicker(seeded())
+	first, _ := p.Pick(Request{Service: chef, Prefix: "menu"}, view, now)
+	for i := range view {
+		if view[i].Target.ID == first.ID {
+			view[i].Snapshot.Running = 2
+		}
+	}
+	for range 20 {
+		got, refusal := p.Pick(Request{Service: chef, Prefix: "menu"}, view, now)
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, got.ID, first.ID)
+	}
+}
+
 // Guards against a cold target taking a full share at once, and against a
 // fleet of new targets being refused work.
 func TestSlowStart(t *testing.T) {
--- a/pkg/route/settings.go
+++ b/pkg/route/settings.go
@@ -10,6 +10,9 @@
 	// AffinityBound is the largest load, as a multiple of the mean load, at
 	// which a target still takes the requests of its prompt prefixes.
 	AffinityBound float64
+	// AffinityFree is the load, in requests per place, up to which a target
+	// takes the requests of its prefixes whatever the mean is.
+	AffinityFree float64
 	// AffinityDepth is how many targets of the prefix's order are tried.
 	AffinityDepth int
 	// QueueFactor is the longest queue that a target may have, as a multiple of its capacity.
@@ -27,6 +30,9 @@
 // Defaults of Settings.
 const (
 	DefaultAffinityBound = 1.1
+	// DefaultAffinityFree leaves half of the places for requests that the
+	// reports don't show yet.
+	DefaultAffinityFree  = 0.5
 	DefaultAffinityDepth = 2
 	DefaultQueueFactor   = 2.0
 	DefaultOccupancy     = 2 * time.Second
@@ -39,6 +45,7 @@
 func DefaultSettings() Settings {
 	s := Settings{
 		AffinityBound: DefaultAffinityBound,
+		AffinityFree:  DefaultAffinityFree,
 		AffinityDepth: DefaultAffinityDepth,
 		QueueFactor:   DefaultQueueFactor,
 		Occupancy:     DefaultOccupancy,
