Try three targets of a prefix's order instead of two

Cause: with the lower bound more requests leave the first two targets of their prefix and miss the cache. Change: the default of AffinityDepth.

--- a/pkg/route/settings.go
+++ b/pkg/route/settings.go
@@ -33,7 +33,7 @@
 	// DefaultAffinityFree leaves half of the places for requests that the
 	// reports don't show yet.
 	DefaultAffinityFree  = 0.5
-	DefaultAffinityDepth = 2
+	DefaultAffinityDepth = 3
 	DefaultQueueFactor   = 2.0
 	DefaultOccupancy     = 2 * time.Second
 	// DefaultLowestShare is the share of the queue open to priority 0. The
