Count dispatches that a report is too old to contain

Cause: a report ended the count of a daemon's own dispatches, although its figures were 200 ms old and did not contain the newest of them. The target looked emptier than it was after each report. Considered: a shorter report interval, which costs CPU and network at every daemon. Change: Limits.ReportLag, 200 ms by default; the tracker keeps the start times of dispatches since the report and only drops those older than the lag. TestDispatchCounts expected a report to reset the count at once; it now checks the count just before and at the lag.

--- a/pkg/target/limits.go
+++ b/pkg/target/limits.go
@@ -12,6 +12,9 @@
 	// RestartAfter is how long a target must be suspect to count as restarted,
 	// with a cold cache and a new slow start, when it reports again.
 	RestartAfter time.Duration
+	// ReportLag is the age of a report's figures on arrival. Dispatches of that
+	// time are not in the figures yet and stay in Status.SinceReport.
+	ReportLag time.Duration
 	// SuspectFailures is the number of consecutive failed reports that make a target suspect.
 	SuspectFailures int
 }
@@ -21,6 +24,9 @@
 	DefaultGoneAfter    = 10 * time.Second
 	DefaultMissingAfter = 15 * time.Second
 	DefaultRestartAfter = 3 * time.Second
+	// DefaultReportLag is the lag assumed of engines, which refresh their
+	// metrics several times per second.
+	DefaultReportLag = 200 * time.Millisecond
 	// DefaultSuspectFailures tolerates one report lost to a busy target.
 	// Two failures at ReportInterval still stop new work within 2 s.
 	DefaultSuspectFailures = 2
@@ -32,6 +38,7 @@
 		GoneAfter:       DefaultGoneAfter,
 		MissingAfter:    DefaultMissingAfter,
 		RestartAfter:    DefaultRestartAfter,
+		ReportLag:       DefaultReportLag,
 		SuspectFailures: DefaultSuspectFailures,
 	}
 }
--- a/pkg/target/record.go
+++ b/pkg/target/record.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/platform"
@@ -16,6 +17,7 @@
 	slowStart    time.Duration // from the service's configuration
 	joinedAt     time.Time     // first report of this instance; zero before it
 	failedAt     time.Time     // latest refused or reset connection
+	starts       []time.Time   // dispatches that the snapshot may not contain, oldest first
 	failures     int           // consecutive failed reports
 	failingSince time.Time     // first of these; zero after a success
 }
@@ -42,6 +44,7 @@
 // in flight to it still count until they end.
 func (r *record) forgetInstance() {
 	r.status.Snapshot = Snapshot{}
+	r.starts = nil
 	r.status.SinceReport = 0
 	r.joinedAt = time.Time{}
 	r.dropped = false
@@ -49,6 +52,33 @@
 	r.succeeded()
 }
 
+// started counts a dispatch at now.
+func (r *record) started(now time.Time) {
+	r.starts = append(r.starts, now)
+	r.status.Outstanding++
+	r.status.SinceReport++
+}
+
+// ended counts the end of a dispatch. The dispatches since the report can't
+// exceed those that have not ended, which keeps short calls from piling up
+// between reports.
+func (r *record) ended() {
+	r.status.Outstanding--
+	r.status.SinceReport = min(r.status.SinceReport, r.status.Outstanding)
+}
+
+// replaceSnapshot takes a new snapshot whose figures are lag old.
+func (r *record) replaceSnapshot(s Snapshot, lag time.Duration) {
+	taken := s.ReportedAt.Add(-lag)
+	contained := 0
+	for contained < len(r.starts) && !r.starts[contained].After(taken) {
+		contained++
+	}
+	r.starts = slices.Delete(r.starts, 0, contained)
+	r.status.Snapshot = s
+	r.status.SinceReport = min(len(r.starts), r.status.Outstanding)
+}
+
 // succeeded ends a series of failed reports.
 func (r *record) succeeded() {
 	r.failures = 0
--- a/pkg/target/tracker.go
+++ b/pkg/target/tracker.go
@@ -97,8 +97,7 @@
 	}
 	r.succeeded()
 	t.welcome(r, s, now)
-	r.status.Snapshot = s
-	r.status.SinceReport = 0
+	r.replaceSnapshot(s, t.limits.ReportLag)
 	t.note(loadChanged)
 	if r.joinedAt.IsZero() {
 		r.joinedAt = now
@@ -184,27 +183,23 @@
 }
 
 // Started notes a dispatch to the target.
-func (t *Tracker) Started(id string, _ time.Time) {
+func (t *Tracker) Started(id string, now time.Time) {
 	r, ok := t.records[id]
 	if !ok {
 		return
 	}
 	t.note(loadChanged)
-	r.status.Outstanding++
-	r.status.SinceReport++
+	r.started(now)
 }
 
-// Ended notes that a dispatch has ended. The dispatches since the report
-// can't exceed those that have not ended, which keeps short calls from
-// piling up between reports.
+// Ended notes that a dispatch has ended.
 func (t *Tracker) Ended(id string, _ time.Time) {
 	r, ok := t.records[id]
 	if !ok || r.status.Outstanding == 0 {
 		return
 	}
 	t.note(loadChanged)
-	r.status.Outstanding--
-	r.status.SinceReport = min(r.status.SinceReport, r.status.Outstanding)
+	r.ended()
 }
 
 // Tick moves targets whose time limits have passed and forgets drained ones
--- a/pkg/target/tracker_test.go
+++ b/pkg/target/tracker_test.go
@@ -252,6 +252,10 @@
 	f.Started("a", f.now)
 	f.Ended("a", f.now)
 	assert.DeepEqual(t, counts(f), [2]int{1, 1})
+	f.wait(DefaultReportLag - 1)
+	f.good()
+	assert.DeepEqual(t, counts(f), [2]int{1, 1}) // the figures are older than the dispatch
+	f.wait(1)
 	f.good()
 	assert.DeepEqual(t, counts(f), [2]int{1, 0})
 	f.Started("a", f.now)
