Learn the occupancy of each service

Cause: waits were estimated from one fixed time of 2 s per request. A plain service with calls of 10 ms and three calls queued was refused for deadlines under a second. Change: Picker.ObserveOccupancy, a moving average per service of the time from the first to the last token or of the whole call of a plain service; the setting applies until the first observation. Conclusion: the gateway should report occupancies; without them the estimate is as before.

--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -19,8 +19,9 @@
 // better of two random targets, with slow start and early refusal. It may be
 // used by several goroutines if its Rand may.
 type Picker struct {
-	settings Settings
-	services atomic.Pointer[map[string]target.ServiceInfo]
+	settings  Settings
+	occupancy *occupancies
+	services  atomic.Pointer[map[string]target.ServiceInfo]
 }
 
 // NewPicker returns a picker. It knows no slow start times until SetServices.
@@ -28,7 +29,7 @@
 	if settings.Rand == nil {
 		settings.Rand = sharedRand{}
 	}
-	p := &Picker{settings: settings}
+	p := &Picker{settings: settings, occupancy: newOccupancies(settings.Occupancy)}
 	p.SetServices(nil)
 	return p
 }
@@ -39,6 +40,14 @@
 	p.services.Store(&services)
 }
 
+// ObserveOccupancy notes how long a request held a place at a target, for the
+// estimate of waits. For a stream this is the time from the first to the last
+// token, so that queueing is not counted as service; for a call of a plain
+// service the whole call.
+func (p *Picker) ObserveOccupancy(service string, d time.Duration) {
+	p.occupancy.observe(service, d)
+}
+
 // Pick implements Policy.
 func (p *Picker) Pick(req Request, view []target.Status, now time.Time) (target.Target, *verdict.Error) {
 	if !req.Deadline.IsZero() && !req.Deadline.After(now) {
@@ -50,11 +59,11 @@
 	}
 	open := p.openTo(req.Priority, all)
 	if len(open) == 0 {
-		return target.Target{}, refuseOverloaded(req, p.untilOpen(req.Priority, all), p.settings.Rand)
+		return target.Target{}, refuseOverloaded(req, p.untilOpen(req, all), p.settings.Rand)
 	}
 	timely := p.timely(req, open, now)
 	if len(timely) == 0 {
-		wait := p.shortestWait(open)
+		wait := p.shortestWait(req, open)
 		return target.Target{}, refuseDeadline(wait, wait-req.Deadline.Sub(now), p.settings.Rand)
 	}
 	return p.choose(req, timely).status.Target, nil
@@ -106,14 +115,14 @@
 	return p.settings.share(priority) * p.settings.QueueFactor * c.places()
 }
 
-// untilOpen estimates the time until a queue is open to a priority.
-func (p *Picker) untilOpen(priority int, all []candidate) time.Duration {
+// untilOpen estimates the time until a queue is open to the request's priority.
+func (p *Picker) untilOpen(req Request, all []candidate) time.Duration {
 	shortest := math.Inf(1)
 	for _, c := range all {
-		excess := c.queue() - p.queueLimit(priority, c)
+		excess := c.queue() - p.queueLimit(req.Priority, c)
 		shortest = min(shortest, excess/c.places())
 	}
-	return time.Duration(shortest * float64(p.settings.Occupancy))
+	return time.Duration(shortest * float64(p.occupancy.of(req.Service)))
 }
 
 // timely returns the candidates whose estimated wait ends before the deadline.
@@ -122,9 +131,10 @@
 		return open
 	}
 	left := req.Deadline.Sub(now)
+	occupancy := p.occupancy.of(req.Service)
 	var timely []candidate
 	for _, c := range open {
-		if c.wait(p.settings.Occupancy) < left {
+		if c.wait(occupancy) < left {
 			timely = append(timely, c)
 		}
 	}
@@ -132,10 +142,11 @@
 }
 
 // shortestWait returns the shortest estimated wait.
-func (p *Picker) shortestWait(open []candidate) time.Duration {
+func (p *Picker) shortestWait(req Request, open []candidate) time.Duration {
+	occupancy := p.occupancy.of(req.Service)
 	shortest := time.Duration(math.MaxInt64)
 	for _, c := range open {
-		shortest = min(shortest, c.wait(p.settings.Occupancy))
+		shortest = min(shortest, c.wait(occupancy))
 	}
 	return shortest
 }
--- a/pkg/route/settings.go
+++ b/pkg/route/settings.go
@@ -20,8 +20,9 @@
 	// PriorityShare is the share of the queue that a request of each priority
 	// may fill, 0 to 1. It should not decrease with the priority.
 	PriorityShare [Priorities]float64
-	// Occupancy is the mean time that a request holds a place at a target. It
-	// converts queue lengths to waits; reports carry no times.
+	// Occupancy is the mean time that a request holds a place at a target,
+	// used until ObserveOccupancy knows better. It converts queue lengths to
+	// waits; reports carry no times.
 	Occupancy time.Duration
 	// Rand is the source of random numbers; nil means the process-wide one.
 	Rand Rand
