--- /dev/null
+++ b/pkg/route/property_test.go
@@ -0,0 +1,101 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+	"pgregory.net/rapid"
+)
+
+// drawView draws up to 6 targets in any state. rapid prefers small numbers, so
+// the exceptions have high ones.
+func drawView(t *rapid.T) []target.Status {
+	states := []target.State{target.Joining, target.Ready, target.Ready, target.Suspect, target.Draining, target.Gone}
+	view := make([]target.Status, rapid.SampledFrom([]int{0, 1, 2, 4, 6}).Draw(t, "targets"))
+	for i := range view {
+		reported := now.Add(-time.Second)
+		if rapid.IntRange(0, 9).Draw(t, "unreported") == 9 {
+			reported = time.Time{}
+		}
+		view[i] = target.Status{
+			Target: target.Target{ID: fmt.Sprintf("t%d", i), Service: rapid.SampledFrom([]string{chef, chef, chef, "other"}).Draw(t, "service")},
+			State:  rapid.SampledFrom(states).Draw(t, "state"),
+			Since:  now.Add(-time.Duration(rapid.IntRange(-5, 60).Draw(t, "since")) * time.Second),
+			Snapshot: target.Snapshot{
+				Running:    rapid.IntRange(0, 8).Draw(t, "running"),
+				Waiting:    rapid.IntRange(0, 40).Draw(t, "waiting"),
+				Capacity:   rapid.IntRange(0, 8).Draw(t, "capacity"),
+				Draining:   rapid.IntRange(0, 9).Draw(t, "draining") == 9,
+				ReportedAt: reported,
+			},
+			SinceReport: rapid.IntRange(0, 10).Draw(t, "since report"),
+		}
+	}
+	return view
+}
+
+// drawRequest draws a request of any priority and deadline.
+func drawRequest(t *rapid.T) Request {
+	req := Request{
+		Service:  chef,
+		Prefix:   rapid.SampledFrom([]string{"", "menu", "ration"}).Draw(t, "prefix"),
+		Priority: rapid.IntRange(-1, Priorities).Draw(t, "priority"),
+		Exclude:  rapid.SliceOfN(rapid.SampledFrom([]string{"t0", "t1", "t2"}), 0, 2).Draw(t, "exclude"),
+	}
+	if rapid.Bool().Draw(t, "with deadline") {
+		req.Deadline = now.Add(time.Duration(rapid.IntRange(-100, 5000).Draw(t, "deadline")) * time.Millisecond)
+	}
+	return req
+}
+
+// Guards against a choice of an unusable target, a refusal that claims more
+// than "not run" or asks for an endless wait, and a higher priority that is
+// refused where a lower one is served.
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view, req := drawView(t), drawRequest(t)
+		p := NewPicker(seeded())
+		p.SetServices(map[string]target.ServiceInfo{chef: {SlowStart: 30 * time.Second}})
+		picked, refusal := p.Pick(req, view, now)
+		if refusal != nil {
+			checkRefusal(t, refusal)
+			return
+		}
+		checkPicked(t, req, view, picked)
+		req.Priority++
+		if _, refusal := p.Pick(req, view, now); refusal != nil {
+			t.Fatalf("priority %d is refused although %d was served: %v", req.Priority, req.Priority-1, refusal)
+		}
+	})
+}
+
+// checkRefusal checks what a caller is told.
+func checkRefusal(t *rapid.T, refusal *verdict.Error) {
+	reasons := []verdict.Reason{verdict.NoTarget, verdict.Overloaded, verdict.Deadline}
+	if refusal.Verdict != verdict.NotRun || !slices.Contains(reasons, refusal.Reason) {
+		t.Fatalf("refused with %s, %s", refusal.Verdict, refusal.Reason)
+	}
+	if refusal.RetryAfter < 0 || refusal.RetryAfter > MaxRetryAfter*5/4 {
+		t.Fatalf("retry after %s", refusal.RetryAfter)
+	}
+}
+
+// checkPicked checks that a choice is in the view and may take work.
+func checkPicked(t *rapid.T, req Request, view []target.Status, picked target.Target) {
+	at := slices.IndexFunc(view, func(s target.Status) bool { return s.Target == picked })
+	if at < 0 {
+		t.Fatalf("%s is not in the view", picked.ID)
+	}
+	s := view[at]
+	takesWork := s.State == target.Ready || s.State == target.Joining
+	if !takesWork || s.Snapshot.Draining || s.Snapshot.ReportedAt.IsZero() || s.Target.Service != req.Service {
+		t.Fatalf("picked an unusable target: %+v", s)
+	}
+	if slices.Contains(req.Exclude, picked.ID) {
+		t.Fatalf("picked the excluded target %s", picked.ID)
+	}
+}
--- a/pkg/target/bench_test.go
+++ b/pkg/target/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -67,3 +69,21 @@
 		}
 	}
 }
+
+// BenchmarkReport measures one report over HTTP on loopback. The server's part
+// is included, since it runs in the same process.
+func BenchmarkReport(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(goodProm))
+	}))
+	defer server.Close()
+	client := reportClient()
+	defer client.CloseIdleConnections()
+	adapter := NewPromTextAdapter(client)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := adapter.Report(b.Context(), Target{Addr: server.Listener.Addr().String()}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/target/pollersettings.go
+++ b/pkg/target/pollersettings.go
@@ -9,7 +9,10 @@
 	Interval    time.Duration    // time between two reports of a target
 	Concurrency int              // reports read at once
 	// MaxReportRate bounds the reports read per second by lengthening the
-	// interval when there are many targets. Zero: no bound.
+	// interval when there are many targets. Zero: no bound. A report costs
+	// about 0.1 ms of CPU, so 600 targets every 500 ms would take over 10% of
+	// a core. A longer interval delays the first sign of leaving if it comes
+	// from the report only.
 	MaxReportRate float64
 }
 
