--- a/pkg/route/settings.go
+++ b/pkg/route/settings.go
@@ -10,6 +10,9 @@
 	// AffinityBound is the largest load, as a multiple of the mean load, at
 	// which a target still takes the requests of its prompt prefixes.
 	AffinityBound float64
+	// AffinityFree is the load, in requests per place, up to which a target
+	// takes the requests of its prefixes whatever the mean is.
+	AffinityFree float64
 	// AffinityDepth is how many targets of the prefix's order are tried.
 	AffinityDepth int
 	// QueueFactor is the longest queue that a target may have, as a multiple of its capacity.
@@ -17,8 +20,9 @@
 	// PriorityShare is the share of the queue that a request of each priority
 	// may fill, 0 to 1. It should not decrease with the priority.
 	PriorityShare [Priorities]float64
-	// Occupancy is the mean time that a request holds a place at a target. It
-	// converts queue lengths to waits; reports carry no times.
+	// Occupancy is the mean time that a request holds a place at a target,
+	// used until ObserveOccupancy knows better. It converts queue lengths to
+	// waits; reports carry no times.
 	Occupancy time.Duration
 	// Rand is the source of random numbers; nil means the process-wide one.
 	Rand Rand
@@ -26,8 +30,11 @@
 
 // Defaults of Settings.
 const (
-	DefaultAffinityBound = 1.25
-	DefaultAffinityDepth = 2
+	DefaultAffinityBound = 1.1
+	// DefaultAffinityFree leaves half of the places for requests that the
+	// reports don't show yet.
+	DefaultAffinityFree  = 0.5
+	DefaultAffinityDepth = 3
 	DefaultQueueFactor   = 2.0
 	DefaultOccupancy     = 2 * time.Second
 	// DefaultLowestShare is the share of the queue open to priority 0. The
@@ -39,6 +46,7 @@
 func DefaultSettings() Settings {
 	s := Settings{
 		AffinityBound: DefaultAffinityBound,
+		AffinityFree:  DefaultAffinityFree,
 		AffinityDepth: DefaultAffinityDepth,
 		QueueFactor:   DefaultQueueFactor,
 		Occupancy:     DefaultOccupancy,
