--- a/pkg/access/request_head.go
+++ b/pkg/access/request_head.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/ed25519"
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/hex"
 	"net/http"
 	"regexp"
@@ -72,8 +71,8 @@
 	if err != nil {
 		return nil, err
 	}
-	signature, err := base64.StdEncoding.Strict().DecodeString(text)
-	if err != nil || len(signature) != ed25519.SignatureSize {
+	signature, err := DecodeBase64(text, ed25519.SignatureSize)
+	if err != nil {
 		return nil, refuse("header %s must be an Ed25519 signature in base64", SignatureHeader)
 	}
 	return signature, nil
--- a/pkg/bundle/check_test.go
+++ b/pkg/bundle/check_test.go
@@ -27,6 +27,9 @@
 		{"operators[1].name", func(b *Bundle) { b.Operators[1].Name = "" }},
 		{"operators[2].public_key", func(b *Bundle) { b.Operators[2].PublicKey = b.Operators[0].PublicKey }},
 		{"operators[0].public_key", func(b *Bundle) { b.Operators[0].PublicKey = "AAAA" }},
+		{"operators[0].public_key", func(b *Bundle) {
+			b.Operators[0].PublicKey = b.Operators[0].PublicKey[:8] + "\n" + b.Operators[0].PublicKey[8:]
+		}},
 		{"version", func(b *Bundle) { b.Version = 7 }},
 		{"base", func(b *Bundle) { b.Base = maxBase + 1 }},
 		{"customers[1].id", func(b *Bundle) { b.Customers[1].ID = "regie" }},
--- a/pkg/bundle/operator.go
+++ b/pkg/bundle/operator.go
@@ -3,17 +3,18 @@
 import (
 	"crypto/ed25519"
 	"encoding/base64"
-	"errors"
 	"fmt"
 	"strings"
+
+	"github.com/peppertrail/peppertrail/pkg/access"
 )
 
 // Key returns the operator's public key, or an error if it is not an Ed25519
 // key in standard base64.
 func (o Operator) Key() (ed25519.PublicKey, error) {
-	raw, err := base64.StdEncoding.Strict().DecodeString(o.PublicKey)
-	if err != nil || len(raw) != ed25519.PublicKeySize {
-		return nil, errors.New("not an Ed25519 public key in standard base64")
+	raw, err := access.DecodeBase64(o.PublicKey, ed25519.PublicKeySize)
+	if err != nil {
+		return nil, fmt.Errorf("Ed25519 public key: %w", err)
 	}
 	return raw, nil
 }
--- a/pkg/bundle/trust.go
+++ b/pkg/bundle/trust.go
@@ -3,11 +3,12 @@
 import (
 	"crypto/ed25519"
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/peppertrail/peppertrail/pkg/access"
 )
 
 // Trust is who may bring the next version into force.
@@ -69,9 +70,9 @@
 	if err != nil {
 		return fmt.Errorf("key of operator %q: %w", s.Operator, err)
 	}
-	raw, err := base64.StdEncoding.DecodeString(s.Value)
+	raw, err := access.DecodeBase64(s.Value, ed25519.SignatureSize)
 	if err != nil {
-		return fmt.Errorf("signature of %q is not base64", s.Operator)
+		return fmt.Errorf("signature of %q: %w", s.Operator, err)
 	}
 	if !ed25519.Verify(key, signedMessage(digest), raw) {
 		return fmt.Errorf("signature of %q does not match this bundle", s.Operator)
