--- a/pkg/gateway/caller_test.go
+++ b/pkg/gateway/caller_test.go
@@ -54,24 +54,169 @@
 // Guards against a non-idempotent request that is cut when its caller leaves,
 // so that a retry could not get its answer.
 func TestNonIdempotentCallerLeavesAndRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		gate := make(chan struct{})
+		r.engine.plans["t1"].gate = gate
+		r.engine.plans["t1"].gateAt = 1
+		ctx, leave := context.WithCancel(t.Context())
+		result := r.background(newRequest("POST", chatPath, streamBody, once).WithContext(ctx))
+		<-r.engine.waiting
+		leave()
+		synctest.Wait()
+		close(gate)
+		<-result
+		assert.Equal(t, len(r.engine.cancelled), 0)
+		line, ok := r.home.line(testID)
+		assert.Assert(t, ok)
+		assert.Equal(t, line.Tokens, int64(4))
+		w := r.chat(streamBody, once)
+		assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+doneEvent)
+		assert.Equal(t, r.engine.dispatches(), 1)
+		r.drain(t)
+		r.server.Close()
+	})
+}
+
+// Guards against taking a target's death for the caller's leaving when a
+// non-idempotent request runs on without its caller.
+func TestNonIdempotentCallerLeavesAndTargetDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		gate := make(chan struct{})
+		r.engine.plans["t1"].gate = gate
+		r.engine.plans["t1"].gateAt = 1
+		r.engine.plans["t1"].breaks = []int{1}
+		r.engine.plans["t1"].forget = true
+		ctx, leave := context.WithCancel(t.Context())
+		result := r.background(newRequest("POST", chatPath, streamBody, once).WithContext(ctx))
+		<-r.engine.waiting
+		leave()
+		synctest.Wait()
+		close(gate)
+		<-result
+		r.drain(t)
+		settles := r.home.settled()
+		assert.Equal(t, len(settles), 1)
+		assert.Equal(t, settles[0].Outcome, home.Failed)
+		assert.Equal(t, settles[0].TargetDied, true)
+		assert.Equal(t, settles[0].Tokens, settles[0].Bound)
+		assert.Equal(t, settles[0].Final, true)
+		r.server.Close()
+	})
+}
+
+// stuckWriter is a caller that takes no bytes until it leaves.
+type stuckWriter struct {
+	*httptest.ResponseRecorder
+	writing chan struct{}
+	left    chan struct{}
+}
+
+func (w *stuckWriter) Write([]byte) (int, error) {
+	close(w.writing)
+	<-w.left
+	return 0, io.ErrClosedPipe
+}
+
+// Guards against a write error that is not taken as the caller's leaving.
+func TestWriteErrorEndsRequest(t *testing.T) {
 	r := newRig(t)
-	gate := make(chan struct{})
-	r.engine.plans["t1"].gate = gate
-	r.engine.plans["t1"].gateAt = 1
+	w := &stuckWriter{ResponseRecorder: httptest.NewRecorder(), writing: make(chan struct{}), left: make(chan struct{})}
+	close(w.left)
+	r.server.ServeHTTP(w, newRequest("POST", chatPath, streamBody, withKey))
+	r.drain(t)
+	assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+	assertCounted(t, r, `requests_total{outcome="cancelled",service="chef-llm"} 1`)
+}
+
+// Guards against a second settlement, or a cancel, of a stream that its
+// dispatcher has settled, when a caller that attached to it leaves later.
+func TestAttachedCallerLeavesSettledStream(t *testing.T) {
+	for _, desc := range []string{"dispatcher completes", "dispatcher fails"} {
+		t.Run(desc, func(t *testing.T) {
+			r := newRig(t)
+			gate := make(chan struct{})
+			r.engine.plans["t1"].gate = gate
+			r.engine.plans["t1"].gateAt = 1
+			if desc == "dispatcher fails" {
+				// Connections: dispatcher, attached, two resumes of the dispatcher.
+				r.engine.plans["t1"].breaks = []int{1, 9, 1, 1}
+				r.engine.plans["t1"].breakErr = &engine.Error{Verdict: verdict.MayHaveRun, Err: errReset}
+			}
+			first := r.background(newRequest("POST", chatPath, streamBody, withKey))
+			<-r.engine.waiting
+			w := &stuckWriter{ResponseRecorder: httptest.NewRecorder(), writing: make(chan struct{}), left: make(chan struct{})}
+			second := make(chan struct{})
+			go func() {
+				r.server.ServeHTTP(w, newRequest("POST", chatPath, streamBody, withKey))
+				close(second)
+			}()
+			<-w.writing
+			close(gate)
+			<-first
+			close(w.left)
+			<-second
+			r.drain(t)
+			assert.Equal(t, len(r.engine.cancelled), 0)
+			assert.Equal(t, len(r.home.settled()), 1)
+		})
+	}
+}
+
+// Guards against a stream that no one settles when its dispatcher has left and
+// its attached reader fails.
+func TestAttachedReaderFailsAfterDispatcherLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		gate := make(chan struct{})
+		r.engine.plans["t1"].gate = gate
+		r.engine.plans["t1"].gateAt = 1
+		r.engine.plans["t1"].breaks = []int{9, 1}
+		r.engine.plans["t1"].forget = true
+		ctx, leave := context.WithCancel(t.Context())
+		first := r.background(newRequest("POST", chatPath, streamBody, withKey).WithContext(ctx))
+		<-r.engine.waiting
+		second := r.background(newRequest("POST", chatPath, streamBody, withKey))
+		<-r.engine.waiting
+		leave()
+		<-first
+		close(gate)
+		<-second
+		r.drain(t)
+		settles := r.home.settled()
+		assert.Equal(t, len(settles), 1)
+		assert.Equal(t, settles[0].Stream, "g1.1")
+		assert.Equal(t, settles[0].Outcome, home.Failed)
+		r.server.Close()
+	})
+}
+
+// Guards against an attempt that stays open at its home when the request
+// attaches to another daemon's stream afterwards and its caller leaves.
+func TestCallerLeavesAttachmentAfterFailedAttempt(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].openErr = notRun(errDial)
 	ctx, leave := context.WithCancel(t.Context())
-	result := r.background(newRequest("POST", chatPath, streamBody, once).WithContext(ctx))
-	<-r.engine.waiting
-	leave()
-	close(gate)
-	<-result
-	assert.Equal(t, len(r.engine.cancelled), 0)
-	line, ok := r.home.line(testID)
-	assert.Assert(t, ok)
-	assert.Equal(t, line.Tokens, int64(4))
-	w := r.chat(streamBody, once)
-	assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+doneEvent)
-	assert.Equal(t, r.engine.dispatches(), 1)
+	r.home.reserve = func(req home.ReserveRequest) (home.ReserveReply, error) {
+		if req.Attempt == 1 {
+			return home.ReserveReply{Outcome: home.Granted, Stream: "g1.1"}, nil
+		}
+		return home.ReserveReply{Outcome: home.Attach, Stream: "g9.1", Target: "t2"}, nil
+	}
+	r.engine.resume = func(ctx context.Context) error {
+		leave()
+		<-ctx.Done()
+		return notRun(ctx.Err())
+	}
+	r.do(newRequest("POST", chatPath, streamBody, withKey).WithContext(ctx))
 	r.drain(t)
+	settles := r.home.settled()
+	assert.Equal(t, len(settles), 2)
+	for i, s := range settles {
+		assert.Equal(t, s.Stream, "g1.1", "a stream of another daemon was settled")
+		assert.Equal(t, s.Final, i == 1)
+	}
 }
 
 // Guards against a dispatch for a caller that left during the reservation.
@@ -342,6 +487,7 @@
 	defer func() { _ = response.Body.Close() }()
 	r.drain(t)
 	assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+	assertCounted(t, r, `requests_total{outcome="cancelled",service="chef-llm"} 1`)
 }
 
 // Guards against an explanation that leaves out an attempt or its reason.
--- a/pkg/gateway/failure.go
+++ b/pkg/gateway/failure.go
@@ -48,7 +48,6 @@
 	switch {
 	case x.callerGone() && !x.req.nonIdempotent:
 		f.gone = true
-		f.died = false
 	case x.timedOut():
 		f.reason = verdict.Deadline
 		f.permanent = true
--- a/pkg/gateway/failure_test.go
+++ b/pkg/gateway/failure_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -58,6 +59,9 @@
 				}
 				assertRefused(t, r.do(req), tc.verdict, tc.reason)
 				assert.Equal(t, len(r.home.reserves), tc.tried)
+				if tc.outcome == home.NotDispatched {
+					assert.Equal(t, r.engine.resumes, 0)
+				}
 				r.drain(t)
 				settles := r.home.settled()
 				assert.Equal(t, len(settles), tc.tried)
@@ -134,6 +138,7 @@
 		for _, set := range []setHeader{withKey, once} {
 			r := newRig(t)
 			r.engine.plans["t1"].breaks = []int{1, 2}
+			r.engine.plans["t1"].overlap = 1
 			w := r.chat(body, set)
 			if body == streamBody {
 				assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+"data: [DONE]\n\n")
@@ -170,9 +175,45 @@
 		assert.Equal(t, settles[0].Outcome, home.Failed)
 		assert.Equal(t, settles[0].TargetDied, true)
 		assert.Equal(t, settles[0].Final, true)
+		assert.Equal(t, len(r.engine.cancelled), 0, "a dead target was sent a cancel")
 	}
 }
 
+// Guards against a target that goes on with a stream that was given up, and
+// against charging the bound although the target still tells the usage.
+func TestAbandonedStreamIsCancelled(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].breaks = []int{1, 1, 1}
+	r.engine.plans["t1"].breakErr = &engine.Error{Verdict: verdict.MayHaveRun, Err: errReset}
+	w := r.chat(streamBody, withKey)
+	assert.Assert(t, strings.Contains(w.Body.String(), "event: error\n"))
+	r.drain(t)
+	assert.DeepEqual(t, r.engine.cancelled, []string{"g1.1"})
+	settles := r.home.settled()
+	assert.Equal(t, len(settles), 1)
+	assert.Equal(t, settles[0].Outcome, home.Failed)
+	assert.Equal(t, settles[0].Tokens, int64(3))
+	assert.Equal(t, settles[0].UsageKnown, true)
+}
+
+// Guards against reading the request's own failed stream when the home has not
+// processed its settlement yet.
+func TestHomeNamesOwnFailedStream(t *testing.T) {
+	r := newRig(t)
+	r.engine.plans["t1"].openErr = notRun(errDial)
+	r.home.settle = func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+		return home.SettleReply{}, errDial
+	}
+	assertRefused(t, r.chat(streamBody, once), verdict.NotRun, verdict.BudgetUnreachable)
+	assert.Equal(t, r.engine.resumes, 0)
+	r.home.mu.Lock()
+	r.home.settle = nil
+	r.home.mu.Unlock()
+	r.drain(t)
+	settles := r.home.settled()
+	assert.Equal(t, settles[len(settles)-1].Final, true)
+}
+
 // Guards against a whole answer that is lost when only its parts were
 // collected, and against mixing the parts of two targets.
 func TestTargetDiesDuringObjectAnswer(t *testing.T) {
--- a/pkg/gateway/outbox.go
+++ b/pkg/gateway/outbox.go
@@ -21,8 +21,8 @@
 	backoffMultiples = 2
 )
 
-// Outbox resubmits settlements until they are durable. Settlements of one
-// stream replace each other. It is safe for concurrent use.
+// Outbox resubmits settlements until they are durable. It holds one per
+// stream. It is safe for concurrent use.
 type Outbox struct {
 	authorities Authorities
 	limit       int
@@ -59,15 +59,20 @@
 	return o
 }
 
-// Add submits a settlement as soon as a worker is free.
+// Add submits a settlement as soon as a worker is free. It replaces a waiting
+// one of the stream, unless that says that the answer was complete: another
+// reader of the same stream may have failed.
 func (o *Outbox) Add(s home.SettleRequest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.entries) == 0 {
 		o.empty = make(chan struct{})
 	}
-	if old, ok := o.entries[s.Stream]; ok && old.index >= 0 {
-		heap.Remove(&o.due, old.index)
+	if old, ok := o.entries[s.Stream]; ok {
+		if old.request.Outcome == home.Completed {
+			return
+		}
+		old.leave(&o.due)
 	}
 	e := &outboxEntry{request: s, at: time.Now(), backoff: firstBackoff}
 	o.entries[s.Stream] = e
--- a/pkg/gateway/outbox_entry.go
+++ b/pkg/gateway/outbox_entry.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/home"
@@ -14,6 +15,13 @@
 	index   int           // position in the heap; -1 during a submission
 }
 
+// leave removes the entry from the heap unless a submission is under way.
+func (e *outboxEntry) leave(due *outboxHeap) {
+	if e.index >= 0 {
+		heap.Remove(due, e.index)
+	}
+}
+
 // retry sets the time of the next submission.
 func (e *outboxEntry) retry(now time.Time, draining bool) {
 	longest := maxBackoff
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -206,6 +206,8 @@
 		x.settleLater(a, x.notDispatched(a))
 	case last:
 		x.settleLater(a, x.cancelled(a))
+	case a.attached:
+		x.finalizePending()
 	}
 }
 
--- /dev/null
+++ b/pkg/gateway/relay_bench_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/peppertrail/peppertrail/pkg/engine"
+	"gotest.tools/v3/assert"
+)
+
+// longEngine answers every completion with a number of equal tokens.
+type longEngine struct {
+	*fakeEngine
+	tokens int
+}
+
+func (e longEngine) Open(context.Context, engine.Call) (engine.Stream, error) {
+	events := answer("soup")
+	return &longStream{token: events[0], last: events[1], left: e.tokens}, nil
+}
+
+// longStream returns its token until none is left, then the last event.
+type longStream struct {
+	token, last engine.Event
+	index, left int
+}
+
+func (s *longStream) Next() (engine.Event, error) {
+	ev := s.token
+	if s.left == 0 {
+		ev = s.last
+	}
+	s.left--
+	ev.Index = s.index
+	s.index++
+	return ev, nil
+}
+
+func (s *longStream) Close() error { return nil }
+
+// newLongRig returns a rig whose targets answer with a number of tokens, and the body to ask for it.
+func newLongRig(b *testing.B, tokens int) (*rig, string) {
+	r := newRig(b)
+	config := testBundle()
+	config.Services[0].MaxOutput = int64(tokens)
+	r.directory.catalog = NewCatalog(config)
+	r.server.Engine = longEngine{r.engine, tokens}
+	return r, strings.Replace(streamBody, `"max_tokens":8`, fmt.Sprintf(`"max_tokens":%d`, tokens), 1)
+}
+
+// discardWriter is a response without a connection.
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header         { return w.header }
+func (w discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (w discardWriter) WriteHeader(int)             {}
+func (w discardWriter) Flush()                      {}
+
+// BenchmarkRelayToken measures the CPU of one relayed token in the gateway
+// alone: one operation is one token of a long stream.
+func BenchmarkRelayToken(b *testing.B) {
+	r, body := newLongRig(b, b.N)
+	req := newRequest(http.MethodPost, chatPath, body)
+	b.ReportAllocs()
+	b.ResetTimer()
+	r.server.ServeHTTP(discardWriter{make(http.Header)}, req)
+}
+
+// BenchmarkRelayTokenTCP measures one relayed token over loopback TCP with a
+// flush per token. The reading client is included.
+func BenchmarkRelayTokenTCP(b *testing.B) {
+	r, body := newLongRig(b, b.N)
+	ts := httptest.NewUnstartedServer(nil)
+	ts.Config = r.server.HTTPServer()
+	ts.Start()
+	defer ts.Close()
+	req, err := http.NewRequest(http.MethodPost, ts.URL+chatPath, strings.NewReader(body))
+	assert.NilError(b, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	b.ReportAllocs()
+	b.ResetTimer()
+	response, err := ts.Client().Do(req)
+	assert.NilError(b, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(b, err)
+	assert.NilError(b, response.Body.Close())
+}
+
+// BenchmarkRequest measures a whole request of two tokens without a connection.
+func BenchmarkRequest(b *testing.B) {
+	r := newRig(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.server.ServeHTTP(discardWriter{make(http.Header)}, newRequest(http.MethodPost, chatPath, streamBody))
+	}
+}
--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -49,6 +49,10 @@
 // attachment returns the attempt that reads a stream which exists already. The
 // home naming the same stream again after it could not be read is a refusal.
 func (x *exchange) attachment(number int, reply home.ReserveReply, entry string) (*attempt, *verdict.Error) {
+	if x.pending != nil && x.pending.stream == reply.Stream {
+		return nil, verdict.New(verdict.NotRun, verdict.BudgetUnreachable,
+			"the home of budget %q has not recorded the end of attempt %d", x.req.budget, x.pending.number).After(shortRetry)
+	}
 	x.dispatch = true
 	t, known := x.server.Targets.Target(reply.Target)
 	if !known {
--- a/pkg/gateway/settle_test.go
+++ b/pkg/gateway/settle_test.go
@@ -132,6 +132,26 @@
 	})
 }
 
+// Guards against losing the line of an answered request when another reader of its stream failed.
+func TestOutboxKeepsCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.home.settle = func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+			time.Sleep(time.Second)
+			return home.SettleReply{Durable: len(r.home.settled()) > 1}, nil
+		}
+		r.server.outbox.Add(home.SettleRequest{Stream: "g1.1", Outcome: home.Completed})
+		synctest.Wait()
+		r.server.outbox.Add(home.SettleRequest{Stream: "g1.1", Outcome: home.Failed})
+		time.Sleep(time.Minute)
+		for _, s := range r.home.settled() {
+			assert.Equal(t, s.Outcome, home.Completed)
+		}
+		assert.Equal(t, r.server.Pending(), 0)
+		r.server.Close()
+	})
+}
+
 // Guards against an earlier settlement of a stream that removes the later one from the outbox.
 func TestOutboxKeepsLaterSettlement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
