Keep the gateway's options private and test a reused connection

Cause: the embedded options were visible as fields of Server, and a write deadline that is set per answer could have failed later requests on the same connection. Considered: resetting the deadline at each request; net/http does so itself after each one, which the test shows. Change: Server holds its options in a private field, the exchange's field for the verdict has the verdict's name, and a test sends three requests over one connection past the write deadline. Conclusion: no change of behaviour.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -25,7 +25,7 @@
 	if x.server.outbox.Full() {
 		return nil, verdict.New(verdict.NotRun, verdict.BudgetUnreachable, "too many settlements wait to become durable").After(shortRetry)
 	}
-	catalog, refusal := x.server.Directory.Current()
+	catalog, refusal := x.server.opts.Directory.Current()
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -93,9 +93,9 @@
 	began := time.Now()
 	defer func() { x.waited += time.Since(began) }()
 	// Writers without deadlines, as in tests, read without one.
-	_ = x.control.SetReadDeadline(began.Add(x.server.StallTimeout))
+	_ = x.control.SetReadDeadline(began.Add(x.server.opts.StallTimeout))
 	defer func() { _ = x.control.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.server.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.server.opts.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "body: allowed: at most %d bytes", tooLarge.Limit)
--- a/pkg/gateway/caller_test.go
+++ b/pkg/gateway/caller_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -465,7 +466,7 @@
 // Guards against a caller that reads nothing and holds its target for ever.
 func TestStalledCallerIsDropped(t *testing.T) {
 	r := newRig(t)
-	r.server.StallTimeout = 50 * time.Millisecond
+	r.server.opts.StallTimeout = 50 * time.Millisecond
 	big := answer("x")
 	big[0].Data = []byte(`"` + strings.Repeat("x", 64<<10) + `"`)
 	var events []engine.Event
@@ -506,3 +507,28 @@
 	})
 	r.drain(t)
 }
+
+// Guards against the write deadline of one answer failing a later request on
+// the same connection.
+func TestConnectionOutlivesWriteDeadline(t *testing.T) {
+	r := newRig(t)
+	r.server.opts.StallTimeout = 30 * time.Millisecond
+	ts := httptest.NewUnstartedServer(nil)
+	ts.Config = r.server.HTTPServer()
+	ts.Start()
+	defer ts.Close()
+	conn, err := net.Dial("tcp", ts.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{chatPath, "/v1/nothing", chatPath} {
+		req := newRequest(http.MethodPost, path, streamBody)
+		assert.NilError(t, req.Write(conn))
+		response, err := http.ReadResponse(reader, req)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, len(body) > 0)
+		time.Sleep(2 * r.server.opts.StallTimeout)
+	}
+}
--- a/pkg/gateway/event_sink.go
+++ b/pkg/gateway/event_sink.go
@@ -76,7 +76,7 @@
 	if now.Sub(s.deadline) >= stallCheck {
 		s.deadline = now
 		// Writers without deadlines, as in tests, write without one.
-		_ = s.x.control.SetWriteDeadline(now.Add(s.x.server.StallTimeout))
+		_ = s.x.control.SetWriteDeadline(now.Add(s.x.server.opts.StallTimeout))
 	}
 	if s.begun {
 		return
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -23,15 +23,15 @@
 	id       string        // request id
 	customer string        // empty until authenticated
 
-	req      *request
-	sink     sink
-	ctx      context.Context // ends with the request timeout; for idempotent requests also when the caller leaves
-	cancel   context.CancelFunc
-	exclude  []string // targets that were tried
-	dispatch bool     // a target may have run the request
-	lost     bool     // writing to the caller failed
-	pending  *attempt // a failed attempt whose settlement was not marked final
-	attached string   // stream of the last attachment
+	req        *request
+	sink       sink
+	ctx        context.Context // ends with the request timeout; for idempotent requests also when the caller leaves
+	cancel     context.CancelFunc
+	exclude    []string // targets that were tried
+	mayHaveRun bool     // a target may have run the request
+	lost       bool     // writing to the caller failed
+	pending    *attempt // a failed attempt whose settlement was not marked final
+	attached   string   // stream of the last attachment
 }
 
 // newExchange returns the exchange of a request. Its id is the idempotency key
@@ -51,7 +51,7 @@
 // serve runs an admitted request to its end.
 func (x *exchange) serve(req *request) {
 	x.req = req
-	x.ctx, x.cancel = context.WithTimeout(context.WithoutCancel(x.r.Context()), x.server.RequestTimeout)
+	x.ctx, x.cancel = context.WithTimeout(context.WithoutCancel(x.r.Context()), x.server.opts.RequestTimeout)
 	defer x.cancel()
 	if !req.nonIdempotent {
 		// A non-idempotent request goes on without its caller, so that a retry can attach.
@@ -59,8 +59,8 @@
 		defer stop()
 	}
 	x.sink = newSink(x)
-	x.server.Metrics.StreamOpened()
-	defer x.server.Metrics.StreamClosed()
+	x.server.opts.Metrics.StreamOpened()
+	defer x.server.opts.Metrics.StreamClosed()
 	x.attempts()
 }
 
@@ -94,7 +94,7 @@
 	if x.late() {
 		return target.Target{}, verdict.New(verdict.NotRun, verdict.Deadline, "the deadline passed before the request could be dispatched")
 	}
-	t, refusal := x.server.Picker.Pick(x.req.routeRequest(x.exclude))
+	t, refusal := x.server.opts.Picker.Pick(x.req.routeRequest(x.exclude))
 	if refusal != nil {
 		return target.Target{}, refusal
 	}
@@ -120,12 +120,12 @@
 // refuse ends the request with a refusal. A refusal that follows a dispatch
 // says that the request may have run.
 func (x *exchange) refuse(e *verdict.Error) {
-	if x.dispatch && e.Verdict == verdict.NotRun {
+	if x.mayHaveRun && e.Verdict == verdict.NotRun {
 		weaker := *e
 		weaker.Verdict = verdict.MayHaveRun
 		e = &weaker
 	}
-	x.server.Metrics.Refused(e)
+	x.server.opts.Metrics.Refused(e)
 	x.note(telemetry.Step{Kind: telemetry.StepRefused, Verdict: e.Verdict, Reason: e.Reason, Detail: e.Message})
 	if x.sink != nil && x.sink.started() {
 		x.finished(telemetry.OutcomeFailed)
@@ -139,7 +139,7 @@
 // finished counts the end of an admitted request.
 func (x *exchange) finished(o telemetry.Outcome) {
 	if x.req != nil {
-		x.server.Metrics.Finished(x.req.service.Name, o)
+		x.server.opts.Metrics.Finished(x.req.service.Name, o)
 	}
 }
 
@@ -149,5 +149,5 @@
 		return
 	}
 	step.At = time.Now()
-	x.server.Journal.Add(x.customer, x.id, step)
+	x.server.opts.Journal.Add(x.customer, x.id, step)
 }
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -35,9 +35,9 @@
 		return &failure{verdict: verdict.NotRun, reason: verdict.Deadline, permanent: true, err: errLate}
 	}
 	x.join(a)
-	x.server.Picker.Started(a.target.ID)
+	x.server.opts.Picker.Started(a.target.ID)
 	f := x.dispatchTo(a)
-	x.server.Picker.Ended(a.target.ID, f != nil && !f.gone && !f.permanent)
+	x.server.opts.Picker.Ended(a.target.ID, f != nil && !f.gone && !f.permanent)
 	return f
 }
 
@@ -47,7 +47,7 @@
 		Target:   a.target,
 		Stream:   a.stream,
 		Priority: x.req.priority,
-		Fencing:  x.server.Identity.Fencing(),
+		Fencing:  x.server.opts.Identity.Fencing(),
 		Method:   x.req.method,
 		Path:     x.req.path,
 		Header:   x.req.header,
@@ -57,7 +57,7 @@
 		return x.call(a, call)
 	}
 	began := time.Now()
-	st, err := x.server.Engine.Open(x.ctx, call)
+	st, err := x.server.opts.Engine.Open(x.ctx, call)
 	x.waited += time.Since(began)
 	if err != nil {
 		st, err = x.reopenUnclear(a, err)
@@ -81,7 +81,7 @@
 
 // call runs a call of a plain service.
 func (x *exchange) call(a *attempt, call engine.Call) *failure {
-	response, err := x.server.Engine.Do(x.ctx, call)
+	response, err := x.server.opts.Engine.Do(x.ctx, call)
 	if err != nil {
 		return x.failureIn(err)
 	}
@@ -119,12 +119,12 @@
 func (x *exchange) openAttached(a *attempt) (engine.Stream, error) {
 	began := time.Now()
 	defer func() { x.waited += time.Since(began) }()
-	st, err := x.server.Engine.Resume(x.ctx, a.target, a.stream, 0)
+	st, err := x.server.opts.Engine.Resume(x.ctx, a.target, a.stream, 0)
 	for _, delay := range attachDelays {
 		if !errors.Is(err, engine.ErrUnknownStream) || !sleep(x.ctx, delay) {
 			break
 		}
-		st, err = x.server.Engine.Resume(x.ctx, a.target, a.stream, 0)
+		st, err = x.server.opts.Engine.Resume(x.ctx, a.target, a.stream, 0)
 	}
 	return st, err
 }
--- a/pkg/gateway/failure.go
+++ b/pkg/gateway/failure.go
@@ -60,7 +60,7 @@
 func (x *exchange) noteFailure(a *attempt, f *failure) {
 	x.exclude = append(x.exclude, a.target.ID)
 	if f.verdict != verdict.NotRun || a.attached {
-		x.dispatch = true
+		x.mayHaveRun = true
 	}
 	x.note(telemetry.Step{
 		Kind: telemetry.StepFailed, Attempt: a.number, Target: a.target.ID, Stream: a.stream,
--- a/pkg/gateway/object_sink.go
+++ b/pkg/gateway/object_sink.go
@@ -70,7 +70,7 @@
 }
 
 func (s *objectSink) finish(engine.Event) {
-	_ = s.x.control.SetWriteDeadline(time.Now().Add(s.x.server.StallTimeout))
+	_ = s.x.control.SetWriteDeadline(time.Now().Add(s.x.server.opts.StallTimeout))
 	h := s.x.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(requestIDHeader, s.x.id)
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -104,7 +104,7 @@
 
 // firstToken records the latency that this daemon added to the first token.
 func (x *exchange) firstToken() {
-	x.server.Metrics.FirstToken(time.Since(x.received) - x.waited)
+	x.server.opts.Metrics.FirstToken(time.Since(x.received) - x.waited)
 }
 
 // resume reopens a broken stream at the same target from the next event, or
@@ -115,7 +115,7 @@
 			return nil, cause
 		}
 		a.resumes++
-		st, err := x.server.Engine.Resume(x.ctx, a.target, a.stream, a.next)
+		st, err := x.server.opts.Engine.Resume(x.ctx, a.target, a.stream, a.next)
 		if err == nil {
 			x.note(telemetry.Step{Kind: telemetry.StepResumed, Attempt: a.number, Target: a.target.ID, Stream: a.stream, Detail: cause.Error()})
 			return st, nil
@@ -175,7 +175,7 @@
 func (x *exchange) cancelAtTarget(a *attempt) *engine.Usage {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), cancelTimeout)
 	defer cancel()
-	usage, err := x.server.Engine.Cancel(ctx, a.target, a.stream)
+	usage, err := x.server.opts.Engine.Cancel(ctx, a.target, a.stream)
 	if err != nil {
 		return nil
 	}
@@ -190,7 +190,7 @@
 	}
 	tokens = max(usage.TotalTokens, usage.PromptTokens+usage.CompletionTokens)
 	if tokens > x.req.bound {
-		x.server.Logger.Warn().Str("request", x.id).Int64("tokens", tokens).Int64("bound", x.req.bound).Msg("Usage exceeds the bound.")
+		x.server.opts.Logger.Warn().Str("request", x.id).Int64("tokens", tokens).Int64("bound", x.req.bound).Msg("Usage exceeds the bound.")
 	}
 	return min(max(tokens, 0), x.req.bound), true
 }
--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -19,7 +19,7 @@
 	// A reservation is not cut short when the caller leaves: its outcome has to be settled.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), reserveTimeout)
 	defer cancel()
-	entry := x.server.Identity.Incarnation()
+	entry := x.server.opts.Identity.Incarnation()
 	reply, err := x.authority().Reserve(ctx, home.ReserveRequest{
 		Customer:      x.req.customer.ID,
 		Budget:        x.req.budget,
@@ -53,8 +53,8 @@
 		return nil, verdict.New(verdict.NotRun, verdict.BudgetUnreachable,
 			"the home of budget %q has not recorded the end of attempt %d", x.req.budget, x.pending.number).After(shortRetry)
 	}
-	x.dispatch = true
-	t, known := x.server.Targets.Target(reply.Target)
+	x.mayHaveRun = true
+	t, known := x.server.opts.Targets.Target(reply.Target)
 	if !known {
 		t = target.Target{ID: reply.Target}
 	}
@@ -68,5 +68,5 @@
 
 // authority returns the authority that is the home of the budget now.
 func (x *exchange) authority() home.Authority {
-	return x.server.Authorities.For(x.req.customer.ID, x.req.budget)
+	return x.server.opts.Authorities.For(x.req.customer.ID, x.req.budget)
 }
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -18,10 +18,10 @@
 	if refusal != nil {
 		return target.Target{}, refusal
 	}
-	if !x.server.RetryBudget.Allow() {
+	if !x.server.opts.RetryBudget.Allow() {
 		return target.Target{}, x.refusal(f.verdict, verdict.RetryBudget, "target %s failed and this host's retry budget is spent", a.target.ID)
 	}
-	x.server.Metrics.Retried(f.reason)
+	x.server.opts.Metrics.Retried(f.reason)
 	return t, nil
 }
 
@@ -31,7 +31,7 @@
 	case x.sink.started():
 		return x.refusal(verdict.MayHaveRun, verdict.TargetFailed, "target %s stopped answering during the answer", a.target.ID)
 	case x.timedOut():
-		return x.refusal(f.verdict, verdict.Deadline, "the request took longer than %v", x.server.RequestTimeout)
+		return x.refusal(f.verdict, verdict.Deadline, "the request took longer than %v", x.server.opts.RequestTimeout)
 	case a.attached && (x.req.nonIdempotent || x.req.plain || a.number >= maxAttempts):
 		return x.refusal(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched before and its stream cannot be read")
 	case f.reason == verdict.Deadline:
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -24,7 +24,7 @@
 
 // Server is the callers' API. It is an http.Handler.
 type Server struct {
-	Options
+	opts     Options
 	mux      *flow.Mux
 	inflight *inflight
 	readers  *readers
@@ -39,7 +39,7 @@
 	}
 	opts = opts.withDefaults()
 	s := &Server{
-		Options:  opts,
+		opts:     opts,
 		inflight: newInflight(),
 		readers:  newReaders(),
 		outbox:   NewOutbox(opts.Authorities, opts.MaxPending, opts.Metrics, opts.Logger),
@@ -115,7 +115,7 @@
 func (s *Server) refuseRoute(status int, message string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		refusal := verdict.New(verdict.NotRun, verdict.BadRequest, "%s", message)
-		s.Metrics.Refused(refusal)
+		s.opts.Metrics.Refused(refusal)
 		writeRefusal(w, status, refusal, newRequestID())
 	}
 }
--- a/pkg/gateway/settle.go
+++ b/pkg/gateway/settle.go
@@ -67,7 +67,7 @@
 	s.Tokens = tokens
 	s.UsageKnown = known
 	s.Final = true
-	x.server.Metrics.Billed(x.req.service.Name, tokens)
+	x.server.opts.Metrics.Billed(x.req.service.Name, tokens)
 	x.settleNow(a, s)
 }
 
@@ -106,7 +106,7 @@
 
 // settleNow submits a settlement and waits for it up to the settle wait.
 func (x *exchange) settleNow(a *attempt, s home.SettleRequest) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.server.SettleWait)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.server.opts.SettleWait)
 	defer cancel()
 	reply, err := x.authority().Settle(ctx, s)
 	if err == nil && reply.Durable {
