--- a/pkg/gateway/failure.go
+++ b/pkg/gateway/failure.go
@@ -48,7 +48,6 @@
 	switch {
 	case x.callerGone() && !x.req.nonIdempotent:
 		f.gone = true
-		f.died = false
 	case x.timedOut():
 		f.reason = verdict.Deadline
 		f.permanent = true
@@ -61,7 +60,7 @@
 func (x *exchange) noteFailure(a *attempt, f *failure) {
 	x.exclude = append(x.exclude, a.target.ID)
 	if f.verdict != verdict.NotRun || a.attached {
-		x.dispatch = true
+		x.mayHaveRun = true
 	}
 	x.note(telemetry.Step{
 		Kind: telemetry.StepFailed, Attempt: a.number, Target: a.target.ID, Stream: a.stream,
