Add the JSON-RPC calls between daemons

Cause: a daemon reaches the home of a budget on another daemon, and pushes bundles to its peers, within the time that a request can wait. Considered: messages with Content-Length headers against plain JSON. Repeating a call after a broken connection was rejected, since a reservation may have been made. A write that exceeds the timeout closes the connection, because jsonrpc2 holds its send lock meanwhile. The server goes on with a call whose connection broke, for up to 10 s. TLS always verifies both sides.

--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+)
+
+const (
+	// handshakeTimeout bounds the TLS handshake of a new connection.
+	handshakeTimeout = 5 * time.Second
+	// handleTimeout bounds the handling of a call. It is far above the
+	// timeout of callers: a settlement that arrived is worth completing.
+	handleTimeout = 10 * time.Second
+	// writeTimeout bounds the writing of a reply to a client that does not read.
+	writeTimeout = 2 * time.Second
+	// acceptPause is the delay after a failed accept, such as for lack of file descriptors.
+	acceptPause = 50 * time.Millisecond
+)
+
+// ServerOptions configure a Server. Calls whose handler is nil are answered with an error.
+type ServerOptions struct {
+	Authority home.Authority
+	OnBundle  func(bundle json.RawMessage) error // called concurrently for each pushed bundle
+	OnHello   func(caller Hello) Hello           // returns what this daemon says of itself
+	TLS       *tls.Config                        // with the server's certificate and ClientCAs (else RootCAs), which must have signed the client's; nil for plain TCP
+	Logf      func(format string, args ...any)   // receives connection errors; may be nil
+}
+
+// Server serves the calls of other daemons. Each call is handled in its own
+// goroutine, so that calls on one connection do not wait for each other.
+type Server struct {
+	opt ServerOptions
+}
+
+// NewServer returns a server.
+func NewServer(opt ServerOptions) *Server {
+	if opt.TLS != nil {
+		opt.TLS = opt.TLS.Clone()
+		opt.TLS.ClientAuth = tls.RequireAndVerifyClientCert
+		if opt.TLS.ClientCAs == nil {
+			opt.TLS.ClientCAs = opt.TLS.RootCAs // else any certificate of a public authority would do
+		}
+	}
+	return &Server{opt: opt}
+}
+
+// Serve accepts connections on l until ctx ends, then closes l and every
+// connection, waits for the calls being handled and returns nil. It returns
+// the error of a listener that was closed before.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	calls := &callGroup{}
+	defer calls.close()
+	defer cancel()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("accept: %w", err)
+		case err != nil:
+			s.logf("accept: %v", err)
+			time.Sleep(acceptPause)
+		default:
+			go s.serveConn(ctx, conn, calls)
+		}
+	}
+}
+
+// serveConn starts to serve one connection, until it or ctx ends.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn, calls *callGroup) {
+	secured, err := s.handshake(ctx, conn)
+	if err != nil {
+		s.logf("handshake with %s: %v", conn.RemoteAddr(), err)
+		conn.Close()
+		return
+	}
+	newRPCConn(ctx, secured, writeTimeout, &handler{server: s, calls: calls}, errorLogger(s.opt.Logf))
+}
+
+func (s *Server) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if s.opt.TLS == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(conn, s.opt.TLS)
+	return secured, secured.HandshakeContext(ctx)
+}
+
+func (s *Server) logf(format string, args ...any) {
+	errorLogger(s.opt.Logf).Printf(format, args...)
+}
