peppertrail: read events of several data lines

Cause: a run against the daemon showed that every streamed answer ended with "event cannot be decoded" and exit code 1. The gateway sends a chunk that ends with a line break as two data lines; the tool read each line as an event. The test stand-in only sent events of one line.

Change: an event reader that joins data lines until the blank line. The status command says that a daemon holds no version instead of when it confirmed it. The bootstrap entry is printed as the daemon's flag takes it. ParseOperators had no user and is removed; its test now covers CheckOperators.

--- a/cmd/peppertrail/bundle_status.go
+++ b/cmd/peppertrail/bundle_status.go
@@ -43,7 +43,11 @@
 	} else {
 		fmt.Fprintf(a.stdout, "version %d is in force, digest %s\n", s.InForce.Version, s.InForce.Digest)
 	}
-	fmt.Fprintf(a.stdout, "this daemon holds version %d, confirmed %.0f s ago\n", s.HeldVersion, s.UnconfirmedSeconds)
+	if s.HeldVersion == 0 {
+		fmt.Fprintln(a.stdout, "this daemon holds no version")
+	} else {
+		fmt.Fprintf(a.stdout, "this daemon holds version %d, confirmed %.0f s ago\n", s.HeldVersion, s.UnconfirmedSeconds)
+	}
 	fmt.Fprintf(a.stdout, "%d active holders report a lower version\n\n", s.Behind)
 	a.printHolders(s.Holders)
 }
--- a/cmd/peppertrail/keys.go
+++ b/cmd/peppertrail/keys.go
@@ -49,7 +49,7 @@
 	entry := bundle.NewOperator(f.name, key.Public().(ed25519.PublicKey))
 	return a.show(entry, func() {
 		fmt.Fprintf(a.stdout, "operators entry: {\"name\": %q, \"public_key\": %q}\n", entry.Name, entry.PublicKey)
-		fmt.Fprintf(a.stdout, "bootstrap entry: %s:%s\n", entry.Name, entry.PublicKey)
+		fmt.Fprintf(a.stdout, "--bootstrap-operator: %s=%s\n", entry.Name, entry.PublicKey)
 	})
 }
 
--- a/cmd/peppertrail/send_test.go
+++ b/cmd/peppertrail/send_test.go
@@ -70,6 +70,24 @@
 	assert.Equal(t, whole.Usage.TotalTokens, int64(9))
 }
 
+// Guards against an event in several data lines, as the gateway sends a chunk
+// that ends with a line break, being read as several events.
+func TestSendMultiLineEvents(t *testing.T) {
+	c := newCaller(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, ": comment\n\nevent: message\r\ndata: %s\r\ndata: \r\n\r\n", helloEvent)
+		fmt.Fprint(w, "data:{\"choices\":\ndata:[{\"delta\":{\"content\":\"lo\"}}]}\n\ndata: [DONE]\n\n")
+	})
+	assert.Equal(t, c.ok("requests", "send", "--model", "chef", "--prompt", "hi"), "hello\n")
+}
+
+// Guards against a last event that was cut off being taken as received.
+func TestSendCutLastEvent(t *testing.T) {
+	c := newCaller(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, "data: %s\n\ndata: [DONE]", helloEvent)
+	})
+	c.fails(exitFailed, []string{"before its last event"}, "requests", "send", "--model", "chef", "--prompt", "hi")
+}
+
 // Guards against a refusal that looks like success or hides whether a
 // repetition is safe.
 func TestSendRefused(t *testing.T) {
--- a/cmd/peppertrail/stream.go
+++ b/cmd/peppertrail/stream.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -11,12 +11,8 @@
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
-const (
-	// maxEvent bounds one line of the stream in bytes.
-	maxEvent = 4 << 20
-	// streamEnd is the data of the last event.
-	streamEnd = "[DONE]"
-)
+// streamEnd is the data of the last event.
+const streamEnd = "[DONE]"
 
 // answer is the whole answer of requests send.
 type answer struct {
@@ -46,14 +42,12 @@
 func (a *app) printStream(body io.Reader) (answer, error) {
 	var whole answer
 	var text strings.Builder
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxEvent)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data:")
-		if !ok {
-			continue
+	events := newEventReader(body)
+	for {
+		data, err := events.next()
+		if err != nil {
+			return whole, broken(err)
 		}
-		data = strings.TrimSpace(data)
 		if data == streamEnd {
 			whole.Text = text.String()
 			return whole, nil
@@ -67,7 +61,6 @@
 		}
 		a.printPart(&text, part)
 	}
-	return whole, broken(lines.Err())
 }
 
 func decodeChunk(data string) (chunk, error) {
@@ -93,7 +86,7 @@
 // broken reports a stream without its last event.
 func broken(err error) error {
 	message := "the stream ended before its last event"
-	if err != nil {
+	if !errors.Is(err, io.EOF) {
 		message = fmt.Sprintf("the stream broke: %v", err)
 	}
 	return &refusal{Verdict: verdict.MayHaveRun, Message: message + "; repeat with the same --idempotency-key to attach to it"}
--- a/pkg/bundle/check_test.go
+++ b/pkg/bundle/check_test.go
@@ -80,14 +80,11 @@
 	mustContain(t, Check(b), "required_signoffs: 9 is not allowed: 1 to 3", "max_priority: 99", `kind: "magic"`)
 }
 
-// Guards against bootstrap keys that name one person twice.
-func TestParseOperators(t *testing.T) {
+// Guards against bootstrap keys that name one person twice, or none.
+func TestCheckOperators(t *testing.T) {
 	o := operatorsOf("alice", "bob")
-	parsed, err := ParseOperators("alice:" + o[0].PublicKey + ", bob:" + o[1].PublicKey)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, parsed, o)
-	_, err = ParseOperators("alice:" + o[0].PublicKey + ",bob:" + o[0].PublicKey)
-	mustContain(t, err, "operators[1].public_key")
-	_, err = ParseOperators("alice")
-	mustContain(t, err, "name:key")
+	assert.NilError(t, CheckOperators(o))
+	mustContain(t, CheckOperators(nil), "operators")
+	o[1].PublicKey = o[0].PublicKey
+	mustContain(t, CheckOperators(o), "operators[1].public_key")
 }
--- a/pkg/bundle/operator.go
+++ b/pkg/bundle/operator.go
@@ -4,7 +4,6 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"fmt"
-	"strings"
 
 	"github.com/peppertrail/peppertrail/pkg/access"
 )
@@ -27,20 +26,3 @@
 func NewOperator(name string, key ed25519.PublicKey) Operator {
 	return Operator{Name: name, PublicKey: encodeKey(key)}
 }
-
-// ParseOperators reads bootstrap operators from a setting of the form
-// "name:key,name:key", with keys in standard base64.
-func ParseOperators(setting string) ([]Operator, error) {
-	var operators []Operator
-	for part := range strings.SplitSeq(setting, ",") {
-		name, key, ok := strings.Cut(strings.TrimSpace(part), ":")
-		if !ok {
-			return nil, fmt.Errorf("operator %q: expected name:key", part)
-		}
-		operators = append(operators, Operator{Name: name, PublicKey: key})
-	}
-	if err := CheckOperators(operators); err != nil {
-		return nil, err
-	}
-	return operators, nil
-}
