--- a/cmd/peppertrail/bill.go
+++ b/cmd/peppertrail/bill.go
@@ -19,6 +19,7 @@
 	Customer  string        `json:"customer"`
 	Lines     []budget.Line `json:"lines"`
 	SumTokens int64         `json:"sum_tokens"`
+	SumExtra  int64         `json:"sum_extra"` // debited for attempts that gave no answer
 }
 
 func (a *app) registerBill() {
@@ -40,6 +41,7 @@
 		}
 		total.Lines = append(total.Lines, page.Lines...)
 		total.SumTokens += page.SumTokens
+		total.SumExtra += page.SumExtra
 		a.warnUnreadable(page.Unreadable)
 		if after = page.Next; after == "" {
 			break
@@ -51,7 +53,8 @@
 			rows = append(rows, lineRow(l))
 		}
 		a.table([]string{"REQUEST", "BILLED AT", "BUDGET", "TOKENS", "ATTEMPTS", "EXTRA", "OUTCOME", "TARGET", "ESTIMATED"}, rows)
-		fmt.Fprintf(a.stdout, "\n%d lines, %d tokens\n", len(total.Lines), total.SumTokens)
+		fmt.Fprintf(a.stdout, "\n%d lines, %d tokens billed, %d extra tokens debited for attempts without an answer\n",
+			len(total.Lines), total.SumTokens, total.SumExtra)
 	})
 }
 
--- a/cmd/peppertrail/bundle.go
+++ b/cmd/peppertrail/bundle.go
@@ -10,10 +10,11 @@
 	"github.com/peppertrail/peppertrail/pkg/bundle"
 )
 
-// bundleArgs are the positional arguments of the bundle commands.
+// bundleArgs are the arguments of the bundle commands.
 type bundleArgs struct {
 	first  string
 	second string
+	next   bool
 }
 
 func (a *app) registerBundle() {
@@ -39,8 +40,9 @@
 	a.command(group, "status", "show the version in force, open proposals and the version of each host", a.bundleStatus)
 
 	show := bundleArgs{first: refCurrent}
-	sub = a.command(group, "show", "print a bundle as JSON", func(ctx context.Context) error { return a.showBundle(ctx, show.first) })
+	sub = a.command(group, "show", "print a bundle as JSON", func(ctx context.Context) error { return a.showBundle(ctx, show) })
 	sub.AddPositionalValue(&show.first, "bundle", 1, false, refAllowed)
+	sub.Bool(&show.next, "", "next", "print it as the start of the next version, on the version in force")
 }
 
 func (a *app) checkBundle(path string) error {
@@ -203,11 +205,31 @@
 	})
 }
 
-func (a *app) showBundle(ctx context.Context, ref string) error {
-	b, err := a.loadBundle(ctx, ref)
+func (a *app) showBundle(ctx context.Context, args bundleArgs) error {
+	b, err := a.loadBundle(ctx, args.first)
 	if err != nil {
 		return err
 	}
+	b = bundle.Normalized(b)
+	if args.next {
+		if b, err = a.asNext(ctx, b); err != nil {
+			return err
+		}
+	}
 	a.settings.json = true
-	return a.show(bundle.Normalized(b), nil)
+	return a.show(b, nil)
+}
+
+// asNext returns the content of a bundle on the base of the version in force.
+func (a *app) asNext(ctx context.Context, b bundle.Bundle) (bundle.Bundle, error) {
+	client, err := a.settings.client()
+	if err != nil {
+		return b, err
+	}
+	current, err := loadCurrent(ctx, client)
+	if err != nil {
+		return b, err
+	}
+	b.Base = current.Version
+	return bundle.Normalized(b), nil
 }
--- a/cmd/peppertrail/operator_test.go
+++ b/cmd/peppertrail/operator_test.go
@@ -45,6 +45,9 @@
 	var shown bundle.Bundle
 	assert.NilError(t, json.Unmarshal([]byte(f.ok("bundle", "show")), &shown))
 	assert.Equal(t, shown.Version, uint64(1))
+	var start bundle.Bundle
+	assert.NilError(t, json.Unmarshal([]byte(f.ok("bundle", "show", "v1", "--next")), &start))
+	assert.DeepEqual(t, bundle.Normalized(start), bundle.Normalized(f.sample(1)))
 	next := f.sample(1)
 	next.Customers[0].MaxPriority = 7
 	assertContains(t, f.ok("bundle", "diff", "v1", f.write("next.json", next)), "~ customers[regie].max_priority: 0 -> 7")
@@ -95,10 +98,10 @@
 	f := newFixture(t)
 	f.bring(f.sample(0))
 	f.put(lease.HolderKey("d1"), lease.HolderRecord{Incarnation: "d1", Host: "h1", BundleVersion: 1})
-	f.put(budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 12, Completed: true, Attempts: 1})
+	f.put(budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 12, ExtraTokens: 4, Completed: true, Attempts: 2})
 	f.table.set("repair/2026-x", `{"text":"closed"}`)
 	assertContains(t, f.ok("customers", "list"), "regie", "chef-llm")
-	assertContains(t, f.ok("bill", "regie"), "r1", "1 lines, 12 tokens")
+	assertContains(t, f.ok("bill", "regie"), "r1", "1 lines, 12 tokens billed, 4 extra")
 	assertContains(t, f.ok("targets", "list"), "t1", "ready")
 	assertContains(t, f.ok("targets", "drain", "t1"), "no new work")
 	assert.Equal(t, f.backend.drained, "t1")
--- a/pkg/admin/bills.go
+++ b/pkg/admin/bills.go
@@ -11,7 +11,8 @@
 type BillPage struct {
 	Customer   string        `json:"customer"`
 	Lines      []budget.Line `json:"lines"`
-	SumTokens  int64         `json:"sum_tokens"`     // of this page
+	SumTokens  int64         `json:"sum_tokens"`     // billed on this page
+	SumExtra   int64         `json:"sum_extra"`      // debited on this page for attempts that gave no answer
 	Next       string        `json:"next,omitempty"` // after of the next page
 	Unreadable []string      `json:"unreadable,omitempty"`
 }
@@ -32,6 +33,7 @@
 	bill := BillPage{Customer: customer, Lines: rows.values, Next: rows.next, Unreadable: rows.unreadable}
 	for _, line := range bill.Lines {
 		bill.SumTokens += line.Tokens
+		bill.SumExtra += line.ExtraTokens
 	}
 	return bill, nil
 }
--- a/pkg/admin/fleet_test.go
+++ b/pkg/admin/fleet_test.go
@@ -18,12 +18,13 @@
 func TestBill(t *testing.T) {
 	f := newServing(t)
 	f.put(t, budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 5})
-	f.put(t, budget.LineKey("regie", "r2"), budget.Line{Customer: "regie", Request: "r2", Tokens: 7})
+	f.put(t, budget.LineKey("regie", "r2"), budget.Line{Customer: "regie", Request: "r2", Tokens: 7, ExtraTokens: 3})
 	f.put(t, budget.LineKey("regie2", "r3"), budget.Line{Customer: "regie2", Request: "r3", Tokens: 90})
 	f.table.set(budget.LineKey("regie", "bad"), "1")
 	bill, err := f.as("alice").Bill(context.Background(), "regie", "", 0)
 	assert.NilError(t, err)
 	assert.Equal(t, bill.SumTokens, int64(12))
+	assert.Equal(t, bill.SumExtra, int64(3))
 	assert.Equal(t, len(bill.Lines), 2)
 	assert.DeepEqual(t, bill.Unreadable, []string{"bill/regie/bad"})
 }
