bundle: test pushes that arrive while a poll reads

Cause: no test covered a version that a peer pushes between the head and the text of a poll.

Conclusion: no fault was found in the watcher.

--- a/pkg/bundle/fake_table_test.go
+++ b/pkg/bundle/fake_table_test.go
@@ -33,8 +33,10 @@
 	fault    func() fault
 	// beforeCommit runs without the lock before a commit is applied.
 	beforeCommit func()
-	commits      int
-	violations   []string // accepted versions that were written a second time
+	// beforeGet runs without the lock before rows are read.
+	beforeGet  func(keys []string)
+	commits    int
+	violations []string // accepted versions that were written a second time
 }
 
 func newFakeTable() *fakeTable {
@@ -112,6 +114,9 @@
 }
 
 func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	if t.beforeGet != nil {
+		t.beforeGet(keys)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
