Let a retry run again when its first stream is lost, bound the graceful stop

Cause: (1) a repeated idempotent request whose first stream could not be read was refused as claim_held, because the gateway did not tell the home which stream was lost; plain service calls were refused that way even after success. (2) A daemon that stopped while the platform was gone waited for the whole drain timeout of 11 minutes. Ruled out: dropping the home's entry at the first failed attachment (the first daemon may still read its stream); letting every request with a key go on without its caller (tried, it breaks the rule that the last local reader cancels and settles; reverted). Change: the gateway sends LostStream; plain idempotent calls run again; the final settlement of an undispatched attempt frees its claim at the home. After the open requests ended, the stop waits at most 30 s for the table, and the callers' connections are shut down in order. Conclusion: the stop is bounded by open requests plus 30 s.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -43,6 +43,7 @@
 	pool     *peer.Pool
 	local    *home.Local
 	gateway  *gateway.Server
+	callers  *http.Server // serves gateway
 	admin    http.Handler
 	life     *lifecycle
 	session  atomic.Pointer[session]
@@ -126,6 +127,7 @@
 		return fmt.Errorf("build gateway: %w", err)
 	}
 	d.gateway = server
+	d.callers = server.HTTPServer()
 	d.admin = d.adminHandler()
 	return nil
 }
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -68,7 +68,7 @@
 
 // serve starts the servers. A server that fails reports to failed.
 func (d *Daemon) serve(ctx context.Context, failed chan<- error) {
-	go serveHTTP(d.gateway.HTTPServer(), d.listen.callers, failed)
+	go serveHTTP(d.callers, d.listen.callers, failed)
 	go serveHTTP(&http.Server{Handler: d.admin, ReadHeaderTimeout: adminHeaderTimeout}, d.listen.operators, failed)
 	peers := peer.NewServer(peer.ServerOptions{
 		Authority: d.local,
--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -11,6 +11,11 @@
 // being ready, so that the balancer can take it out.
 const leaveDelay = time.Second
 
+// storeGrace is how long a daemon without open requests waits for the table to
+// take its last lines and close its grants. Beyond it the repair role writes
+// the grants off, which costs the customers the remainders, not an answer.
+const storeGrace = 30 * time.Second
+
 // shutdown stops the daemon without cutting off a request: it leaves the
 // balancer, refuses new requests, lets open ones end, waits until their lines
 // are durable, closes its grants and marks its holder row as stopped.
@@ -22,10 +27,15 @@
 	time.Sleep(leaveDelay)
 	d.gateway.BeginShutdown()
 	d.life.fire(triggerDrain)
-	err := errors.Join(
-		wrap("open requests", d.gateway.Drain(ctx)),
-		wrap("grants", d.local.Leave(ctx)),
-		wrap("last commit", d.session.Load().committer.Finish(ctx)),
+	err := wrap("open requests", d.gateway.AwaitRequests(ctx))
+	final, stop := context.WithTimeout(ctx, storeGrace)
+	defer stop()
+	err = errors.Join(
+		err,
+		wrap("callers' connections", d.callers.Shutdown(final)),
+		wrap("settlements", d.gateway.AwaitSettlements(final)),
+		wrap("grants", d.local.Leave(final)),
+		wrap("last commit", d.session.Load().committer.Finish(final)),
 	)
 	d.life.fire(triggerStop)
 	if err != nil {
--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -30,6 +30,7 @@
 		Bound:         x.req.bound,
 		Target:        t.ID,
 		Entry:         entry,
+		LostStream:    x.attached,
 	})
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.BudgetUnreachable, "the home of budget %q cannot be reached: %v", x.req.budget, err).After(shortRetry)
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -32,7 +32,7 @@
 		return x.refusal(verdict.MayHaveRun, verdict.TargetFailed, "target %s stopped answering during the answer", a.target.ID)
 	case x.timedOut():
 		return x.refusal(f.verdict, verdict.Deadline, "the request took longer than %v", x.server.opts.RequestTimeout)
-	case a.attached && (x.req.nonIdempotent || x.req.plain || a.number >= maxAttempts):
+	case a.attached && (x.req.nonIdempotent || a.number >= maxAttempts):
 		return x.refusal(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched before and its stream cannot be read")
 	case f.reason == verdict.Deadline:
 		return x.refusal(f.verdict, f.reason, "the deadline passed before the request could be dispatched")
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -81,12 +81,20 @@
 // Drain waits until all requests have ended and their settlements are durable.
 // BeginShutdown must come first. It returns the error of ctx if that ends earlier.
 func (s *Server) Drain(ctx context.Context) error {
-	if err := s.inflight.wait(ctx); err != nil {
+	if err := s.AwaitRequests(ctx); err != nil {
 		return err
 	}
-	return s.outbox.Drain(ctx)
+	return s.AwaitSettlements(ctx)
 }
 
+// AwaitRequests waits until all requests have ended. BeginShutdown must come
+// first. It returns the error of ctx if that ends earlier.
+func (s *Server) AwaitRequests(ctx context.Context) error { return s.inflight.wait(ctx) }
+
+// AwaitSettlements waits until the settlements of ended requests are durable.
+// It returns the error of ctx if that ends earlier.
+func (s *Server) AwaitSettlements(ctx context.Context) error { return s.outbox.Drain(ctx) }
+
 // Pending returns the number of settlements that are not known to be durable.
 func (s *Server) Pending() int { return s.outbox.Pending() }
 
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -31,6 +31,9 @@
 		return
 	}
 	if s, ok := l.settled[m.req.Stream]; ok {
+		if m.req.Outcome == NotDispatched && m.req.Final {
+			l.dropClaim(m.req.Stream) // the entry daemon found no further target
+		}
 		s.await(m)
 		return
 	}
