Add a test harness that runs the fleet as real processes

Cause: the guarantees of the design were only tested in process, with fakes for the table and the engines. Kills, pauses, partitions and lost replies need real processes and real connections.

Conclusion: tests of the guarantees can be built on it.

--- /dev/null
+++ b/test/harness/main_test.go
@@ -0,0 +1,5 @@
+package harness
+
+import "testing"
+
+func TestMain(m *testing.M) { Main(m) }
--- /dev/null
+++ b/test/harness/request.go
@@ -0,0 +1,64 @@
+package harness
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+)
+
+// Request is a completion that a caller sends.
+type Request struct {
+	Customer      string
+	Key           string // Idempotency-Key; empty: none
+	Prompt        string // must be unique in a test, since it identifies the request in the journals
+	MaxTokens     int64
+	NonIdempotent bool
+	Whole         bool          // asks for one JSON object in place of a stream
+	Deadline      time.Duration // X-Peppertrail-Deadline-Ms; 0: none
+}
+
+// chatBody is the JSON of a completion.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int64         `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Body returns the request body.
+func (r Request) Body() []byte {
+	body, err := json.Marshal(chatBody{
+		Model:     Model,
+		Messages:  []chatMessage{{Role: "user", Content: r.Prompt}},
+		MaxTokens: r.MaxTokens,
+		Stream:    !r.Whole,
+	})
+	if err != nil {
+		panic("harness: encode request: " + err.Error()) // strings and integers always encode
+	}
+	return body
+}
+
+// Digest returns the prompt digest that the engines' journals show.
+func (r Request) Digest() string {
+	p, err := engine.ParsePrompt(r.Body())
+	if err != nil {
+		panic("harness: own request: " + err.Error())
+	}
+	return p.Digest
+}
+
+// Text returns the whole answer of the request on a stream.
+func (r Request) Text(stream string) string {
+	text, err := engine.Text(stream, r.Body())
+	if err != nil {
+		panic("harness: own request: " + err.Error())
+	}
+	return text
+}
--- /dev/null
+++ b/test/harness/seed.go
@@ -0,0 +1,33 @@
+package harness
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// seedVariable names the environment variable that repeats a schedule.
+const seedVariable = "SEED"
+
+// Seed returns the seed of the test and logs it. The environment variable SEED
+// repeats the schedule of an earlier run.
+func Seed(t testing.TB) uint64 {
+	t.Helper()
+	seed := uint64(time.Now().UnixNano())
+	if text := os.Getenv(seedVariable); text != "" {
+		var err error
+		if seed, err = strconv.ParseUint(text, 10, 64); err != nil {
+			t.Fatalf("harness: %s=%q: allowed: a whole number", seedVariable, text)
+		}
+	}
+	t.Logf("%s=%d", seedVariable, seed)
+	return seed
+}
+
+// Rand returns the generator number stream of a seed. Give each goroutine its
+// own stream, so that the schedule does not depend on timing.
+func Rand(seed, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, stream))
+}
--- /dev/null
+++ b/test/harness/target.go
@@ -0,0 +1,78 @@
+package harness
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/test/harness/proxy"
+)
+
+// Target is an engine or service stand-in behind a proxy. The membership list
+// names the proxy.
+type Target struct {
+	*process
+	ID      string
+	Link    *proxy.Proxy
+	journal string // path
+	addr    string // of the process itself
+	kind    string // subcommand
+	args    []string
+	t       testing.TB
+}
+
+// startTarget starts a stand-in behind its own proxy.
+func startTarget(t testing.TB, dir, kind, id string, args []string) *Target {
+	t.Helper()
+	target := &Target{
+		ID:      id,
+		Link:    listen(t, ""),
+		journal: filepath.Join(dir, id+".journal"),
+		kind:    kind,
+		args:    args,
+		t:       t,
+	}
+	target.Start()
+	return target
+}
+
+// Start starts the process, again if it has ended. Its journal file goes on.
+func (g *Target) Start() {
+	g.t.Helper()
+	args := append([]string{g.kind, "--listen", "127.0.0.1:0", "--journal", g.journal}, g.args...)
+	g.process, g.addr = launchStandin(g.t, g.ID, args...)
+	g.Link.SetUpstream(g.addr)
+}
+
+// Kill ends the process with SIGKILL.
+func (g *Target) Kill() {
+	g.t.Helper()
+	if err := g.kill(); err != nil {
+		g.t.Fatalf("harness: %v", err)
+	}
+}
+
+// member returns the entry of the membership list.
+func (g *Target) member(service string) platform.Member {
+	return platform.Member{
+		ID:            g.ID,
+		Kind:          platform.TargetMember,
+		Addr:          g.Link.Addr(),
+		Region:        region,
+		FailureDomain: failureDomain,
+		Service:       service,
+		State:         platform.MemberLive,
+	}
+}
+
+// listen starts a proxy that ends with the test.
+func listen(t testing.TB, upstream string) *proxy.Proxy {
+	t.Helper()
+	p, err := proxy.Listen("127.0.0.1:0", upstream)
+	if err != nil {
+		t.Fatalf("harness: %v", fmt.Errorf("proxy: %w", err))
+	}
+	t.Cleanup(p.Close)
+	return p
+}
