Test that spend never exceeds the top-ups under faults

Considered: judging by the budget rows was ruled out, since the fleet writes them.

Change: TestSpendNeverExceedsBudget runs 4 daemons and 2 engines under kills, restarts, pauses past the lease, cuts between daemons and towards the platform, outages and lost replies, with a budget of 3,000 tokens that is topped up six times and a budget of 200,000.

--- a/test/harness/daemon.go
+++ b/test/harness/daemon.go
@@ -31,6 +31,7 @@
 	ip           string
 	at           atomic.Pointer[addresses] // of the last start
 	args         []string                  // settings other than the listeners
+	started      <-chan struct{}           // closed when the latest process has registered
 	t            testing.TB
 }
 
@@ -63,32 +64,46 @@
 // Start starts the process on free ports and waits until it has registered.
 func (d *Daemon) Start() {
 	d.t.Helper()
-	d.start(d.ip+":0", d.ip+":0")
+	d.Launch(false)
+	d.AwaitStart()
 }
 
-// StartAgain starts the process on the addresses of its last start.
+// StartAgain starts the process on the addresses of its last start and waits
+// until it has registered.
 func (d *Daemon) StartAgain() {
 	d.t.Helper()
-	at := d.at.Load()
-	d.start(at.Callers, at.Operators)
+	d.Launch(true)
+	d.AwaitStart()
 }
 
-// start starts the process and waits until it has registered.
-func (d *Daemon) start(callers, operators string) {
+// Launch starts the process on free ports, or on the addresses of its last
+// start, and does not wait: a daemon that cannot reach the platform registers
+// later. URL returns the old address until it has.
+func (d *Daemon) Launch(sameAddresses bool) {
 	d.t.Helper()
+	callers, operators := d.ip+":0", d.ip+":0"
+	if at := d.at.Load(); at != nil && sameAddresses {
+		callers, operators = at.Callers, at.Operators
+	}
 	peer := d.ip + ":" + freePort(d.t, d.ip)
 	d.PeerLink.SetUpstream(peer)
+	started := make(chan struct{})
+	d.started = started
 	args := append([]string{"--listen", callers, "--admin-listen", operators, "--peer-listen", peer}, d.args...)
-	found := make(chan *addresses, 1)
 	d.process = launch(d.t, d.Name, binary(d.t, daemonBinary), args, func(line string) {
 		var at addresses
 		if strings.Contains(line, startedMessage) && json.Unmarshal([]byte(line), &at) == nil {
-			found <- &at
+			d.at.Store(&at)
+			close(started)
 		}
 	})
+}
+
+// AwaitStart waits until the process that was launched last has registered.
+func (d *Daemon) AwaitStart() {
+	d.t.Helper()
 	select {
-	case at := <-found:
-		d.at.Store(at)
+	case <-d.started:
 	case <-d.done:
 		d.t.Fatalf("harness: %s ended at start: %v", d.Name, d.err)
 	case <-time.After(startTimeout):
--- /dev/null
+++ b/test/integration/chaos_test.go
@@ -0,0 +1,134 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/test/harness"
+	"github.com/peppertrail/peppertrail/test/harness/proxy"
+)
+
+const (
+	// lostShare is the share of transactions whose reply is lost during lostReplies.
+	lostShare = 0.3
+	// slowLatencyMs is above the settle wait of 250 ms.
+	slowLatencyMs = 300
+	// targetDelay is the delay of each piece of data during delayTarget.
+	targetDelay = 30 * time.Millisecond
+)
+
+// chaos carries out a plan on a fleet. It is used by the goroutine of the test.
+type chaos struct {
+	t       *testing.T
+	fleet   *harness.Fleet
+	targets []*harness.Target
+}
+
+// run carries out the plan and returns when every fault has ended and every
+// daemon and target runs.
+func (c chaos) run(plan []fault) {
+	c.t.Helper()
+	began := time.Now()
+	for _, m := range moments(plan) {
+		time.Sleep(time.Until(began.Add(m.at)))
+		c.t.Logf("%5.2fs %s %d ends=%v", time.Since(began).Seconds(), m.fault.kind, m.fault.index, m.ends)
+		if m.ends {
+			c.end(m.fault)
+		} else {
+			c.begin(m.fault)
+		}
+	}
+	for _, d := range c.fleet.Daemons {
+		d.AwaitStart()
+	}
+	c.fleet.AwaitReady()
+}
+
+// begin starts a fault.
+func (c chaos) begin(f fault) {
+	c.t.Helper()
+	switch f.kind {
+	case killDaemon, restartDaemon:
+		c.fleet.Daemons[f.index].Kill()
+	case pauseDaemon:
+		c.fleet.Daemons[f.index].Pause()
+	case tableDown, lostReplies, slowTable:
+		c.must(c.fleet.Platform.SetFaults(platformFaults(f.kind)))
+	case killTarget:
+		c.targets[f.index].Kill()
+	case resetTarget:
+		c.targets[f.index].Link.Reset()
+	default:
+		c.must(c.link(f).Set(linkRules(f.kind)))
+	}
+}
+
+// end undoes a fault.
+func (c chaos) end(f fault) {
+	c.t.Helper()
+	switch f.kind {
+	case killDaemon, restartDaemon:
+		c.fleet.Daemons[f.index].Launch(f.kind == restartDaemon)
+	case pauseDaemon:
+		c.fleet.Daemons[f.index].Resume()
+	case tableDown, lostReplies, slowTable:
+		c.must(c.fleet.Platform.SetFaults(standin.Faults{}))
+	case killTarget:
+		c.targets[f.index].Start()
+	case resetTarget:
+	default:
+		c.must(c.link(f).Heal())
+	}
+}
+
+// link returns the proxy that a fault acts on.
+func (c chaos) link(f fault) *proxy.Proxy {
+	switch f.kind.resource(0).kind {
+	case "peer link":
+		return c.fleet.Daemons[f.index].PeerLink
+	case "platform link":
+		return c.fleet.Daemons[f.index].PlatformLink
+	default:
+		return c.targets[f.index].Link
+	}
+}
+
+// platformFaults returns the faults of the platform's stand-in.
+func platformFaults(k faultKind) standin.Faults {
+	switch k {
+	case tableDown:
+		return standin.Faults{TableDown: true}
+	case lostReplies:
+		return standin.Faults{LostReplyProbability: lostShare}
+	default:
+		return standin.Faults{LatencyMs: slowLatencyMs}
+	}
+}
+
+// linkRules returns the rules of a proxy.
+func linkRules(k faultKind) proxy.Rules {
+	switch k {
+	case losePlatform:
+		return proxy.Rules{CutClient: true}
+	case refuseTarget:
+		return proxy.Rules{Refuse: true}
+	case dropTarget:
+		return proxy.Rules{DropReplies: true}
+	case breakTarget:
+		return proxy.Rules{ResetOnReply: true}
+	case halfOpenTarget:
+		return proxy.Rules{HalfOpen: true}
+	case delayTarget:
+		return proxy.Rules{Delay: targetDelay}
+	default:
+		return proxy.Cut()
+	}
+}
+
+func (c chaos) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/test/integration/plan_test.go
@@ -0,0 +1,73 @@
+package integration
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// fault is one planned fault.
+type fault struct {
+	kind  faultKind
+	index int // of the daemon or target
+	begin time.Duration
+	end   time.Duration
+}
+
+// planSettings describe the faults of a test.
+type planSettings struct {
+	kinds    []faultKind
+	daemons  int
+	targets  int
+	duration time.Duration
+	gap      time.Duration // mean time between the begins of two faults
+	shortest time.Duration // of a fault
+	longest  time.Duration
+}
+
+// planFaults draws a schedule in which faults of different resources overlap.
+func planFaults(r *rand.Rand, s planSettings) []fault {
+	var plan []fault
+	busy := make(map[resource]time.Duration)
+	for at := time.Duration(0); at < s.duration; at += s.gap/2 + time.Duration(r.Int64N(int64(s.gap))) {
+		f := fault{kind: s.kinds[r.IntN(len(s.kinds))], begin: at}
+		f.index = r.IntN(s.count(f.kind))
+		f.end = at + s.shortest + time.Duration(r.Int64N(int64(s.longest-s.shortest)))
+		used := f.kind.resource(f.index)
+		if busy[used] > f.begin {
+			continue
+		}
+		busy[used] = f.end
+		plan = append(plan, f)
+	}
+	return plan
+}
+
+// count returns how many resources of the kind there are.
+func (s planSettings) count(k faultKind) int {
+	switch k.resource(0).kind {
+	case "daemon", "peer link", "platform link":
+		return s.daemons
+	case "target", "target link":
+		return s.targets
+	default:
+		return 1
+	}
+}
+
+// moment is the begin or the end of a fault.
+type moment struct {
+	at    time.Duration
+	fault fault
+	ends  bool
+}
+
+// moments returns the begins and ends of a plan in order of time.
+func moments(plan []fault) []moment {
+	var all []moment
+	for _, f := range plan {
+		all = append(all, moment{at: f.begin, fault: f}, moment{at: f.end, fault: f, ends: true})
+	}
+	slices.SortStableFunc(all, func(a, b moment) int { return int(a.at - b.at) })
+	return all
+}
--- /dev/null
+++ b/test/integration/spend_test.go
@@ -0,0 +1,116 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/admin"
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+// Sizes of the spend test. A request costs up to 32 tokens of output and about
+// 15 of prompt, so the small budget is used up within seconds.
+const (
+	spendDaemons    = 4
+	spendCallers    = 16
+	spendDuration   = 20 * time.Second
+	spendTail       = 3 * time.Second // traffic after the last fault
+	smallBudget     = 3_000
+	largeBudget     = 200_000
+	spendTopUp      = 1_500
+	spendTopUps     = 6
+	spendLeastWhole = 50 // answers without which the test would prove nothing
+	sendTimeout     = 8 * time.Second
+	topUpTimeout    = 30 * time.Second
+)
+
+// spendFaults are all faults that may make a daemon believe in tokens that are
+// not there. A pause of up to 5 s exceeds the holder TTL of 3 s.
+func spendFaults() planSettings {
+	return planSettings{
+		kinds: []faultKind{
+			killDaemon, restartDaemon, pauseDaemon, pauseDaemon, cutPeer, cutPeer,
+			cutPlatform, losePlatform, tableDown, lostReplies, slowTable,
+		},
+		daemons:  spendDaemons,
+		targets:  2,
+		duration: spendDuration,
+		gap:      700 * time.Millisecond,
+		shortest: 300 * time.Millisecond,
+		longest:  5 * time.Second,
+	}
+}
+
+// Guards against a customer's spend above its top-ups while daemons die, are
+// paused past their lease, are cut off or lose replies and budgets are topped up.
+func TestSpendNeverExceedsBudget(t *testing.T) {
+	seed := harness.Seed(t)
+	f := harness.Start(t, harness.Options{
+		Daemons:    spendDaemons,
+		EngineArgs: []string{"--token-ms", "3"},
+		Customers: []harness.Customer{
+			{ID: "regie", Budget: "regie-main", Tokens: smallBudget, CoverSeconds: 2, MinTokens: 200, MaxShare: 0.3},
+			{ID: "lanester", Budget: "lanester-main", Tokens: largeBudget, CoverSeconds: 5, MinTokens: 2000, MaxShare: 0.5},
+		},
+	})
+	b := newBook()
+	oracle := newSpendOracle(t, f, b, map[string]int64{"regie": smallBudget, "lanester": largeBudget})
+	stop := make(chan struct{})
+	var background sync.WaitGroup
+	background.Go(func() { oracle.watch(stop) })
+	for i := range spendCallers {
+		r := harness.Rand(seed, uint64(i)+1)
+		background.Go(func() { spendTraffic(f, b, r, i, stop) })
+	}
+	background.Go(func() { topUpNow(t, f, oracle, harness.Rand(seed, 1000)) })
+	chaos{t: t, fleet: f, targets: f.Engines}.run(planFaults(harness.Rand(seed, 0), spendFaults()))
+	time.Sleep(spendTail)
+	close(stop)
+	background.Wait()
+	assert.NilError(t, oracle.compare())
+	t.Logf("%v, answers: %v", oracle, b.tally())
+	assert.Assert(t, b.tally()["whole"] >= spendLeastWhole)
+}
+
+// spendTraffic sends requests of both customers until stop is closed.
+func spendTraffic(f *harness.Fleet, b *book, r *rand.Rand, worker int, stop <-chan struct{}) {
+	caller := f.NewCaller()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		request := harness.Request{
+			Customer:  []string{"regie", "lanester"}[r.IntN(2)],
+			Key:       fmt.Sprintf("spend-%d-%d", worker, n),
+			Prompt:    fmt.Sprintf("menu plan %d of caller %d", n, worker),
+			MaxTokens: int64(8 + r.IntN(25)),
+		}
+		b.sending(request)
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		b.received(caller.Send(ctx, f.Daemons[r.IntN(len(f.Daemons))], request))
+		cancel()
+		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
+	}
+}
+
+// topUpNow tops the small budget up at random times, through whichever daemon answers.
+func topUpNow(t *testing.T, f *harness.Fleet, o *spendOracle, r *rand.Rand) {
+	for n := range spendTopUps {
+		time.Sleep(time.Duration(r.Int64N(int64(spendDuration / spendTopUps))))
+		o.topUp("regie", spendTopUp)
+		ctx, cancel := context.WithTimeout(context.Background(), topUpTimeout)
+		err := f.Operators[0].TopUp(ctx, f.Daemons, "regie-main", admin.TopUp{ID: fmt.Sprintf("top-up-%d", n), Tokens: spendTopUp})
+		cancel()
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
