Repeat a failed settlement within the settle wait

Cause: the final token was released as soon as the first settlement call failed, even if the settle wait had hardly begun. With a remote home that died (connection refused) or a call over the 300 ms limit between daemons, the answer went out with its line only in the outbox of the entry daemon. A kill of that daemon then left an answered request without a bill line, in spite of a settle wait of 10 s. The design releases the token only if the commit has not completed within the settle wait.

Considered: a retry loop in the exchange. Ruled out, since the outbox already repeats settlements and keeps one per stream.

Change: Outbox.Add returns a channel that is closed when the settlement is durable, and a completed answer waits for it up to the settle wait. Failed attempts do not wait longer than before.

Conclusion: an answer goes out before its line only after the settle wait.

--- a/pkg/gateway/outbox.go
+++ b/pkg/gateway/outbox.go
@@ -61,24 +61,27 @@
 
 // Add submits a settlement as soon as a worker is free. It replaces a waiting
 // one of the stream, unless that says that the answer was complete: another
-// reader of the same stream may have failed.
-func (o *Outbox) Add(s home.SettleRequest) {
+// reader of the same stream may have failed. The returned channel is closed
+// when the settlement that was kept is durable.
+func (o *Outbox) Add(s home.SettleRequest) <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.entries) == 0 {
 		o.empty = make(chan struct{})
 	}
+	e := &outboxEntry{request: s, at: time.Now(), backoff: firstBackoff, durable: make(chan struct{})}
 	if old, ok := o.entries[s.Stream]; ok {
 		if old.request.Outcome == home.Completed {
-			return
+			return old.durable
 		}
 		old.leave(&o.due)
+		e.durable = old.durable
 	}
-	e := &outboxEntry{request: s, at: time.Now(), backoff: firstBackoff}
 	o.entries[s.Stream] = e
 	heap.Push(&o.due, e)
 	o.metrics.SetPendingSettlements(len(o.entries))
 	o.notify()
+	return e.durable
 }
 
 // Pending returns the number of settlements that are not known to be durable.
@@ -183,6 +186,7 @@
 		return
 	}
 	delete(o.entries, e.request.Stream)
+	close(e.durable)
 	o.metrics.SetPendingSettlements(len(o.entries))
 	if len(o.entries) == 0 {
 		close(o.empty)
--- a/pkg/gateway/outbox_entry.go
+++ b/pkg/gateway/outbox_entry.go
@@ -13,6 +13,7 @@
 	at      time.Time     // next submission
 	backoff time.Duration // wait after the next failure
 	index   int           // position in the heap; -1 during a submission
+	durable chan struct{} // closed when a settlement of the stream is durable
 }
 
 // leave removes the entry from the heap unless a submission is under way.
--- a/pkg/gateway/settle.go
+++ b/pkg/gateway/settle.go
@@ -61,14 +61,21 @@
 }
 
 // settleCompleted settles an answered attempt. It waits at most the settle
-// wait; after that the outbox goes on.
+// wait, also across submissions that fail early because the home has died or
+// its reply takes too long; after that the outbox goes on.
 func (x *exchange) settleCompleted(a *attempt, tokens int64, known bool) {
 	s := x.settlement(a, home.Completed)
 	s.Tokens = tokens
 	s.UsageKnown = known
 	s.Final = true
 	x.server.opts.Metrics.Billed(x.req.service.Name, tokens)
-	x.settleNow(a, s)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.server.opts.SettleWait)
+	defer cancel()
+	durable := x.settleNow(ctx, a, s)
+	select {
+	case <-durable:
+	case <-ctx.Done():
+	}
 }
 
 // settleFailed settles a failed attempt. When the request ends with it, the
@@ -89,7 +96,9 @@
 		return
 	}
 	x.pending = a
-	x.settleNow(a, s)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.server.opts.SettleWait)
+	defer cancel()
+	x.settleNow(ctx, a, s)
 }
 
 // finalizePending marks the last failed attempt as final when no further
@@ -104,22 +113,30 @@
 	x.settleLater(x.pending, s)
 }
 
-// settleNow submits a settlement and waits for it up to the settle wait.
-func (x *exchange) settleNow(a *attempt, s home.SettleRequest) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.server.opts.SettleWait)
-	defer cancel()
+// settled is the result of a settlement that is durable already.
+var settled = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// settleNow submits a settlement once and leaves it to the outbox if it is not
+// durable then. The returned channel is closed when it is.
+func (x *exchange) settleNow(ctx context.Context, a *attempt, s home.SettleRequest) <-chan struct{} {
 	reply, err := x.authority().Settle(ctx, s)
 	if err == nil && reply.Durable {
 		x.noteSettled(a, s, "durable")
-		return
+		return settled
 	}
-	x.settleLater(a, s)
+	return x.settleLater(a, s)
 }
 
-// settleLater leaves a settlement to the outbox.
-func (x *exchange) settleLater(a *attempt, s home.SettleRequest) {
-	x.server.outbox.Add(s)
+// settleLater leaves a settlement to the outbox. The returned channel is
+// closed when it is durable.
+func (x *exchange) settleLater(a *attempt, s home.SettleRequest) <-chan struct{} {
+	durable := x.server.outbox.Add(s)
 	x.noteSettled(a, s, "queued")
+	return durable
 }
 
 func (x *exchange) noteSettled(a *attempt, s home.SettleRequest, how string) {
--- a/pkg/gateway/settle_test.go
+++ b/pkg/gateway/settle_test.go
@@ -83,6 +83,41 @@
 	}
 }
 
+// Guards against a final token that is released within the settle wait although
+// the line is not durable, because the home died or a call to it timed out.
+func TestFailedSettlementIsRepeatedWithinSettleWait(t *testing.T) {
+	cases := []struct {
+		desc    string
+		outage  time.Duration
+		waits   time.Duration
+		pending int
+	}{
+		{"the next home makes the line durable", firstBackoff / 2, firstBackoff, 0},
+		{"no home answers", time.Minute, DefaultSettleWait, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				began := time.Now()
+				r.home.settle = func(context.Context, home.SettleRequest) (home.SettleReply, error) {
+					if time.Since(began) < tc.outage {
+						return home.SettleReply{}, errors.New("connection refused")
+					}
+					return home.SettleReply{Durable: true}, nil
+				}
+				w := r.chat(streamBody, withKey)
+				assert.Equal(t, time.Since(began), tc.waits)
+				assert.Equal(t, w.Body.String(), sse(answer("a", "b"))+doneEvent)
+				assert.Equal(t, r.server.Pending(), tc.pending)
+				time.Sleep(time.Minute + maxBackoff)
+				r.drain(t)
+				r.server.Close()
+			})
+		})
+	}
+}
+
 // Guards against a shutdown that forgets settlements, or that waits a whole
 // backoff although the home is back.
 func TestDrainWaitsForSettlements(t *testing.T) {
