Add two baseline policies behind home.Authority

A setting of peppertraild was considered and ruled out: an operator could then run a fleet with a policy that is slow or refuses needlessly, and it would have to be validated and documented for good. Instead daemon.New takes an option that replaces the authorities, which only the load tool uses.

The static split reuses the local authority with one budget row per daemon, so that settlement, bill lines and group commit are the same in both and only the placement of tokens differs. The per-transaction baseline keeps the row of its last transaction and serialises its own transactions on a budget, so that a daemon does not conflict with itself; a debit whose caller gave up is resolved and given back.

No change for peppertraild itself.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -49,11 +49,12 @@
 	peerAddr string // address that other daemons connect to
 	targets  targetList
 	listen   *listeners
+	replaced AuthoritiesFunc // nil: the router
 }
 
 // New builds a daemon from checked settings. Logs go to out. It does no I/O
 // apart from reading the TLS files.
-func New(c config.Config, out io.Writer) (*Daemon, error) {
+func New(c config.Config, out io.Writer, options ...Option) (*Daemon, error) {
 	logs, err := telemetry.NewLogs(c.LogLevel, c.LogFormat, out)
 	if err != nil {
 		return nil, err
@@ -67,6 +68,9 @@
 		platform: remote.New(c.Platform.String(), c.PlatformTimeout),
 		engine:   engine.NewHTTPClient(engine.Options{IdleTimeout: c.IdleTimeout}),
 	}
+	for _, option := range options {
+		option(d)
+	}
 	d.life = newLifecycle(d.log)
 	d.repairs = newRepairLog(logs.Logger("repair"), d.metrics)
 	if d.listen, err = newListeners(c); err != nil {
@@ -106,12 +110,11 @@
 }
 
 func (d *Daemon) buildServers() error {
-	router := home.NewRouter(d.local, remotes{d.pool}, d.ring, d.Incarnation, d.config.Region)
 	server, err := gateway.New(gateway.Options{
 		Directory:      directory{d.watcher},
 		Picker:         d.picker,
 		Targets:        d.picker,
-		Authorities:    router,
+		Authorities:    d.authorities(),
 		Engine:         d.engine,
 		RetryBudget:    d.picker,
 		Identity:       d,
--- /dev/null
+++ b/pkg/load/baseline/doc.go
@@ -0,0 +1,3 @@
+// Package baseline holds simpler policies for budgets, against which
+// measurements compare the daemon's own. No setting of peppertraild selects them.
+package baseline
--- /dev/null
+++ b/pkg/load/baseline/policy.go
@@ -0,0 +1,39 @@
+package baseline
+
+import (
+	"fmt"
+
+	"github.com/peppertrail/peppertrail/pkg/daemon"
+	"github.com/peppertrail/peppertrail/pkg/gateway"
+)
+
+// Policy names how a fleet authorises spending.
+type Policy string
+
+// Policies that can be compared.
+const (
+	Chosen         Policy = "chosen"         // the daemon's own: grants at the home of a budget
+	PerTransaction Policy = "pertransaction" // one table transaction per reservation and per settlement
+	Static         Policy = "static"         // each budget split equally over the daemons
+)
+
+// Policies returns all policies, the daemon's own first.
+func Policies() []Policy { return []Policy{Chosen, PerTransaction, Static} }
+
+// Options returns the options of a daemon with a policy. index is the number
+// of the daemon, from 0; it selects the daemon's share of a split budget.
+func Options(p Policy, index int) ([]daemon.Option, error) {
+	switch p {
+	case Chosen:
+		return nil, nil
+	case PerTransaction:
+		return []daemon.Option{daemon.WithAuthorities(func(parts daemon.Parts) gateway.Authorities {
+			return newTransactions(parts.Table, parts.Incarnation)
+		})}, nil
+	case Static:
+		return []daemon.Option{daemon.WithAuthorities(func(parts daemon.Parts) gateway.Authorities {
+			return shares{local: parts.Local, index: index}
+		})}, nil
+	}
+	return nil, fmt.Errorf("policy %q: allowed: %v", p, Policies())
+}
--- /dev/null
+++ b/pkg/load/baseline/transactions.go
@@ -0,0 +1,275 @@
+package baseline
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+const (
+	// submitPause is the wait before a transaction with an unknown outcome is
+	// submitted again.
+	submitPause = 20 * time.Millisecond
+	// submitLimit bounds the resubmission. The outage that is measured lasts 60 s.
+	submitLimit = 3 * time.Minute
+)
+
+// transactions authorises spending with one transaction on the budget row for
+// each reservation and each settlement.
+type transactions struct {
+	table platform.Table
+	self  func() string
+	next  atomic.Uint64
+
+	mu      sync.Mutex
+	rows    map[string]*budgetRow
+	settles map[string]*settling // by stream
+}
+
+// budgetRow is the last known state of a budget row. Its lock keeps the
+// transactions of one daemon from conflicting with each other.
+type budgetRow struct {
+	sync.Mutex
+	version uint64 // 0: not read yet
+	record  budget.Record
+}
+
+// settling is a settlement under way or done.
+type settling struct {
+	done    chan struct{}
+	durable bool // valid after done is closed
+}
+
+func newTransactions(table platform.Table, self func() string) *transactions {
+	return &transactions{table: table, self: self, rows: make(map[string]*budgetRow), settles: make(map[string]*settling)}
+}
+
+// For implements gateway.Authorities.
+func (t *transactions) For(_, _ string) home.Authority { return t }
+
+// Reserve implements home.Authority. It debits the bound from the budget row.
+func (t *transactions) Reserve(ctx context.Context, req home.ReserveRequest) (home.ReserveReply, error) {
+	type result struct {
+		reply home.ReserveReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		// The debit outlives its caller: its outcome must be known before it is given back.
+		reply, err := t.reserve(context.WithoutCancel(ctx), ctx, req)
+		done <- result{reply, err}
+	}()
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		go func() {
+			if r := <-done; r.err == nil && r.reply.Outcome == home.Granted {
+				t.settleOnce(home.SettleRequest{Budget: req.Budget, Stream: r.reply.Stream, Outcome: home.NotDispatched, Bound: req.Bound})
+			}
+		}()
+		return home.ReserveReply{}, fmt.Errorf("reserve: %w", ctx.Err())
+	}
+}
+
+func (t *transactions) reserve(ctx, caller context.Context, req home.ReserveRequest) (home.ReserveReply, error) {
+	row := t.row(req.Budget)
+	row.Lock()
+	defer row.Unlock()
+	if caller.Err() != nil {
+		return home.ReserveReply{}, caller.Err()
+	}
+	fresh := false
+	for {
+		if row.version == 0 {
+			if err := t.read(caller, req.Budget, row); err != nil {
+				return home.ReserveReply{}, err
+			}
+			fresh = true
+		}
+		if row.record.Free() < req.Bound {
+			if !fresh { // a top-up or a settlement of another daemon may have made room
+				row.version = 0
+				continue
+			}
+			row.version = 0
+			return refused(req), nil
+		}
+		next := row.record
+		next.Granted += req.Bound
+		ok, err := t.write(ctx, row, next, nil)
+		if err != nil {
+			return home.ReserveReply{}, err
+		}
+		if ok {
+			grant := budget.GrantID(t.self(), t.next.Add(1))
+			return home.ReserveReply{Outcome: home.Granted, Grant: grant, Stream: budget.StreamID(grant, 0)}, nil
+		}
+		fresh = true
+	}
+}
+
+func refused(req home.ReserveRequest) home.ReserveReply {
+	e := verdict.New(verdict.NotRun, verdict.BudgetExhausted, "budget %q has no room for %d tokens", req.Budget, req.Bound)
+	return home.ReserveReply{Outcome: home.Refused, Refusal: e.After(time.Second)}
+}
+
+// Settle implements home.Authority. It replaces the bound by the usage and
+// writes the bill line in the same transaction.
+func (t *transactions) Settle(ctx context.Context, req home.SettleRequest) (home.SettleReply, error) {
+	if req.Stream == "" {
+		return home.SettleReply{Durable: true}, nil
+	}
+	s := t.settleOnce(req)
+	select {
+	case <-s.done:
+		return home.SettleReply{Durable: s.durable}, nil
+	case <-ctx.Done():
+		return home.SettleReply{}, nil
+	}
+}
+
+// settleOnce starts the settlement of a stream unless it was started before.
+func (t *transactions) settleOnce(req home.SettleRequest) *settling {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.settles[req.Stream]; ok {
+		return s
+	}
+	s := &settling{done: make(chan struct{})}
+	t.settles[req.Stream] = s
+	go func() {
+		defer close(s.done)
+		s.durable = t.settle(context.Background(), req) == nil
+	}()
+	return s
+}
+
+func (t *transactions) settle(ctx context.Context, req home.SettleRequest) error {
+	row := t.row(req.Budget)
+	row.Lock()
+	defer row.Unlock()
+	tokens := min(req.Tokens, req.Bound)
+	if !req.UsageKnown {
+		tokens = req.Bound
+	}
+	if req.Outcome == home.NotDispatched {
+		tokens = 0
+	}
+	for {
+		if row.version == 0 {
+			if err := t.read(ctx, req.Budget, row); err != nil {
+				time.Sleep(submitPause)
+				continue
+			}
+		}
+		next := row.record
+		next.Granted -= req.Bound
+		next.Settled += tokens
+		ok, err := t.write(ctx, row, next, billLine(req, tokens))
+		if err != nil || ok {
+			return err
+		}
+	}
+}
+
+// billLine returns the line of a settlement, nil if nothing ran. The key has
+// the stream, so that attempts of one request do not conflict.
+func billLine(req home.SettleRequest, tokens int64) *platform.Put {
+	if req.Outcome == home.NotDispatched {
+		return nil
+	}
+	line := budget.Line{
+		Customer: req.Customer, Budget: req.Budget, Request: req.Request, Streams: []string{req.Stream}, Target: req.Target,
+		Tokens: tokens, Attempts: 1, Completed: req.Outcome == home.Completed, Estimated: !req.UsageKnown, BilledAt: time.Now().UnixMilli(),
+	}
+	return &platform.Put{Key: budget.LineKey(req.Customer, req.Request+"."+req.Stream), Value: encode(line)}
+}
+
+func (t *transactions) row(id string) *budgetRow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[id]
+	if !ok {
+		row = &budgetRow{}
+		t.rows[id] = row
+	}
+	return row
+}
+
+func (t *transactions) read(ctx context.Context, id string, row *budgetRow) error {
+	rows, err := t.table.Get(ctx, budget.BudgetKey(id))
+	if err != nil {
+		return fmt.Errorf("read budget: %w", err)
+	}
+	return row.load(rows[0])
+}
+
+func (b *budgetRow) load(row platform.Row) error {
+	b.version = 0
+	b.record = budget.Record{}
+	if row.Version == 0 {
+		return fmt.Errorf("row %s does not exist", row.Key)
+	}
+	if err := json.Unmarshal(row.Value, &b.record); err != nil {
+		return fmt.Errorf("decode %s: %w", row.Key, err)
+	}
+	b.version = row.Version
+	return nil
+}
+
+// write replaces the budget row. It returns false after a conflict, with the
+// present row loaded. An unknown outcome is resolved under the same id.
+func (t *transactions) write(ctx context.Context, row *budgetRow, next budget.Record, line *platform.Put) (bool, error) {
+	key := budget.BudgetKey(next.ID)
+	txn := platform.Txn{
+		ID:         rand.Text(),
+		Conditions: []platform.Condition{{Key: key, Version: row.version}},
+		Puts:       []platform.Put{{Key: key, Value: encode(next)}},
+	}
+	if line != nil {
+		txn.Puts = append(txn.Puts, *line)
+	}
+	outcome, err := t.submit(ctx, txn)
+	if err != nil {
+		row.version = 0
+		return false, err
+	}
+	if outcome.Committed {
+		row.version, row.record = outcome.Revision, next
+		return true, nil
+	}
+	row.version = 0
+	if len(outcome.Conflicts) == 1 {
+		return false, row.load(outcome.Conflicts[0])
+	}
+	return false, nil
+}
+
+func (t *transactions) submit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+	deadline := time.Now().Add(submitLimit)
+	for {
+		outcome, err := t.table.Commit(ctx, txn)
+		if err == nil || time.Now().After(deadline) {
+			return outcome, err
+		}
+		time.Sleep(submitPause)
+	}
+}
+
+func encode(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic("baseline: rows always encode: " + err.Error())
+	}
+	return raw
+}
