Add pepperload bench, the measurement of budget policies

The tool starts the platform stand-in, engines and daemons as processes of its own executable, installs a bundle with ten customers, drives an open-loop load from a seeded schedule and prints one line per workload and policy. Spend and room come from the engines' journals, writes from the platform's counters and the added first-token latency from the daemons' histograms; requests sent straight to the engines in the same run are shown beside them.

Daemons listen on a random address of 127.0.0.0/8. With ports chosen on 127.0.0.1 one start in three runs failed, because an outgoing connection took the port in between; outgoing connections use 127.0.0.1 only.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint demo clean
+.PHONY: build test lint demo bench clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -19,3 +19,7 @@
 
 demo: build
 	test/demo/demo.sh
+
+# The policy measurement takes almost ten minutes.
+bench: build
+	$(BIN)/pepperload bench
--- /dev/null
+++ b/cmd/pepperload/main.go
@@ -0,0 +1,70 @@
+// Command pepperload measures fleets of peppertrail on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/peppertrail/peppertrail/pkg/load/baseline"
+	"github.com/peppertrail/peppertrail/pkg/load/bench"
+	"github.com/peppertrail/peppertrail/pkg/load/role"
+)
+
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == role.Command {
+		os.Exit(role.Main(os.Args[2:]))
+	}
+	os.Exit(run())
+}
+
+func run() int {
+	o := bench.Options{
+		Rate: bench.DefaultRate, Daemons: bench.DefaultDaemons, Engines: bench.DefaultEngines, Seed: bench.DefaultSeed,
+		Out: os.Stdout, Log: os.Stderr,
+	}
+	var workloads, policies string
+	sub := flaggy.NewSubcommand("bench")
+	sub.Description = "compare policies for budgets under load and faults"
+	sub.String(&workloads, "", "workload", "workloads, separated by commas (default: "+strings.Join(bench.Names(), ",")+")")
+	sub.String(&policies, "", "policy", "policies, separated by commas (default: chosen,pertransaction,static)")
+	sub.Float64(&o.Rate, "", "rate", "requests per second")
+	sub.Duration(&o.Duration, "", "duration", "duration of each load; its events are scaled with it (default: the workload's own)")
+	sub.Int(&o.Daemons, "", "daemons", "number of daemons")
+	sub.Int(&o.Engines, "", "engines", "number of engines")
+	sub.UInt64(&o.Seed, "", "seed", "seed of the schedule")
+	sub.String(&o.Dir, "", "logs", "directory that keeps the logs of the processes (default: none are kept)")
+	flaggy.SetName("pepperload")
+	flaggy.SetDescription("load and experiment tool")
+	flaggy.AttachSubcommand(sub, 1)
+	flaggy.Parse()
+	if !sub.Used {
+		flaggy.ShowHelpAndExit("name a measurement")
+	}
+	o.Workloads = list(workloads)
+	for _, p := range list(policies) {
+		o.Policies = append(o.Policies, baseline.Policy(p))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	began := time.Now()
+	if err := bench.Run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "pepperload:", err)
+		return 1
+	}
+	fmt.Fprintf(os.Stderr, "pepperload: done in %v\n", time.Since(began).Round(time.Second))
+	return 0
+}
+
+func list(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
--- /dev/null
+++ b/pkg/load/bench/result.go
@@ -0,0 +1,143 @@
+package bench
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/load/baseline"
+	"github.com/peppertrail/peppertrail/pkg/load/caller"
+	"github.com/peppertrail/peppertrail/pkg/load/fleet"
+	"github.com/peppertrail/peppertrail/pkg/load/oracle"
+	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+)
+
+// Result is one line of the report.
+type Result struct {
+	Workload       string
+	Policy         baseline.Policy
+	Overspent      int64 // tokens
+	FalseRefusals  float64
+	Stranded       int64 // tokens
+	CommitsPer     float64
+	RowsPer        float64
+	AddedP99       time.Duration
+	Requests       int // planned
+	Completed      int
+	Lost           int // broken at every try
+	FirstToken     [3]time.Duration
+	Direct         [3]time.Duration
+	Refusals       map[string]int
+	FalseByReason  map[string]int
+	TruthfulRefuse int
+}
+
+// quantiles are those of the reported first tokens.
+var quantiles = [3]float64{0.5, 0.95, 0.99}
+
+// String returns the line of the report.
+func (r Result) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "bench %s %s overspent_tokens=%d false_refusals=%.5f stranded_tokens=%d table_writes_per_request=%.4f first_token_added_p99_ms=%.2f",
+		r.Workload, r.Policy, r.Overspent, r.FalseRefusals, r.Stranded, r.CommitsPer, ms(r.AddedP99))
+	fmt.Fprintf(&b, " table_rows_per_request=%.2f requests=%d completed=%d refused_true=%d lost=%d", r.RowsPer, r.Requests, r.Completed, r.TruthfulRefuse, r.Lost)
+	for i, q := range []string{"p50", "p95", "p99"} {
+		fmt.Fprintf(&b, " first_token_%s_ms=%.2f direct_%s_ms=%.2f", q, ms(r.FirstToken[i]), q, ms(r.Direct[i]))
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Refusals)) {
+		fmt.Fprintf(&b, " refused_%s=%d false_%s=%d", reason, r.Refusals[reason], reason, r.FalseByReason[reason])
+	}
+	return b.String()
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// audit computes the result of a run.
+func (r *run) audit(a audit) Result {
+	spent := r.replay(a.journal)
+	result := Result{
+		Workload: r.workload.name, Policy: r.policy, Overspent: r.oracle.Overspent(), Stranded: a.debited - spent,
+		AddedP99: a.added.Quantile(quantiles[2]), Direct: quantilesOf(r.direct),
+		Refusals: make(map[string]int), FalseByReason: make(map[string]int),
+	}
+	r.count(&result)
+	served := float64(max(result.Completed, 1))
+	result.CommitsPer = float64(a.after.Commits-a.before.Commits) / served
+	result.RowsPer = float64(a.after.RowsWritten-a.before.RowsWritten) / served
+	return result
+}
+
+// replay gives the streams of the journal to the oracle and returns what they used.
+func (r *run) replay(journal []engine.Record) int64 {
+	byDigest := make(map[string]attempt, len(r.sent))
+	for _, s := range r.sent {
+		byDigest[digestOf(s.request.Prompt, s.request.Answer)] = s
+	}
+	for _, record := range journal {
+		s, ok := byDigest[record.Digest]
+		if !ok {
+			continue // sent straight to the engine
+		}
+		r.oracle.Ran(oracle.Stream{Budget: fleet.BudgetID(s.request.Customer), Bound: s.bound, Record: record})
+	}
+	r.oracle.Finish()
+	spent := int64(0)
+	for c := range r.budgets {
+		spent += r.oracle.Spent(fleet.BudgetID(c))
+	}
+	return spent
+}
+
+func digestOf(prompt string, answer int) string {
+	p, err := engine.ParsePrompt(caller.Body(prompt, answer))
+	if err != nil {
+		panic("bench: a planned body is valid: " + err.Error())
+	}
+	return p.Digest
+}
+
+// count sorts the attempts by their ends. A refusal is false if the budget had
+// room for the request's bound both when it was sent and when it was refused.
+func (r *run) count(result *Result) {
+	falseRefusals := 0
+	ended := make(map[string]bool)
+	keys := make(map[string]bool)
+	var firstTokens []time.Duration
+	for _, s := range r.sent {
+		keys[s.request.Key] = true
+		switch s.result.Outcome {
+		case caller.Completed:
+			result.Completed++
+			ended[s.request.Key] = true
+			firstTokens = append(firstTokens, s.result.FirstToken)
+		case caller.Refused:
+			ended[s.request.Key] = true
+			result.Refusals[s.result.Reason]++
+			id := fleet.BudgetID(s.request.Customer)
+			if r.oracle.HadRoom(id, s.result.Sent, s.bound) && r.oracle.HadRoom(id, s.result.Ended, s.bound) {
+				falseRefusals++
+				result.FalseByReason[s.result.Reason]++
+				continue
+			}
+			result.TruthfulRefuse++
+		}
+	}
+	result.Requests = len(keys)
+	result.Lost = len(keys) - len(ended)
+	result.FalseRefusals = float64(falseRefusals) / float64(max(falseRefusals+result.Completed, 1))
+	result.FirstToken = quantilesOf(firstTokens)
+}
+
+func quantilesOf(values []time.Duration) [3]time.Duration {
+	var out [3]time.Duration
+	if len(values) == 0 {
+		return out
+	}
+	slices.Sort(values)
+	for i, q := range quantiles {
+		out[i] = values[min(int(q*float64(len(values))), len(values)-1)]
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/load/bench/run.go
@@ -0,0 +1,293 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/gateway"
+	"github.com/peppertrail/peppertrail/pkg/load/baseline"
+	"github.com/peppertrail/peppertrail/pkg/load/caller"
+	"github.com/peppertrail/peppertrail/pkg/load/fleet"
+	"github.com/peppertrail/peppertrail/pkg/load/oracle"
+	"github.com/peppertrail/peppertrail/pkg/load/schedule"
+	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+	"github.com/peppertrail/peppertrail/pkg/standin/platform"
+)
+
+// Run measures all workloads with all policies, the policies of one workload
+// one after the other on the same schedule.
+func Run(ctx context.Context, o Options) error {
+	o = o.withDefaults()
+	for _, name := range o.Workloads {
+		w, err := find(name, o.Duration)
+		if err != nil {
+			return err
+		}
+		for _, p := range o.Policies {
+			result, err := measure(ctx, o, w, p)
+			if err != nil {
+				return fmt.Errorf("workload %s, policy %s: %w", name, p, err)
+			}
+			fmt.Fprintln(o.Out, result)
+		}
+	}
+	return nil
+}
+
+// run is one workload with one policy.
+type run struct {
+	options  Options
+	workload workload
+	policy   baseline.Policy
+	plan     schedule.Plan
+	fleet    *fleet.Fleet
+	caller   *caller.Caller
+	budgets  []int64
+	oracle   *oracle.Oracle
+	down     []atomic.Bool // daemons that the load balancer leaves out
+
+	mu     sync.Mutex
+	sent   []attempt
+	direct []time.Duration // first tokens of requests straight to engines
+}
+
+// attempt is one attempt of a caller with its result.
+type attempt struct {
+	request schedule.Request
+	bound   int64
+	result  caller.Result
+}
+
+func measure(ctx context.Context, o Options, w workload, p baseline.Policy) (Result, error) {
+	r := &run{options: o, workload: w, policy: p, caller: caller.New(), oracle: oracle.New(), down: make([]atomic.Bool, o.Daemons)}
+	defer r.caller.Close()
+	r.plan = schedule.Plan{Seed: o.Seed, Rate: o.Rate, Duration: w.duration, Daemons: o.Daemons, Only: w.only}
+	dir, err := logDir(o, w, p)
+	if err != nil {
+		return Result{}, err
+	}
+	if o.Dir == "" {
+		defer os.RemoveAll(dir)
+	}
+	for c := range schedule.Customers {
+		r.budgets = append(r.budgets, r.traffic(c, w.budget))
+	}
+	r.fleet, err = fleet.Start(ctx, fleet.Options{
+		Policy: p, Daemons: o.Daemons, Engines: o.Engines, TokenMS: tokenMS, Budgets: r.budgets, Cut: w.cut, LatencyMS: latencyMS, Dir: dir,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer r.fleet.Close()
+	for c, tokens := range r.budgets {
+		r.oracle.TopUp(fleet.BudgetID(c), time.Now(), tokens)
+	}
+	return r.measure(ctx)
+}
+
+func logDir(o Options, w workload, p baseline.Policy) (string, error) {
+	if o.Dir == "" {
+		return os.MkdirTemp("", "pepperload")
+	}
+	dir := fmt.Sprintf("%s/%s-%s", o.Dir, w.name, p)
+	return dir, os.MkdirAll(dir, 0o700)
+}
+
+// traffic returns the tokens that a customer uses in a period.
+func (r *run) traffic(customer int, period time.Duration) int64 {
+	return int64(r.plan.Rate*r.plan.Share(customer)*period.Seconds()*schedule.MeanTokens) + 1
+}
+
+func (r *run) measure(ctx context.Context) (Result, error) {
+	before, err := r.fleet.Stats(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := r.load(ctx); err != nil {
+		return Result{}, err
+	}
+	if err := pause(ctx, quietPeriod); err != nil {
+		return Result{}, err
+	}
+	after, err := r.fleet.Stats(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	added := r.fleet.FirstTokenAdded(ctx)
+	if err := pause(ctx, r.workload.settle-quietPeriod); err != nil {
+		return Result{}, err
+	}
+	if err := r.fleet.StopDaemons(); err != nil {
+		r.logf("stop: %v", err)
+	}
+	journal, err := r.fleet.Journal(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	debited, err := r.fleet.Debited(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	return r.audit(audit{before: before, after: after, added: added, journal: journal, debited: debited}), nil
+}
+
+// load sends the planned requests while the events happen and waits for all of them.
+func (r *run) load(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	start := time.Now()
+	r.startEvents(ctx, start, cancel)
+	var wait sync.WaitGroup
+	wait.Go(func() { r.sendDirect(ctx, start) })
+	for _, request := range r.plan.Requests() {
+		if err := pause(ctx, time.Until(start.Add(request.At))); err != nil {
+			break
+		}
+		wait.Go(func() { r.send(ctx, request) })
+	}
+	wait.Wait()
+	return context.Cause(ctx)
+}
+
+func (r *run) startEvents(ctx context.Context, start time.Time, fail context.CancelCauseFunc) {
+	for _, e := range r.workload.events {
+		go func() {
+			if pause(ctx, time.Until(start.Add(e.at))) != nil {
+				return
+			}
+			r.logf("%v: %s", e.at, e.name)
+			if err := e.do(ctx, r); err != nil {
+				fail(fmt.Errorf("event %q: %w", e.name, err))
+			}
+		}()
+	}
+}
+
+const (
+	// callerTries is how often a caller tries a request whose connection broke.
+	callerTries = 4
+	// callerPause is its pause in between.
+	callerPause = 200 * time.Millisecond
+	// requestTimeout ends a request that nobody answers, so that a run ends.
+	requestTimeout = 20 * time.Second
+)
+
+// send sends one request. After a broken connection the caller repeats it with
+// the same key at the next daemon. Refusals are final.
+func (r *run) send(ctx context.Context, request schedule.Request) {
+	body := caller.Body(request.Prompt, request.Answer)
+	bound, err := gateway.Bound(body)
+	if err != nil {
+		panic("bench: a planned body is valid: " + err.Error())
+	}
+	header := http.Header{
+		"Authorization":   {"Bearer " + r.fleet.APIKey(request.Customer)},
+		"Content-Type":    {"application/json"},
+		"Idempotency-Key": {request.Key},
+	}
+	for try := range callerTries {
+		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		result := r.caller.Send(ctx, r.fleet.CallerURL(r.balance(request.Daemon+try)), header.Clone(), body)
+		cancel()
+		r.mu.Lock()
+		r.sent = append(r.sent, attempt{request, bound, result})
+		r.mu.Unlock()
+		if result.Outcome != caller.Broken || pause(ctx, callerPause) != nil {
+			return
+		}
+	}
+}
+
+// balance returns the daemon that the load balancer sends a request to.
+func (r *run) balance(i int) int {
+	i %= len(r.down)
+	for range r.down {
+		if !r.down[i].Load() {
+			return i
+		}
+		i = (i + 1) % len(r.down)
+	}
+	return i
+}
+
+// sendDirect sends requests straight to the engines until the load ends.
+func (r *run) sendDirect(ctx context.Context, start time.Time) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for n := 0; time.Since(start) < r.workload.duration; n++ {
+		if pause(ctx, time.Second/directRate) != nil {
+			return
+		}
+		wait.Go(func() {
+			body := caller.Body(fmt.Sprintf("direct %d: %0100d", n, n), schedule.MeanAnswer)
+			result := r.caller.Send(ctx, r.fleet.EngineURL(n%r.options.Engines), http.Header{"X-Stream-Id": {fmt.Sprintf("direct.%d", n)}}, body)
+			if result.Outcome == caller.Completed {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.direct = append(r.direct, result.FirstToken)
+			}
+		})
+	}
+}
+
+// balancerLag is how long the load balancer takes to notice a dead daemon.
+const balancerLag = time.Second
+
+func (r *run) kill(i int) {
+	r.fleet.Kill(i)
+	time.AfterFunc(balancerLag, func() { r.down[i].Store(true) })
+}
+
+func (r *run) restart(i int) error {
+	if err := r.fleet.Restart(i); err != nil {
+		return err
+	}
+	time.AfterFunc(balancerLag, func() { r.down[i].Store(false) })
+	return nil
+}
+
+func (r *run) topUpAll(ctx context.Context, period time.Duration) error {
+	for c := range r.budgets {
+		tokens := r.traffic(c, period)
+		if err := r.fleet.TopUp(ctx, c, "second", tokens); err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.oracle.TopUp(fleet.BudgetID(c), time.Now(), tokens)
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+func (r *run) logf(format string, args ...any) {
+	fmt.Fprintf(r.options.Log, "%s %s: %s\n", r.workload.name, r.policy, fmt.Sprintf(format, args...))
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// audit is what is read after the load.
+type audit struct {
+	before  platform.Stats
+	after   platform.Stats
+	added   fleet.Histogram
+	journal []engine.Record
+	debited int64
+}
--- /dev/null
+++ b/pkg/load/caller/caller.go
@@ -0,0 +1,139 @@
+// Package caller sends streamed requests and records how they ended.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Outcome tells how a request ended.
+type Outcome string
+
+// Outcomes.
+const (
+	Completed Outcome = "completed" // the whole answer arrived
+	Refused   Outcome = "refused"   // with a reason
+	Broken    Outcome = "broken"    // the connection failed or ended early
+)
+
+// Result is the end of one attempt of a caller.
+type Result struct {
+	Outcome    Outcome
+	Reason     string // of a refusal
+	Verdict    string // of a refusal
+	Sent       time.Time
+	FirstToken time.Duration // from Sent; 0 if none arrived
+	Ended      time.Time
+}
+
+// Caller sends requests. It is safe for concurrent use.
+type Caller struct {
+	http *http.Client
+}
+
+// idleConnections keeps enough connections for an open-loop load.
+const idleConnections = 512
+
+// New returns a caller with connections of its own.
+func New() *Caller {
+	return &Caller{http: &http.Client{Transport: &http.Transport{
+		MaxIdleConns: 0, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
+	}}}
+}
+
+// Close closes the idle connections.
+func (c *Caller) Close() { c.http.CloseIdleConnections() }
+
+// Model is the model name that all requests ask for.
+const Model = "bench"
+
+// chatBody is the request body in the OpenAI form.
+type chatBody struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Messages  []message `json:"messages"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Body returns a request body.
+func Body(prompt string, answer int) []byte {
+	body, err := json.Marshal(chatBody{Model: Model, Stream: true, MaxTokens: answer, Messages: []message{{Role: "user", Content: prompt}}})
+	if err != nil {
+		panic("caller: a body always encodes: " + err.Error())
+	}
+	return body
+}
+
+// Send posts a body to base and reads the answer to its end.
+func (c *Caller) Send(ctx context.Context, base string, header http.Header, body []byte) (r Result) {
+	r = Result{Sent: time.Now(), Outcome: Broken}
+	defer func() { r.Ended = time.Now() }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		r.Reason = err.Error()
+		return r
+	}
+	req.Header = header
+	response, err := c.http.Do(req)
+	if err != nil {
+		r.Reason = "connection"
+		return r
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		r.refused(response.Body, response.StatusCode)
+	} else {
+		r.read(response.Body)
+	}
+	return r
+}
+
+// refusal is the JSON form of a refusal.
+type refusal struct {
+	Error struct {
+		Reason  string `json:"reason"`
+		Verdict string `json:"verdict"`
+	} `json:"error"`
+}
+
+func (r *Result) refused(body io.Reader, status int) {
+	raw, _ := io.ReadAll(body) // a reply that breaks off is decoded as far as it came
+	var e refusal
+	if json.Unmarshal(raw, &e) != nil || e.Error.Reason == "" {
+		e.Error.Reason = fmt.Sprintf("status_%d", status)
+	}
+	r.Outcome, r.Reason, r.Verdict = Refused, e.Error.Reason, e.Error.Verdict
+}
+
+// read takes the events of a stream.
+func (r *Result) read(body io.Reader) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+			continue
+		case data == "[DONE]":
+			r.Outcome = Completed
+			return
+		case strings.HasPrefix(data, `{"error"`):
+			r.refused(strings.NewReader(data), http.StatusOK)
+			return
+		case r.FirstToken == 0:
+			r.FirstToken = time.Since(r.Sent)
+		}
+	}
+	r.Reason = "stream"
+}
--- /dev/null
+++ b/pkg/load/fleet/fleet.go
@@ -0,0 +1,244 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/access"
+	"github.com/peppertrail/peppertrail/pkg/admin"
+	"github.com/peppertrail/peppertrail/pkg/load/process"
+	"github.com/peppertrail/peppertrail/pkg/load/proxy"
+	"github.com/peppertrail/peppertrail/pkg/load/role"
+)
+
+// Fleet is a running deployment.
+type Fleet struct {
+	options  Options
+	http     *http.Client
+	platform *platformClient
+	process  *process.Process // of the platform
+	engines  []*engine
+	daemons  []*host
+	proxies  []*proxy.Proxy
+	cut      atomic.Bool
+	address  string // loopback address of the daemons
+	admin    *admin.Client
+	operator access.Signer
+	keys     []string // API key of each customer
+}
+
+// engine is one target.
+type engine struct {
+	process *process.Process
+	addr    string
+}
+
+// host is one daemon with its addresses.
+type host struct {
+	mu       sync.Mutex
+	process  *process.Process
+	starts   int
+	callers  string
+	admin    string
+	peer     string
+	public   string // peer address that other daemons use
+	platform string // base URL that this daemon uses
+}
+
+// callTimeout bounds one call of the tool.
+const callTimeout = 5 * time.Second
+
+// Start starts a fleet and waits until every daemon serves. A fleet that could
+// not start has no processes left.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{options: o, http: &http.Client{Timeout: callTimeout}, address: loopbackAddress()}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("start fleet: %w", err)
+	}
+	return f, nil
+}
+
+// loopbackAddress returns a random address of 127.0.0.0/8. Connections go out
+// from 127.0.0.1, so that none of them takes a port that a daemon is to listen on.
+func loopbackAddress() string {
+	const lowest, count = 1, 253
+	part := func() byte { return byte(lowest + rand.IntN(count)) }
+	return net.IPv4(127, part(), part(), part()).String()
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	for i := range f.options.Engines {
+		if err := f.startEngine(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := f.makeKeys(); err != nil {
+		return err
+	}
+	for range f.options.Daemons {
+		h, err := f.newHost()
+		if err != nil {
+			return err
+		}
+		f.daemons = append(f.daemons, h)
+	}
+	if err := f.startProxies(); err != nil {
+		return err
+	}
+	for i := range f.daemons {
+		if err := f.startDaemon(i); err != nil {
+			return err
+		}
+	}
+	if err := f.awaitHealthy(ctx); err != nil {
+		return err
+	}
+	if err := f.installBundle(ctx); err != nil {
+		return err
+	}
+	if err := f.createBudgets(ctx); err != nil {
+		return err
+	}
+	return f.awaitReady(ctx)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	p, err := process.Start(f.options.Dir, "platform", role.Command, role.Platform)
+	if err != nil {
+		return err
+	}
+	f.process = p
+	addr, err := p.Address()
+	if err != nil {
+		return err
+	}
+	f.platform = newPlatformClient("http://"+addr, f.http)
+	return f.platform.setFaults(ctx, f.faults(false))
+}
+
+func (f *Fleet) startEngine(ctx context.Context, i int) error {
+	name := "engine" + strconv.Itoa(i)
+	p, err := process.Start(f.options.Dir, name, role.Command, role.Engine, strconv.FormatFloat(f.options.TokenMS, 'g', -1, 64))
+	if err != nil {
+		return err
+	}
+	e := &engine{process: p}
+	f.engines = append(f.engines, e)
+	if e.addr, err = p.Address(); err != nil {
+		return err
+	}
+	return f.platform.addTarget(ctx, name, e.addr)
+}
+
+// newHost chooses free ports for a daemon. They stay its own over a restart, as
+// the addresses of a replaced host do.
+func (f *Fleet) newHost() (*host, error) {
+	h := &host{platform: f.platform.base}
+	for _, addr := range []*string{&h.callers, &h.admin, &h.peer} {
+		l, err := net.Listen("tcp", f.address+":0")
+		if err != nil {
+			return nil, fmt.Errorf("choose a port: %w", err)
+		}
+		// The sockets stay open until all three are chosen, so that they differ.
+		defer l.Close()
+		*addr = l.Addr().String()
+	}
+	h.public = h.peer
+	return h, nil
+}
+
+// startDaemon starts or restarts a daemon.
+func (f *Fleet) startDaemon(i int) error {
+	h := f.daemons[i]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.starts++
+	name := fmt.Sprintf("host%d", i)
+	args := []string{
+		role.Command, role.Daemon, string(f.options.Policy), strconv.Itoa(i),
+		"--host=" + name, "--region=morbihan", fmt.Sprintf("--failure-domain=place%d", i%3),
+		"--platform=" + h.platform, "--listen=" + h.callers, "--admin-listen=" + h.admin, "--peer-listen=" + h.peer,
+		"--advertise-peer=" + h.public, "--bootstrap-operator=" + operatorName + "=" + access.PublicKeyText(f.operator.Key),
+	}
+	p, err := process.Start(f.options.Dir, fmt.Sprintf("%s-%d", name, h.starts), args...)
+	if err != nil {
+		return err
+	}
+	h.process = p
+	return nil
+}
+
+// pid returns the process id of the daemon, 0 before its first start.
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		return 0
+	}
+	return h.process.PID()
+}
+
+// Kill ends a daemon without warning.
+func (f *Fleet) Kill(i int) {
+	h := f.daemons[i]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.process.Kill()
+}
+
+// Restart starts a daemon again that was killed.
+func (f *Fleet) Restart(i int) error { return f.startDaemon(i) }
+
+// stopTimeout bounds a graceful stop.
+const stopTimeout = 10 * time.Second
+
+// StopDaemons stops all daemons gracefully, which closes their grants.
+func (f *Fleet) StopDaemons() error {
+	errs := make([]error, len(f.daemons))
+	var wait sync.WaitGroup
+	for i, h := range f.daemons {
+		wait.Go(func() { errs[i] = h.process.Stop(stopTimeout) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// Close ends every process and proxy.
+func (f *Fleet) Close() {
+	for _, h := range f.daemons {
+		if h.process != nil {
+			h.process.Kill()
+		}
+	}
+	for _, e := range f.engines {
+		e.process.Kill()
+	}
+	if f.process != nil {
+		f.process.Kill()
+	}
+	for _, p := range f.proxies {
+		p.Close()
+	}
+	f.http.CloseIdleConnections()
+}
+
+// CallerURL returns the base URL for callers of a daemon.
+func (f *Fleet) CallerURL(i int) string { return "http://" + f.daemons[i].callers }
+
+// EngineURL returns the base URL of an engine.
+func (f *Fleet) EngineURL(i int) string { return "http://" + f.engines[i].addr }
+
+// APIKey returns the key of a customer.
+func (f *Fleet) APIKey(customer int) string { return f.keys[customer] }
--- /dev/null
+++ b/pkg/load/fleet/histogram.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Histogram holds cumulative counts by upper bound in seconds, the last +Inf.
+type Histogram map[float64]uint64
+
+// Quantile returns the value at q, linear within its bucket. A value in the
+// last bucket is reported as that bucket's lower bound.
+func (h Histogram) Quantile(q float64) time.Duration {
+	bounds := slices.Sorted(maps.Keys(h))
+	if len(bounds) == 0 || h[bounds[len(bounds)-1]] == 0 {
+		return 0
+	}
+	want := q * float64(h[bounds[len(bounds)-1]])
+	below, counted := 0.0, 0.0
+	for _, bound := range bounds {
+		count := float64(h[bound])
+		if count >= want && count > counted {
+			if math.IsInf(bound, 1) {
+				return seconds(below)
+			}
+			return seconds(below + (bound-below)*(want-counted)/(count-counted))
+		}
+		below, counted = bound, count
+	}
+	return seconds(below)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/pkg/load/oracle/oracle.go
@@ -0,0 +1,95 @@
+// Package oracle decides from the engines' journals what a budget had room for.
+package oracle
+
+import (
+	"sort"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+)
+
+// Stream is what one stream of a journal used of a budget.
+type Stream struct {
+	Budget string
+	Bound  int64 // tokens that any policy has to set aside while it runs
+	Record engine.Record
+}
+
+// tokens returns what the stream used. A stream that never started used nothing.
+func (s Stream) tokens() int64 {
+	if s.Record.Started == nil {
+		return 0
+	}
+	return int64(s.Record.PromptTokens + s.Record.CompletionTokens)
+}
+
+// change alters what a budget has room for at a time.
+type change struct {
+	at    time.Time
+	delta int64
+}
+
+// Oracle knows the spend and the top-ups of all budgets.
+type Oracle struct {
+	limit   map[string]int64
+	spent   map[string]int64
+	changes map[string][]change // in order of time after Finish
+	room    map[string][]int64  // free tokens after each change
+}
+
+// New returns an oracle without budgets.
+func New() *Oracle {
+	return &Oracle{
+		limit: make(map[string]int64), spent: make(map[string]int64),
+		changes: make(map[string][]change), room: make(map[string][]int64),
+	}
+}
+
+// TopUp adds tokens to a budget from the time at which the top-up was confirmed.
+func (o *Oracle) TopUp(budget string, at time.Time, tokens int64) {
+	o.limit[budget] += tokens
+	o.changes[budget] = append(o.changes[budget], change{at, tokens})
+}
+
+// Ran adds a stream.
+func (o *Oracle) Ran(s Stream) {
+	used := s.tokens()
+	o.spent[s.Budget] += used
+	o.changes[s.Budget] = append(o.changes[s.Budget], change{s.Record.Accepted, -s.Bound})
+	if s.Record.Ended != nil {
+		o.changes[s.Budget] = append(o.changes[s.Budget], change{*s.Record.Ended, s.Bound - used})
+	}
+}
+
+// Finish prepares the answers of HadRoom, after the last TopUp and Ran.
+func (o *Oracle) Finish() {
+	for id, list := range o.changes {
+		sort.SliceStable(list, func(i, j int) bool { return list[i].at.Before(list[j].at) })
+		free := int64(0)
+		room := make([]int64, len(list))
+		for i, c := range list {
+			free += c.delta
+			room[i] = free
+		}
+		o.room[id] = room
+	}
+}
+
+// HadRoom reports whether a budget had room for bound tokens at a time.
+func (o *Oracle) HadRoom(budget string, at time.Time, bound int64) bool {
+	list := o.changes[budget]
+	i := sort.Search(len(list), func(i int) bool { return list[i].at.After(at) })
+	return i > 0 && o.room[budget][i-1] >= bound
+}
+
+// Overspent returns the tokens that all budgets together were overspent by.
+func (o *Oracle) Overspent() int64 {
+	sum := int64(0)
+	for id, spent := range o.spent {
+		sum += max(0, spent-o.limit[id])
+	}
+	return sum
+}
+
+// Spent returns the tokens that ran on a budget.
+func (o *Oracle) Spent(budget string) int64 { return o.spent[budget] }
--- /dev/null
+++ b/pkg/load/proxy/owner.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// Owner returns which of the processes holds the client side of a loopback
+// connection, 0 for none. All daemons dial from 127.0.0.1, so that only the
+// kernel's socket table tells them apart.
+func Owner(source net.Addr, pids []int) int {
+	tcp, ok := source.(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	inode := inodeOf(tcp)
+	if inode == "" {
+		return 0
+	}
+	for _, pid := range pids {
+		if holds(pid, inode) {
+			return pid
+		}
+	}
+	return 0
+}
+
+// inodeOf returns the inode of the connected socket with a local address.
+func inodeOf(addr *net.TCPAddr) string {
+	const (
+		localField  = 1
+		remoteField = 2
+		inodeField  = 9
+	)
+	file, err := os.Open("/proc/self/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer file.Close()
+	ip := addr.IP.To4()
+	if ip == nil {
+		return ""
+	}
+	local := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip), addr.Port) // the kernel prints the address as a native word
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) <= inodeField || fields[localField] != local {
+			continue
+		}
+		if inode := fields[inodeField]; inode != "0" && !strings.HasSuffix(fields[remoteField], ":0000") {
+			return inode
+		}
+	}
+	return ""
+}
+
+func holds(pid int, inode string) bool {
+	want := "socket:[" + inode + "]"
+	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, e := range entries {
+		if link, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && link == want {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/load/proxy/proxy.go
@@ -0,0 +1,171 @@
+// Package proxy forwards TCP connections of a measured fleet and cuts them for
+// partitions.
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+)
+
+// Proxy forwards connections from its own address to a target.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	identify func(source net.Addr) int
+	cut      func(source int) bool
+
+	mu    sync.Mutex
+	pairs map[*pair]struct{}
+}
+
+// pair is a connection and its forwarding.
+type pair struct {
+	client net.Conn
+	server net.Conn
+	source int
+
+	mu     sync.Mutex
+	healed *sync.Cond
+	frozen bool
+	closed bool
+}
+
+// New listens on a free loopback port. identify tells who opened a connection;
+// isCut decides whether connections from there are cut and is asked for each new
+// connection and by Update.
+func New(target string, identify func(source net.Addr) int, isCut func(source int) bool) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for proxy: %w", err)
+	}
+	p := &Proxy{listener: l, target: target, identify: identify, cut: isCut, pairs: make(map[*pair]struct{})}
+	go p.accept()
+	return p, nil
+}
+
+// Addr returns the address of the proxy.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close() // nothing accepts any more either way
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.pairs {
+		c.close()
+	}
+}
+
+// Update asks isCut again for each connection. A cut connection stays open
+// without forwarding, as in a network that drops packets; when the cut ends it
+// is closed, since what it missed is lost.
+func (p *Proxy) Update() {
+	p.mu.Lock()
+	pairs := make([]*pair, 0, len(p.pairs))
+	for c := range p.pairs {
+		pairs = append(pairs, c)
+	}
+	p.mu.Unlock()
+	for _, c := range pairs {
+		if p.cut(c.source) {
+			c.freeze()
+		} else {
+			c.thaw()
+		}
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *Proxy) serve(client net.Conn) {
+	source := p.identify(client.RemoteAddr())
+	c := &pair{client: client, source: source, frozen: p.cut(source)}
+	c.healed = sync.NewCond(&c.mu)
+	p.mu.Lock()
+	p.pairs[c] = struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		c.close()
+		p.mu.Lock()
+		delete(p.pairs, c)
+		p.mu.Unlock()
+	}()
+	if !c.open() {
+		return
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.server = server
+	c.mu.Unlock()
+	done := make(chan struct{}, 2)
+	for _, way := range [][2]net.Conn{{client, server}, {server, client}} {
+		go func() {
+			_, _ = io.Copy(gate{c, way[1]}, way[0]) // any end closes both sides
+			done <- struct{}{}
+		}()
+	}
+	<-done
+}
+
+// gate writes to a connection unless the pair is cut.
+type gate struct {
+	pair *pair
+	to   io.Writer
+}
+
+// Write implements io.Writer.
+func (g gate) Write(data []byte) (int, error) {
+	if !g.pair.open() {
+		return 0, net.ErrClosed
+	}
+	return g.to.Write(data)
+}
+
+// open waits while the pair is cut. It returns false once the pair is closed.
+func (c *pair) open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.frozen && !c.closed {
+		c.healed.Wait()
+	}
+	return !c.closed
+}
+
+func (c *pair) freeze() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen = true
+}
+
+func (c *pair) thaw() {
+	c.mu.Lock()
+	frozen := c.frozen
+	c.mu.Unlock()
+	if frozen {
+		c.close()
+	}
+}
+
+func (c *pair) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.healed.Broadcast()
+	_ = c.client.Close() // closing twice is harmless
+	if c.server != nil {
+		_ = c.server.Close()
+	}
+}
--- /dev/null
+++ b/pkg/load/proxy/proxy_test.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echo serves a listener that sends back what it receives.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(conn, conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a partition that lets data through, and against one that
+// stays after it ended.
+func TestCutHoldsDataBack(t *testing.T) {
+	var cut atomic.Bool
+	p, err := New(echo(t), func(net.Addr) int { return 0 }, func(int) bool { return cut.Load() })
+	assert.NilError(t, err)
+	defer p.Close()
+	conn, err := net.Dial("tcp", p.Addr())
+	assert.NilError(t, err)
+	defer conn.Close()
+	buf := make([]byte, 1)
+	conn.Write([]byte("a"))
+	_, err = io.ReadFull(conn, buf)
+	assert.NilError(t, err)
+
+	cut.Store(true)
+	p.Update()
+	conn.Write([]byte("b"))
+	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	_, err = conn.Read(buf)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+	cut.Store(false)
+	p.Update()
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(buf)
+	assert.Assert(t, err != nil && !os.IsTimeout(err), "a connection that was cut is closed: %v", err)
+	fresh, err := net.Dial("tcp", p.Addr())
+	assert.NilError(t, err)
+	defer fresh.Close()
+	fresh.Write([]byte("c"))
+	_, err = io.ReadFull(fresh, buf)
+	assert.NilError(t, err)
+}
+
+// Guards against a connection that is assigned to the wrong process, which
+// would leave one side of a partition open.
+func TestOwner(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.Equal(t, Owner(conn.LocalAddr(), []int{os.Getpid()}), os.Getpid())
+	assert.Equal(t, Owner(conn.LocalAddr(), []int{1}), 0)
+}
--- /dev/null
+++ b/pkg/load/schedule/schedule.go
@@ -0,0 +1,113 @@
+// Package schedule plans the requests of a measurement from a seed, so that
+// all policies meet the same load.
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Customers is how many customers share the load.
+const Customers = 10
+
+// weights are the customers' shares of the requests. A few are large.
+var weights = [Customers]float64{0.34, 0.22, 0.16, 0.08, 0.05, 0.04, 0.04, 0.03, 0.02, 0.02}
+
+// Sizes of a request. Answers are short so that many requests fit into a run.
+const (
+	minPromptBytes = 40
+	maxPromptBytes = 200
+	minAnswer      = 8  // tokens
+	maxAnswer      = 24 // tokens
+	// affinity is the share of a customer's requests that the load balancer
+	// sends to the customer's two usual daemons; the rest goes to any daemon.
+	affinity = 0.5
+)
+
+// Request is one planned request.
+type Request struct {
+	At       time.Duration // from the start of the load
+	Customer int
+	Daemon   int
+	Key      string // idempotency key, unique in the run
+	Prompt   string // unique in the run
+	Answer   int    // tokens, limit and length
+}
+
+// Plan describes a load.
+type Plan struct {
+	Seed     uint64
+	Rate     float64 // requests per second
+	Duration time.Duration
+	Daemons  int
+	Only     int // customer that all requests come from; -1: all customers
+}
+
+// Requests returns the requests in order of time, with exponential gaps.
+func (p Plan) Requests() []Request {
+	random := rand.New(rand.NewPCG(p.Seed, p.Seed))
+	var requests []Request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / p.Rate * float64(time.Second))
+		if at >= p.Duration {
+			return requests
+		}
+		customer := p.customer(random)
+		requests = append(requests, Request{
+			At:       at,
+			Customer: customer,
+			Daemon:   p.daemon(random, customer),
+			Key:      fmt.Sprintf("r%d", len(requests)),
+			Prompt:   prompt(random, len(requests)),
+			Answer:   minAnswer + random.IntN(maxAnswer-minAnswer+1),
+		})
+	}
+}
+
+func (p Plan) customer(random *rand.Rand) int {
+	if p.Only >= 0 {
+		return p.Only
+	}
+	x := random.Float64()
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// daemon spreads the requests of a single customer evenly: that workload is
+// about a budget that every daemon draws on.
+func (p Plan) daemon(random *rand.Rand, customer int) int {
+	if p.Only >= 0 || random.Float64() >= affinity {
+		return random.IntN(p.Daemons)
+	}
+	return (2*customer + random.IntN(2)) % p.Daemons
+}
+
+func prompt(random *rand.Rand, n int) string {
+	text := fmt.Sprintf("request %d: ", n)
+	size := minPromptBytes + random.IntN(maxPromptBytes-minPromptBytes+1)
+	return text + strings.Repeat("x", max(0, size-len(text)))
+}
+
+// MeanAnswer is the mean length of an answer in tokens.
+const MeanAnswer = (minAnswer + maxAnswer) / 2
+
+// MeanTokens estimates the tokens that a request uses, for the size of budgets.
+const MeanTokens = 50
+
+// Share returns a customer's share of the requests.
+func (p Plan) Share(customer int) float64 {
+	switch p.Only {
+	case -1:
+		return weights[customer]
+	case customer:
+		return 1
+	}
+	return 0
+}
