pepperload: repeat broken requests, keep a file of attempts

The caller's retry after a broken connection never happened: its pause used the context of the attempt, which had ended.

--- a/pkg/load/bench/result.go
+++ b/pkg/load/bench/result.go
@@ -63,6 +63,9 @@
 		Refusals: make(map[string]int), FalseByReason: make(map[string]int),
 	}
 	r.count(&result)
+	if err := r.writeAttempts(); err != nil {
+		r.logf("attempts: %v", err)
+	}
 	served := float64(max(result.Completed, 1))
 	result.CommitsPer = float64(a.after.Commits-a.before.Commits) / served
 	result.RowsPer = float64(a.after.RowsWritten-a.before.RowsWritten) / served
--- a/pkg/load/bench/run.go
+++ b/pkg/load/bench/run.go
@@ -45,6 +45,8 @@
 	workload workload
 	policy   baseline.Policy
 	plan     schedule.Plan
+	dir      string // of the logs
+	start    time.Time
 	fleet    *fleet.Fleet
 	caller   *caller.Caller
 	budgets  []int64
@@ -74,6 +76,7 @@
 	if o.Dir == "" {
 		defer os.RemoveAll(dir)
 	}
+	r.dir = dir
 	for c := range schedule.Customers {
 		r.budgets = append(r.budgets, r.traffic(c, w.budget))
 	}
@@ -141,6 +144,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := time.Now()
+	r.start = start
 	r.startEvents(ctx, start, cancel)
 	var wait sync.WaitGroup
 	wait.Go(func() { r.sendDirect(ctx, start) })
@@ -191,8 +195,8 @@
 		"Idempotency-Key": {request.Key},
 	}
 	for try := range callerTries {
-		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-		result := r.caller.Send(ctx, r.fleet.CallerURL(r.balance(request.Daemon+try)), header.Clone(), body)
+		limited, cancel := context.WithTimeout(ctx, requestTimeout)
+		result := r.caller.Send(limited, r.fleet.CallerURL(r.balance(request.Daemon+try)), header.Clone(), body)
 		cancel()
 		r.mu.Lock()
 		r.sent = append(r.sent, attempt{request, bound, result})
--- a/pkg/load/oracle/oracle.go
+++ b/pkg/load/oracle/oracle.go
@@ -77,9 +77,17 @@
 
 // HadRoom reports whether a budget had room for bound tokens at a time.
 func (o *Oracle) HadRoom(budget string, at time.Time, bound int64) bool {
+	return o.Room(budget, at) >= bound
+}
+
+// Room returns the free tokens of a budget at a time.
+func (o *Oracle) Room(budget string, at time.Time) int64 {
 	list := o.changes[budget]
 	i := sort.Search(len(list), func(i int) bool { return list[i].at.After(at) })
-	return i > 0 && o.room[budget][i-1] >= bound
+	if i == 0 {
+		return 0
+	}
+	return o.room[budget][i-1]
 }
 
 // Overspent returns the tokens that all budgets together were overspent by.
