Add pepperslopes, which measures cost against size

docs/CAPACITY.md has to give the cost of each role at the design size, and nothing in the repository measured how a cost grows.

The tool runs real daemon processes against stand-ins in its own process: one platform, up to hundreds of targets with an address each, and a counting proxy before each daemon's peer listener. Processor time and memory come from /proc, table calls from a handler before the platform stand-in that knows the kind of each row, bytes from wrapped connections. Each cost is measured at several sizes and fitted by least squares.

Counting with GET /stats alone was considered: it does not tell the roles apart.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint demo clean
+.PHONY: build test lint demo slopes clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -19,3 +19,6 @@
 
 demo: build
 	test/demo/demo.sh
+
+slopes: build
+	$(BIN)/pepperslopes measure
--- /dev/null
+++ b/pkg/slopes/daemon_process.go
@@ -0,0 +1,147 @@
+package slopes
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const startTimeout = 20 * time.Second
+
+// daemonProcess is a running peppertraild.
+type daemonProcess struct {
+	name    string
+	cmd     *exec.Cmd
+	proxy   *peerProxy
+	callers string // address for callers
+	admin   string // address for operators
+	started chan struct{}
+	ended   chan struct{}
+
+	mu       sync.Mutex
+	bundles  map[uint64]time.Time // when each version came into force
+	lastLine string
+}
+
+// daemonSpec is what a daemon is started with.
+type daemonSpec struct {
+	binary    string
+	index     int
+	platform  string
+	operator  string // NAME=KEY
+	peerBytes *atomic.Int64
+	extra     []string
+}
+
+// startDaemon starts a daemon. It is killed if the tool dies.
+func startDaemon(spec daemonSpec) (*daemonProcess, error) {
+	peerAddr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	proxy, err := newPeerProxy(peerAddr, spec.peerBytes)
+	if err != nil {
+		return nil, fmt.Errorf("peer proxy: %w", err)
+	}
+	d := &daemonProcess{
+		name: fmt.Sprintf("host%d", spec.index), proxy: proxy,
+		started: make(chan struct{}), ended: make(chan struct{}),
+		bundles: make(map[uint64]time.Time),
+	}
+	args := append([]string{
+		"--host", d.name, "--region", region(spec.index), "--failure-domain", failureDomain(spec.index),
+		"--platform", spec.platform, "--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+		"--peer-listen", peerAddr, "--advertise-peer", proxy.addr(), "--bootstrap-operator", spec.operator,
+	}, spec.extra...)
+	d.cmd = exec.Command(spec.binary, args...)
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	logs, err := d.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.cmd.Start(); err != nil {
+		return nil, errors.Join(fmt.Errorf("start daemon: %w", err), proxy.listener.Close())
+	}
+	go d.follow(logs)
+	return d, nil
+}
+
+// freeAddr returns a loopback address whose port was free a moment ago.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// logLine is what the tool reads of a log line.
+type logLine struct {
+	Message   string `json:"message"`
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Version   uint64 `json:"version"`
+}
+
+// follow reads the log until the process ends.
+func (d *daemonProcess) follow(logs io.Reader) {
+	defer close(d.ended)
+	lines := bufio.NewScanner(logs)
+	for lines.Scan() {
+		d.note(lines.Bytes(), time.Now())
+	}
+	_ = d.cmd.Wait() // a daemon that is killed at the end has no status of interest
+}
+
+func (d *daemonProcess) note(raw []byte, now time.Time) {
+	var line logLine
+	if json.Unmarshal(raw, &line) != nil {
+		line.Message = string(raw)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastLine = line.Message
+	switch line.Message {
+	case "Daemon started.":
+		d.callers, d.admin = line.Callers, line.Operators
+		close(d.started)
+	case "Bundle in force.":
+		d.bundles[line.Version] = now
+	}
+}
+
+// awaitStart waits until the daemon serves.
+func (d *daemonProcess) awaitStart() error {
+	select {
+	case <-d.started:
+		return nil
+	case <-d.ended:
+		return fmt.Errorf("daemon %s ended at its start: %s", d.name, d.lastLine)
+	case <-time.After(startTimeout):
+		return fmt.Errorf("daemon %s did not start within %s", d.name, startTimeout)
+	}
+}
+
+// inForce returns when a version came into force, zero if it has not.
+func (d *daemonProcess) inForce(version uint64) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bundles[version]
+}
+
+// stop kills the process. A graceful stop would take seconds and leaves nothing
+// that a measurement needs.
+func (d *daemonProcess) stop() {
+	_ = d.cmd.Process.Kill()
+	<-d.ended
+	d.proxy.close()
+}
--- /dev/null
+++ b/pkg/slopes/fleet.go
@@ -0,0 +1,159 @@
+package slopes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+)
+
+// fleetSpec is what a fleet is started with.
+type fleetSpec struct {
+	binary    string
+	daemons   int
+	targets   int
+	budgets   int
+	customers int
+	tokenTime time.Duration // per decoding step of the targets
+	extra     []string      // further settings of each daemon
+}
+
+// fleet is a running system: stand-ins in this process and daemon processes.
+type fleet struct {
+	spec      fleetSpec
+	platform  *platformServer
+	farm      *targetFarm
+	operator  *operator
+	daemons   []*daemonProcess
+	version   uint64 // newest bundle
+	peerBytes atomic.Int64
+}
+
+const (
+	bundleTimeout = 30 * time.Second
+	pollPause     = 20 * time.Millisecond
+	// regions and failureDomains are those of the design size.
+	regions        = 2
+	failureDomains = 4
+)
+
+// region returns the region of the i-th daemon.
+func region(i int) string { return fmt.Sprintf("region-%d", i%regions) }
+
+// failureDomain returns the failure domain of the i-th daemon.
+func failureDomain(i int) string { return fmt.Sprintf("domain-%d", i%failureDomains) }
+
+// startFleet starts a fleet with its first bundle in force everywhere. The
+// caller stops it, also after an error.
+func startFleet(ctx context.Context, spec fleetSpec) (*fleet, error) {
+	f := &fleet{spec: spec, farm: &targetFarm{tokenTime: spec.tokenTime}}
+	var err error
+	if f.platform, err = newPlatformServer(); err != nil {
+		return f, err
+	}
+	if f.operator, err = newOperator(f.platform.client); err != nil {
+		return f, err
+	}
+	if err := f.farm.grow(ctx, f.platform, spec.targets); err != nil {
+		return f, err
+	}
+	if err := f.operator.createBudgets(ctx, 0, max(1, spec.budgets)); err != nil {
+		return f, err
+	}
+	if err := f.grow(spec.daemons); err != nil {
+		return f, err
+	}
+	_, err = f.newBundle(ctx)
+	return f, err
+}
+
+// grow starts daemons until there are n.
+func (f *fleet) grow(n int) error {
+	first := len(f.daemons)
+	for i := first; i < n; i++ {
+		d, err := startDaemon(daemonSpec{
+			binary: f.spec.binary, index: i, platform: f.platform.url, operator: f.operator.setting(),
+			peerBytes: &f.peerBytes, extra: f.spec.extra,
+		})
+		if err != nil {
+			return err
+		}
+		f.daemons = append(f.daemons, d)
+	}
+	for _, d := range f.daemons[first:] {
+		if err := d.awaitStart(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newBundle brings a version into force and returns how long that took on each
+// daemon from the moment of its submission.
+func (f *fleet) newBundle(ctx context.Context) ([]time.Duration, error) {
+	begin := time.Now()
+	version, err := f.operator.accept(ctx, f.version, f.spec.budgets, f.spec.customers)
+	if err != nil {
+		return nil, err
+	}
+	f.version = version
+	return f.awaitBundle(ctx, begin)
+}
+
+func (f *fleet) awaitBundle(ctx context.Context, begin time.Time) ([]time.Duration, error) {
+	var taken []time.Duration
+	for _, d := range f.daemons {
+		for d.inForce(f.version).IsZero() {
+			if time.Since(begin) > bundleTimeout {
+				return nil, fmt.Errorf("bundle %d is not in force on %s after %s", f.version, d.name, bundleTimeout)
+			}
+			if err := sleep(ctx, pollPause); err != nil {
+				return nil, err
+			}
+		}
+		taken = append(taken, d.inForce(f.version).Sub(begin))
+	}
+	return taken, nil
+}
+
+// stop ends all daemons at once, then the stand-ins.
+func (f *fleet) stop() {
+	done := make(chan struct{}, len(f.daemons))
+	for _, d := range f.daemons {
+		go func() {
+			d.stop()
+			done <- struct{}{}
+		}()
+	}
+	for range f.daemons {
+		<-done
+	}
+	f.farm.close()
+	if f.platform != nil {
+		f.platform.close()
+	}
+}
+
+// sleep waits for d, or returns the error of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(ctx.Err(), context.Cause(ctx))
+	}
+}
+
+// bundleBytes returns the size of the bundle in force, 0 if it cannot be read.
+func (f *fleet) bundleBytes(ctx context.Context) float64 {
+	rows, err := f.platform.client.Get(ctx, bundle.VersionKey(f.version))
+	if err != nil {
+		return 0
+	}
+	return float64(len(rows[0].Value))
+}
--- /dev/null
+++ b/pkg/slopes/load.go
@@ -0,0 +1,111 @@
+package slopes
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// load sends streamed requests to the daemons of a fleet in turn.
+type load struct {
+	fleet  *fleet
+	client *http.Client
+	next   atomic.Int64
+}
+
+// loadConnections bounds the idle connections to one daemon.
+const loadConnections = 1024
+
+func newLoad(f *fleet) *load {
+	return &load{fleet: f, client: &http.Client{Transport: &http.Transport{
+		MaxIdleConns: loadConnections, MaxIdleConnsPerHost: loadConnections,
+	}}}
+}
+
+func (l *load) close() { l.client.CloseIdleConnections() }
+
+// errNoAnswer means that a stream ended without its last event.
+var errNoAnswer = errors.New("stream without its last event")
+
+// send sends one request and reads its whole answer. The budget follows from
+// the request's number, so that all budgets are drawn on in turn.
+func (l *load) send(ctx context.Context, tokens int) error {
+	n := l.next.Add(1)
+	daemon := l.fleet.daemons[n%int64(len(l.fleet.daemons))]
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Menu of day %d"}]}`, farmModel, tokens, n)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.callers+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+l.fleet.operator.apiKey)
+	req.Header.Set("Idempotency-Key", fmt.Sprintf("slopes-%d", n))
+	req.Header.Set("X-Peppertrail-Budget", budgetName(int(n)%max(1, l.fleet.spec.budgets)))
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, answer)
+	}
+	if !bytes.Contains(answer, []byte("data: [DONE]")) {
+		return errNoAnswer
+	}
+	return nil
+}
+
+// sendAll sends n requests from a number of workers and returns how many failed
+// and the first error.
+func (l *load) sendAll(ctx context.Context, n, workers, tokens int) (failed int64, first error) {
+	var left, failures atomic.Int64
+	left.Store(int64(n))
+	var once sync.Once
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for left.Add(-1) >= 0 && ctx.Err() == nil {
+				if err := l.send(ctx, tokens); err != nil {
+					failures.Add(1)
+					once.Do(func() { first = err })
+				}
+			}
+		})
+	}
+	group.Wait()
+	return failures.Load(), first
+}
+
+// sendAt sends requests at a rate for a duration and returns how many were sent
+// and how many failed.
+func (l *load) sendAt(ctx context.Context, rate float64, d time.Duration, tokens int) (sent, failed int64) {
+	var failures atomic.Int64
+	var group sync.WaitGroup
+	defer func() { failed = failures.Load() }()
+	defer group.Wait()
+	begin := time.Now()
+	for ctx.Err() == nil {
+		elapsed := time.Since(begin)
+		if elapsed >= d {
+			break
+		}
+		for due := int64(rate * elapsed.Seconds()); sent < due; sent++ {
+			group.Go(func() {
+				if l.send(ctx, tokens) != nil {
+					failures.Add(1)
+				}
+			})
+		}
+		_ = sleep(ctx, time.Millisecond)
+	}
+	return sent, 0
+}
--- /dev/null
+++ b/pkg/slopes/measure_fleet.go
@@ -0,0 +1,84 @@
+package slopes
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+)
+
+const (
+	// fleetTargets is small, so that the slopes against daemons hold little of
+	// the cost of targets.
+	fleetTargets   = 16
+	fleetCustomers = 10
+)
+
+// measureFleet measures idle fleets of several sizes.
+func measureFleet(ctx context.Context, s Settings, out io.Writer) ([]Slope, error) {
+	results := newSeries("daemon")
+	for _, n := range s.FleetSizes {
+		if err := measureIdle(ctx, s, n, results, out); err != nil {
+			return nil, err
+		}
+	}
+	return results.slopes(), nil
+}
+
+func measureIdle(ctx context.Context, s Settings, n int, results *series, out io.Writer) error {
+	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: n, targets: fleetTargets, customers: fleetCustomers})
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, s.Settle); err != nil {
+		return err
+	}
+	w, err := f.watch(ctx, s.Window)
+	if err != nil {
+		return err
+	}
+	addIdle(results, float64(n), w)
+	printRoles(out, "idle", n, w)
+	return addBundles(ctx, f, s.Bundles, results)
+}
+
+// addIdle records what a fleet of n daemons used.
+func addIdle(results *series, n float64, w window) {
+	results.add("idle_table_reads_per_second", n, float64(sum(w.calls.Reads))/w.seconds)
+	results.add("idle_table_writes_per_second", n, float64(sum(w.calls.Writes))/w.seconds)
+	results.add("idle_platform_bytes_per_second_per_daemon", n, w.platform/w.seconds/n)
+	results.add("idle_peer_bytes_per_second_per_daemon", n, w.peers/w.seconds/n)
+	results.add("idle_target_bytes_per_second_per_daemon", n, w.targets/w.seconds/n)
+	results.add("idle_cpu_percent_per_daemon", n, percent(w)/n)
+	results.add("idle_memory_mb_per_daemon", n, megabytes(w.memory)/n)
+}
+
+// addBundles records how long bundles take to be in force everywhere, and the
+// bytes that they cause between daemons.
+func addBundles(ctx context.Context, f *fleet, count int, results *series) error {
+	var worst time.Duration
+	before := f.peerBytes.Load()
+	for range count {
+		taken, err := f.newBundle(ctx)
+		if err != nil {
+			return err
+		}
+		worst = max(worst, slices.Max(taken))
+	}
+	if err := sleep(ctx, pushSettle); err != nil {
+		return err
+	}
+	n := float64(len(f.daemons))
+	results.add("bundle_in_force_everywhere_seconds", n, worst.Seconds())
+	results.add("bundle_peer_bytes_per_bundle", n, float64(f.peerBytes.Load()-before)/float64(count))
+	return nil
+}
+
+// pushSettle lets the pushes that arrive too late to matter be counted.
+const pushSettle = 500 * time.Millisecond
+
+// percent returns the processor time of a window in percent of one core.
+func percent(w window) float64 { return 100 * w.cpu.Seconds() / w.seconds }
+
+func megabytes(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- /dev/null
+++ b/pkg/slopes/measure_loaded.go
@@ -0,0 +1,57 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+const (
+	// loadedRate and loadedBudgets are per daemon.
+	loadedRate    = 9.0 // requests per second, the design size's 3,100 over 340 daemons
+	loadedBudgets = 4
+)
+
+// measureLoaded measures table calls and bytes of fleets under load.
+func measureLoaded(ctx context.Context, s Settings, out io.Writer) ([]Slope, error) {
+	results := newSeries("daemon")
+	for _, n := range s.FleetSizes {
+		if err := measureBusy(ctx, s, n, results, out); err != nil {
+			return nil, err
+		}
+	}
+	return results.slopes(), nil
+}
+
+func measureBusy(ctx context.Context, s Settings, n int, results *series, out io.Writer) error {
+	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: n, targets: fleetTargets, budgets: n * loadedBudgets, customers: fleetCustomers})
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	l := newLoad(f)
+	defer l.close()
+	if err := sleep(ctx, s.Settle); err != nil {
+		return err
+	}
+	l.sendAt(ctx, loadedRate*float64(n), s.Settle, requestTokens) // opens grants and connections
+	before, err := f.sample()
+	if err != nil {
+		return err
+	}
+	sent, failed := l.sendAt(ctx, loadedRate*float64(n), s.Window, requestTokens)
+	w, err := f.since(before)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "loaded daemons=%d budgets=%d sent=%d failed=%d\n", n, n*loadedBudgets, sent, failed)
+	printRoles(out, "loaded", n, w)
+	size := float64(n)
+	results.add("loaded_table_reads_per_second", size, float64(sum(w.calls.Reads))/w.seconds)
+	results.add("loaded_table_writes_per_second", size, float64(sum(w.calls.Writes))/w.seconds)
+	results.add("loaded_peer_bytes_per_second_per_daemon", size, w.peers/w.seconds/size)
+	results.add("loaded_platform_bytes_per_second_per_daemon", size, w.platform/w.seconds/size)
+	results.add("loaded_cpu_percent_per_daemon", size, percent(w)/size)
+	results.add("loaded_memory_mb_per_daemon", size, megabytes(w.memory)/size)
+	return nil
+}
--- /dev/null
+++ b/pkg/slopes/measure_streams.go
@@ -0,0 +1,45 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+const (
+	openTokenTime = 250 * time.Millisecond
+	openTokens    = 4000 // longer than the measurement
+)
+
+// measureStreams measures the memory of one daemon against open streams.
+func measureStreams(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
+	results := newSeries("stream")
+	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: 1, targets: requestTargets, tokenTime: openTokenTime})
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, s.Settle); err != nil {
+		return nil, err
+	}
+	l := newLoad(f)
+	defer l.close()
+	streams, cancel := context.WithCancel(ctx)
+	defer cancel()
+	opened := 0
+	for _, n := range s.StreamSizes {
+		for ; opened < n; opened++ {
+			go func() { _ = l.send(streams, openTokens) }() // ends with the measurement
+		}
+		w, err := f.watch(ctx, s.Settle)
+		if err != nil {
+			return nil, err
+		}
+		if open := f.farm.open(); open < n {
+			return nil, fmt.Errorf("%d of %d streams are open", open, n)
+		}
+		results.add("memory_bytes_per_open_stream", float64(n), float64(w.heap))
+	}
+	return results.slopes(), nil
+}
--- /dev/null
+++ b/pkg/slopes/measure_tokens.go
@@ -0,0 +1,45 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+const (
+	tokenStreams = 100
+	tokenTime    = 20 * time.Millisecond // one write per token, as engines send them
+)
+
+// measureTokens measures what one daemon spends per streamed token.
+func measureTokens(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
+	results := newSeries("token")
+	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: 1, targets: requestTargets, tokenTime: tokenTime})
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	l := newLoad(f)
+	defer l.close()
+	if err := l.warmUp(ctx, s); err != nil {
+		return nil, err
+	}
+	for _, n := range s.TokenSizes {
+		before, err := f.sample()
+		if err != nil {
+			return nil, err
+		}
+		if failed, first := l.sendAll(ctx, tokenStreams, tokenStreams, n); failed > 0 {
+			return nil, fmt.Errorf("%d of %d streams failed: %w", failed, tokenStreams, first)
+		}
+		w, err := f.since(before)
+		if err != nil {
+			return nil, err
+		}
+		tokens := float64(n * tokenStreams)
+		results.add("cpu_seconds_per_token", tokens, w.cpu.Seconds())
+		results.add("target_bytes_per_token", tokens, w.targets)
+	}
+	return results.slopes(), nil
+}
--- /dev/null
+++ b/pkg/slopes/slope.go
@@ -0,0 +1,32 @@
+package slopes
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Slope is a cost that was measured at several sizes.
+type Slope struct {
+	Name   string // ends in the unit of the slope
+	Per    string // what the size counts
+	Points []Point
+}
+
+// Line returns the printed form: the fit and the points behind it.
+func (s Slope) Line() string {
+	fit, err := FitLine(s.Points)
+	if err != nil {
+		return fmt.Sprintf("slope %s=unknown reason=%q points=%s", s.Name, err, s.points())
+	}
+	return fmt.Sprintf("slope %s=%.5g per=%s intercept=%.5g r2=%.4f max_residual=%.3g points=%s",
+		s.Name, fit.Slope, s.Per, fit.Intercept, fit.R2, fit.Residual, s.points())
+}
+
+// points returns the points as size:cost pairs.
+func (s Slope) points() string {
+	parts := make([]string, 0, len(s.Points))
+	for _, p := range s.Points {
+		parts = append(parts, fmt.Sprintf("%g:%.5g", p.X, p.Y))
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/pkg/slopes/target_farm.go
@@ -0,0 +1,87 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+const (
+	farmService = "chef-llm"
+	farmModel   = "chef"
+	farmSlots   = 8192
+	farmBlocks  = 4096
+	// farmKeep is short so that ended streams do not fill the tool's memory.
+	farmKeep = time.Second
+)
+
+// targetFarm is a set of engine stand-ins in the tool's process, each with an
+// address of its own, so that hundreds of targets cost one process.
+type targetFarm struct {
+	tokenTime time.Duration
+	bytes     atomic.Int64 // of all connections, both directions
+	engines   []*engine.Engine
+	servers   []*http.Server
+}
+
+// grow starts targets until there are n and adds them to the membership list.
+func (f *targetFarm) grow(ctx context.Context, p *platformServer, n int) error {
+	for len(f.servers) < n {
+		if err := f.addTarget(ctx, p); err != nil {
+			return fmt.Errorf("target %d: %w", len(f.servers), err)
+		}
+	}
+	return nil
+}
+
+func (f *targetFarm) addTarget(ctx context.Context, p *platformServer) error {
+	e, err := engine.New(engine.Options{
+		Kind: target.JSONStatus, Slots: farmSlots, CacheBlocks: farmBlocks, TokenTime: f.tokenTime, Keep: farmKeep,
+	})
+	if err != nil {
+		return err
+	}
+	f.engines = append(f.engines, e)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	id := fmt.Sprintf("chef-%d", len(f.servers))
+	server := &http.Server{Handler: answerInFull(e.Handler()), ReadHeaderTimeout: toolTimeout}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(countedListener{Listener: ln, bytes: &f.bytes}) }()
+	member, err := json.Marshal(platform.Member{
+		ID: id, Kind: platform.TargetMember, Addr: ln.Addr().String(), Region: region(0),
+		FailureDomain: failureDomain(0), Service: farmService, State: platform.MemberLive,
+	})
+	if err != nil {
+		return err
+	}
+	return p.put(ctx, id, member)
+}
+
+func (f *targetFarm) close() {
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	for _, e := range f.engines {
+		_ = e.Close()
+	}
+}
+
+// open returns how many streams the targets run.
+func (f *targetFarm) open() int {
+	open := 0
+	for _, e := range f.engines {
+		open += e.Running()
+	}
+	return open
+}
