Do not transfer an unchanged membership list again

Every daemon reads the membership list once per second, and the list grows with targets. At the design size it alone exceeds the 23 KB/s that a daemon may spend on control.

Considered: a longer interval, which delays the first sign that a target leaves; a table row with a version, which the platform does not offer. Chosen: the entity tags of HTTP. The client sends the tag of the list that it holds and keeps the list on status 304. A platform without tags is read as before.

--- a/pkg/platform/remote/call.go
+++ b/pkg/platform/remote/call.go
@@ -37,6 +37,19 @@
 
 // call sends body and returns the body of a 2xx reply. Other replies return a StatusError.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	reply, err := c.exchange(ctx, method, path, http.Header{}, body)
+	return reply.body, err
+}
+
+// response is a reply with a 2xx status.
+type response struct {
+	header http.Header
+	body   []byte
+}
+
+// exchange sends body with further headers and returns a 2xx reply. Other
+// replies return a StatusError.
+func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (response, error) {
 	if c.timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.timeout)
@@ -44,21 +57,22 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fmt.Errorf("%s %s: %w", method, path, err)
+		return response{}, fmt.Errorf("%s %s: %w", method, path, err)
 	}
+	req.Header = header
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, unavailable(method, path, err)
+		return response{}, unavailable(method, path, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
-		return nil, fmt.Errorf("%s %s: %w", method, path, statusError(resp))
+		return response{}, fmt.Errorf("%s %s: %w", method, path, statusError(resp))
 	}
 	data, err := readReply(resp.Body)
 	if err != nil {
-		return nil, unavailable(method, path, err)
+		return response{}, unavailable(method, path, err)
 	}
-	return data, nil
+	return response{header: resp.Header, body: data}, nil
 }
 
 // readReply reads a whole reply. A reply above maxReplyBytes is an error.
--- a/pkg/platform/remote/client.go
+++ b/pkg/platform/remote/client.go
@@ -18,6 +18,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	members memberCache
 }
 
 var (
@@ -68,13 +69,6 @@
 	return rows, err
 }
 
-// Members implements platform.Members.
-func (c *Client) Members(ctx context.Context) ([]platform.Member, error) {
-	var members []platform.Member
-	err := c.callJSON(ctx, http.MethodGet, "/members", nil, &members)
-	return members, err
-}
-
 // Objects returns the object store of the same platform. It is a type of its
 // own because Get of platform.Objects and of platform.Table differ.
 func (c *Client) Objects() *ObjectClient {
--- a/pkg/platform/remote/client_test.go
+++ b/pkg/platform/remote/client_test.go
@@ -149,6 +149,60 @@
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
 }
 
+// Guards against a changed list that is not noticed, an unchanged one that is
+// sent again, and a caller's change of its list that shows up in the next one.
+func TestMembersAreSentOnce(t *testing.T) {
+	server := standin.New()
+	sent := 0
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		server.Handler().ServeHTTP(recorder, r)
+		sent += recorder.Body.Len()
+		for name, values := range recorder.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	t.Cleanup(ts.Close)
+	client := New(ts.URL, testTimeout)
+	t.Cleanup(client.Close)
+	ctx := context.Background()
+	for n := 1; n <= 3; n++ {
+		id := fmt.Sprintf("d%d", n)
+		body, err := json.Marshal(platform.Member{ID: id, Kind: platform.DaemonMember, State: platform.MemberLive})
+		assert.NilError(t, err)
+		_, err = client.call(ctx, http.MethodPut, "/members/"+id, body)
+		assert.NilError(t, err)
+		first, err := client.Members(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, len(first), n)
+		before := sent
+		first[0].ID = "changed"
+		again, err := client.Members(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, len(again), n)
+		assert.Equal(t, again[0].ID, "d1")
+		assert.Equal(t, sent, before)
+	}
+}
+
+// Guards against a list that stays as it is on a platform without entity tags.
+func TestMembersWithoutTags(t *testing.T) {
+	n := 0
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n++
+		fmt.Fprintf(w, `[{"id":"d%d"}]`, n)
+	}))
+	t.Cleanup(ts.Close)
+	client := New(ts.URL, testTimeout)
+	for i := 1; i <= 2; i++ {
+		members, err := client.Members(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, members[0].ID, fmt.Sprintf("d%d", i))
+	}
+}
+
 // Guards against concurrent calls that open a connection each.
 func TestConnectionsAreReused(t *testing.T) {
 	var mu sync.Mutex
--- a/pkg/standin/platform/handlers.go
+++ b/pkg/standin/platform/handlers.go
@@ -105,7 +105,7 @@
 	if refuseIf(w, faults.MembersDown) {
 		return
 	}
-	reply(w, s.members.list(faults.lag()))
+	replyTagged(w, r, s.members.list(faults.lag()))
 }
 
 func (s *Server) putMember(w http.ResponseWriter, r *http.Request) {
