Limit the daemons of a region that act as homes

Every daemon was the home of a share of the budgets and committed its lines up to ten times per second, so that the table's writes grew with daemons and not with requests. At 340 daemons that is far above several hundred writes.

Considered: a longer flush interval that grows with the fleet, which delays every final token up to settle_wait; a role per budget range with a lease, which needs a table write per range and interval. Chosen: the homes of a region are the first ones in the rendezvous order of a fixed key, 10 by default (--homes). A home that leaves is replaced by one other daemon, and only its budgets move. Fleets of up to 10 daemons per region, as those that run today, keep every daemon as a home.

Conclusion: 340 daemons would need about 1,900 writes/s before and at most 300 plus one renewal per daemon and 3 s now.

--- a/pkg/cluster/options.go
+++ b/pkg/cluster/options.go
@@ -23,6 +23,7 @@
 	Interval time.Duration               // time between scans
 	TTL      time.Duration               // time without a renewal after which a daemon is not live
 	Ignore   time.Duration               // how long an unreachable peer is left out
+	Homes    int                         // daemons of each region that act as homes; 0: all
 	OnBadRow func(key string, err error) // called for each row that cannot be decoded, which is left out; may be nil
 }
 
--- a/pkg/cluster/view.go
+++ b/pkg/cluster/view.go
@@ -12,6 +12,10 @@
 	"github.com/peppertrail/peppertrail/pkg/platform"
 )
 
+// homesKey is the key whose rendezvous order decides which daemons are homes,
+// so that one that leaves is replaced by one other and moves only its budgets.
+const homesKey = "homes"
+
 const (
 	// scanPage is the number of rows per scan call.
 	scanPage = 500
@@ -123,8 +127,16 @@
 // the home of the budget: the first is the home, the next takes over if it
 // cannot be reached. The result is empty if the region has no live daemon.
 func (v *View) Home(budget, region string) []Peer {
+	return rank(budget, v.homes(region))
+}
+
+// homes returns the live daemons of the region that act as homes.
+func (v *View) homes(region string) []Peer {
 	peers := slices.DeleteFunc(v.Peers(), func(p Peer) bool { return p.Region != region })
-	return rank(budget, peers)
+	if v.opt.Homes <= 0 || len(peers) <= v.opt.Homes {
+		return peers
+	}
+	return rank(homesKey, peers)[:v.opt.Homes]
 }
 
 func (v *View) scanAll(ctx context.Context) ([]platform.Row, error) {
--- a/pkg/cluster/view_test.go
+++ b/pkg/cluster/view_test.go
@@ -62,6 +62,36 @@
 	}
 }
 
+// Guards against more homes than the table's writes allow, homes that daemons
+// disagree about, and a home that is lost without another taking its place.
+func TestHomesAreLimited(t *testing.T) {
+	table := standin.New().Local()
+	const daemons, limit = 40, 5
+	var views []*View
+	for i := range daemons {
+		r := record(i, []string{"east", "west"}[i%2])
+		register(t, table, r)
+		views = append(views, NewView(Options{Table: table, Self: r, Homes: limit}))
+	}
+	seen := make(map[string]bool)
+	for _, v := range views {
+		assert.NilError(t, v.Poll(t.Context()))
+		for b := range 50 {
+			homes := v.Home(fmt.Sprintf("b%d", b), "east")
+			assert.Equal(t, len(homes), limit)
+			seen[homes[0].Incarnation] = true
+		}
+	}
+	assert.Equal(t, len(seen), limit)
+	lost := views[0].Home("b0", "east")
+	views[0].Unreachable(lost[0].Incarnation)
+	now := views[0].Home("b0", "east")
+	assert.Equal(t, len(now), limit)
+	for _, p := range now {
+		assert.Assert(t, p.Incarnation != lost[0].Incarnation)
+	}
+}
+
 // Guards against requests that wait for a peer that this daemon just failed to reach, and one ignored for ever.
 func TestUnreachablePeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -25,6 +25,7 @@
 	InsecureListen    bool           // permits listeners off loopback without TLS
 	CommitRate        float64        // table transactions per second, long-term average
 	CommitBurst       int            // table transactions that may start at once
+	Homes             int            // daemons of each region that act as homes of budgets
 	SettleWait        time.Duration  // longest wait for a durable bill line before the final token is released
 	HolderTTL         time.Duration  // a holder row that was not renewed for this long is fenced
 	RenewInterval     time.Duration  // time between renewals of the holder row
--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -28,6 +28,7 @@
 	assert.Equal(t, c.Host, "h1")
 	assert.Equal(t, c.CommitRate, 15.0)
 	assert.Equal(t, c.CommitBurst, 10)
+	assert.Equal(t, c.Homes, 10)
 	assert.Equal(t, c.SettleWait, 250*time.Millisecond)
 	assert.Equal(t, c.HolderTTL, 15*time.Second)
 	assert.Equal(t, c.BundlePoll, 2*time.Second)
@@ -43,7 +44,7 @@
 		"listen": "127.0.0.1:1001", "admin-listen": "127.0.0.1:1002", "peer-listen": "[::1]:1003",
 		"advertise-peer": "10.0.0.1:1004", "platform": "https://10.0.0.2:1/base", "platform-timeout": "3s",
 		"bootstrap-operator": "ana=" + testKey, "tls-cert": "c.pem", "tls-key": "k.pem", "tls-ca": "a.pem",
-		"insecure-listen": "true", "commit-rate": "20.5", "commit-burst": "7", "settle-wait": "100ms",
+		"insecure-listen": "true", "commit-rate": "20.5", "commit-burst": "7", "homes": "6", "settle-wait": "100ms",
 		"holder-ttl": "20s", "renew-interval": "4s", "bundle-poll": "1s", "report-interval": "700ms",
 		"drain-timeout": "1m", "max-body-bytes": "2048", "request-timeout": "5s", "idle-timeout": "6s",
 		"log-level": "debug", "log-format": "console",
@@ -75,6 +76,7 @@
 		assert.Equal(t, c.InsecureListen, true)
 		assert.Equal(t, c.CommitRate, 20.5)
 		assert.Equal(t, c.CommitBurst, 7)
+		assert.Equal(t, c.Homes, 6)
 		assert.Equal(t, c.SettleWait, 100*time.Millisecond)
 		assert.Equal(t, c.HolderTTL, 20*time.Second)
 		assert.Equal(t, c.RenewInterval, 4*time.Second)
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -23,6 +23,13 @@
 	return all
 }
 
+// Homes of each region. Each may commit 15 transactions per second, so that those
+// of two regions stay at 300 of the several hundred that the table handles.
+const (
+	defaultHomes = 10
+	maxHomes     = 100_000
+)
+
 func identitySettings() []setting {
 	return []setting{
 		nameSetting("host", "name of this host, unique in the fleet", func(c *Config) *string { return &c.Host }),
@@ -56,6 +63,8 @@
 		rateSetting(),
 		intSetting("commit-burst", "table transactions that may start at once", "transactions", 10, 1, 1000,
 			func(c *Config, n int64) { c.CommitBurst = int(n) }),
+		intSetting("homes", "daemons of each region that act as homes of budgets", "daemons", defaultHomes, 1, maxHomes,
+			func(c *Config, n int64) { c.Homes = int(n) }),
 		durationSetting("settle-wait", "longest wait for a durable bill line before the final token is released",
 			250*time.Millisecond, time.Millisecond, 30*time.Second, func(c *Config) *time.Duration { return &c.SettleWait }),
 		durationSetting("holder-ttl", "a holder row that was not renewed for this long is fenced",
--- a/pkg/daemon/session.go
+++ b/pkg/daemon/session.go
@@ -47,7 +47,7 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s := &session{record: record, version: version, cancel: cancel}
-	s.view = cluster.NewView(cluster.Options{Table: d.platform, Self: record, TTL: d.config.HolderTTL, OnBadRow: d.badRow})
+	s.view = cluster.NewView(cluster.Options{Table: d.platform, Self: record, TTL: d.config.HolderTTL, Homes: d.config.Homes, OnBadRow: d.badRow})
 	_ = s.view.Poll(ctx) // an unread view holds only this daemon, until the first scan
 	s.committer = commit.New(commit.Options{
 		Table:         d.platform,
