Delete the rows of holders that ended an hour ago

Each start of a daemon adds a holder row, and nothing deleted one.

Considered: a scan that skips stopped rows, which the table's interface does not offer; a second prefix for ended holders, which costs a write per end. Chosen: the repair role deletes a row that marks its holder as stopped, or as fenced without open grants, once it saw it unchanged for an hour. A paused holder that resumes later still fails its next commit, which requires the row. Closed grants stay, since late bill lines need them.

The deletion itself is covered by tests and was not run for an hour.

Conclusion: the number of rows follows the live daemons.

--- a/pkg/repair/repairer.go
+++ b/pkg/repair/repairer.go
@@ -100,7 +100,7 @@
 // inspect decides about one holder.
 func (r *Repairer) inspect(ctx context.Context, now time.Time, row platform.Row, holder lease.HolderRecord) error {
 	if holder.Stopped || r.closed[holder.Incarnation] {
-		return nil
+		return r.prune(ctx, now, row, holder.Incarnation)
 	}
 	if holder.Fenced {
 		return r.closeGrants(ctx, holder)
