pepperslopes: measure holder rows, homes and latency

A run with 32 daemons ended because a port that was free a moment ago had been taken by an outgoing connection. Daemons now listen for peers on loopback addresses that belong to the run.

--- a/cmd/pepperslopes/main.go
+++ b/cmd/pepperslopes/main.go
@@ -29,12 +29,13 @@
 func run() error {
 	daemon := defaultDaemon()
 	short := false
-	var only []string
+	var only, flags []string
 	measure := flaggy.NewSubcommand("measure")
 	measure.Description = "measure all slopes, or those of the named measurements"
 	measure.String(&daemon, "", "daemon", "path of peppertraild")
 	measure.Bool(&short, "", "short", "smallest sizes, to try the tool")
 	measure.StringSlice(&only, "", "only", "measurements to run; may be repeated")
+	measure.StringSlice(&flags, "", "setting", "setting of each daemon as NAME=VALUE; may be repeated")
 	flaggy.SetName("pepperslopes")
 	flaggy.SetDescription("measures how the cost of a fleet grows with its size")
 	flaggy.AttachSubcommand(measure, 1)
@@ -46,6 +47,9 @@
 	if short {
 		settings = slopes.ShortRun(daemon)
 	}
+	for _, f := range flags {
+		settings.Extra = append(settings.Extra, "--"+f)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
--- a/pkg/slopes/daemon_process.go
+++ b/pkg/slopes/daemon_process.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os/exec"
 	"sync"
 	"sync/atomic"
@@ -43,7 +42,7 @@
 
 // startDaemon starts a daemon. It is killed if the tool dies.
 func startDaemon(spec daemonSpec) (*daemonProcess, error) {
-	peerAddr, err := freeAddr()
+	peerAddr, err := privateAddr(spec.index)
 	if err != nil {
 		return nil, err
 	}
@@ -74,16 +73,6 @@
 	return d, nil
 }
 
-// freeAddr returns a loopback address whose port was free a moment ago.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // logLine is what the tool reads of a log line.
 type logLine struct {
 	Message   string `json:"message"`
--- a/pkg/slopes/fleet.go
+++ b/pkg/slopes/fleet.go
@@ -18,6 +18,7 @@
 	budgets   int
 	customers int
 	tokenTime time.Duration // per decoding step of the targets
+	spread    time.Duration // over which the daemons start
 	extra     []string      // further settings of each daemon
 }
 
@@ -63,15 +64,15 @@
 	if err := f.operator.createBudgets(ctx, 0, max(1, spec.budgets)); err != nil {
 		return f, err
 	}
-	if err := f.grow(spec.daemons); err != nil {
+	if err := f.grow(ctx, spec.daemons); err != nil {
 		return f, err
 	}
 	_, err = f.newBundle(ctx)
 	return f, err
 }
 
-// grow starts daemons until there are n.
-func (f *fleet) grow(n int) error {
+// grow starts daemons until there are n, spread over spec.spread.
+func (f *fleet) grow(ctx context.Context, n int) error {
 	first := len(f.daemons)
 	for i := first; i < n; i++ {
 		d, err := startDaemon(daemonSpec{
@@ -82,6 +83,9 @@
 			return err
 		}
 		f.daemons = append(f.daemons, d)
+		if err := sleep(ctx, f.spec.spread/time.Duration(n-first)); err != nil {
+			return err
+		}
 	}
 	for _, d := range f.daemons[first:] {
 		if err := d.awaitStart(); err != nil {
--- a/pkg/slopes/load.go
+++ b/pkg/slopes/load.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,7 +17,9 @@
 type load struct {
 	fleet  *fleet
 	client *http.Client
+	only   *daemonProcess // receives all requests; nil: the daemons in turn
 	next   atomic.Int64
+	times  stopwatch
 }
 
 // loadConnections bounds the idle connections to one daemon.
@@ -33,11 +36,23 @@
 // errNoAnswer means that a stream ended without its last event.
 var errNoAnswer = errors.New("stream without its last event")
 
-// send sends one request and reads its whole answer. The budget follows from
-// the request's number, so that all budgets are drawn on in turn.
+// budget returns the budget of the n-th request. One daemon draws on all budgets
+// in turn; several draw at random, so that each budget is drawn on from everywhere.
+func (l *load) budget(n int64) int {
+	budgets := max(1, l.fleet.spec.budgets)
+	if len(l.fleet.daemons) == 1 {
+		return int(n) % budgets
+	}
+	return rand.IntN(budgets)
+}
+
+// send sends one request and reads its whole answer.
 func (l *load) send(ctx context.Context, tokens int) error {
 	n := l.next.Add(1)
-	daemon := l.fleet.daemons[n%int64(len(l.fleet.daemons))]
+	daemon := l.only
+	if daemon == nil {
+		daemon = l.fleet.daemons[n%int64(len(l.fleet.daemons))]
+	}
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Menu of day %d"}]}`, farmModel, tokens, n)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.callers+"/v1/chat/completions", bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -45,23 +60,22 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+l.fleet.operator.apiKey)
 	req.Header.Set("Idempotency-Key", fmt.Sprintf("slopes-%d", n))
-	req.Header.Set("X-Peppertrail-Budget", budgetName(int(n)%max(1, l.fleet.spec.budgets)))
+	req.Header.Set("X-Peppertrail-Budget", budgetName(l.budget(n)))
+	begin := time.Now()
 	resp, err := l.client.Do(req)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return err
-	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %s", resp.StatusCode, answer)
+		refusal, _ := io.ReadAll(resp.Body) // the status tells enough if it is cut short
+		return fmt.Errorf("status %d: %s", resp.StatusCode, refusal)
 	}
-	if !bytes.Contains(answer, []byte("data: [DONE]")) {
-		return errNoAnswer
+	whole, err := l.times.read(resp.Body, begin)
+	if err == nil && !whole {
+		err = errNoAnswer
 	}
-	return nil
+	return err
 }
 
 // sendAll sends n requests from a number of workers and returns how many failed
--- a/pkg/slopes/measure_budgets.go
+++ b/pkg/slopes/measure_budgets.go
@@ -19,7 +19,7 @@
 }
 
 func measureHeld(ctx context.Context, s Settings, n int, results *series) error {
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: 1, targets: requestTargets, budgets: n})
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: 1, targets: requestTargets, budgets: n}))
 	defer f.stop()
 	if err != nil {
 		return err
@@ -40,7 +40,12 @@
 	if err != nil {
 		return err
 	}
+	idle, err := f.watch(ctx, s.Window)
+	if err != nil {
+		return err
+	}
 	size := float64(n)
+	results.add("idle_cpu_percent_per_budget_held", size, percent(idle))
 	results.add("memory_bytes_per_budget_named", size, float64(before.heap))
 	results.add("memory_bytes_per_budget_held", size, float64(w.heap))
 	results.add("table_writes_per_budget_opened", size, float64(sum(w.calls.Writes)))
--- a/pkg/slopes/measure_fleet.go
+++ b/pkg/slopes/measure_fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -26,7 +27,7 @@
 }
 
 func measureIdle(ctx context.Context, s Settings, n int, results *series, out io.Writer) error {
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: n, targets: fleetTargets, customers: fleetCustomers})
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: n, targets: fleetTargets, customers: fleetCustomers}))
 	defer f.stop()
 	if err != nil {
 		return err
@@ -40,7 +41,7 @@
 	}
 	addIdle(results, float64(n), w)
 	printRoles(out, "idle", n, w)
-	return addBundles(ctx, f, s.Bundles, results)
+	return addBundles(ctx, f, s, results)
 }
 
 // addIdle records what a fleet of n daemons used.
@@ -56,10 +57,13 @@
 
 // addBundles records how long bundles take to be in force everywhere, and the
 // bytes that they cause between daemons.
-func addBundles(ctx context.Context, f *fleet, count int, results *series) error {
+func addBundles(ctx context.Context, f *fleet, s Settings, results *series) error {
 	var worst time.Duration
 	before := f.peerBytes.Load()
-	for range count {
+	for range s.Bundles {
+		if err := sleep(ctx, rand.N(s.Spread+1)); err != nil {
+			return err
+		}
 		taken, err := f.newBundle(ctx)
 		if err != nil {
 			return err
@@ -71,7 +75,7 @@
 	}
 	n := float64(len(f.daemons))
 	results.add("bundle_in_force_everywhere_seconds", n, worst.Seconds())
-	results.add("bundle_peer_bytes_per_bundle", n, float64(f.peerBytes.Load()-before)/float64(count))
+	results.add("bundle_peer_bytes_per_bundle", n, float64(f.peerBytes.Load()-before)/float64(s.Bundles))
 	return nil
 }
 
--- /dev/null
+++ b/pkg/slopes/measure_holders.go
@@ -0,0 +1,76 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+const (
+	holderScanners = 4
+	// holderPage is the number of rows that a daemon reads per scan call.
+	holderPage = 500
+)
+
+// measureHolders measures a scan of the holder rows against their number. The
+// rows belong to daemons that stopped, since each restart leaves one.
+func measureHolders(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
+	results := newSeries("row")
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: holderScanners, targets: 1}))
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	written := holderScanners
+	for _, n := range s.HolderSizes {
+		if err := f.addStopped(ctx, written, n); err != nil {
+			return nil, err
+		}
+		written = n
+		if err := sleep(ctx, s.Settle); err != nil {
+			return nil, err
+		}
+		w, err := f.watch(ctx, s.Window)
+		if err != nil {
+			return nil, err
+		}
+		addHolders(results, n, w)
+	}
+	return results.slopes(), nil
+}
+
+// addHolders records the cost of one scan: the time between scans depends on
+// the number of rows too.
+func addHolders(results *series, n int, w window) {
+	pages := float64(n/holderPage + 1)
+	scans := max(1, float64(w.calls.Reads["holder"])/pages)
+	results.add("platform_bytes_per_holder_row_scanned", float64(n), w.platform/scans)
+	results.add("cpu_seconds_per_holder_row_scanned", float64(n), w.cpu.Seconds()/scans)
+	results.add("holder_scans_per_second_per_daemon", float64(n), scans/w.seconds/holderScanners)
+}
+
+// addStopped writes the rows of stopped daemons with the numbers first to last-1.
+func (f *fleet) addStopped(ctx context.Context, first, last int) error {
+	for ; first < last; first += putsPerTxn {
+		txn := platform.Txn{ID: fmt.Sprintf("slopes-holders-%d", first)}
+		for i := first; i < min(first+putsPerTxn, last); i++ {
+			record := lease.HolderRecord{
+				Incarnation: fmt.Sprintf("host%d~0123456789ab", i), Host: fmt.Sprintf("host%d", i), PeerAddr: "127.0.0.1:1",
+				Region: region(i), FailureDomain: failureDomain(i), Renewals: 1000, Stopped: true, BundleVersion: 1,
+			}
+			value, err := json.Marshal(record)
+			if err != nil {
+				return err
+			}
+			txn.Puts = append(txn.Puts, platform.Put{Key: lease.HolderKey(record.Incarnation), Value: value})
+		}
+		if _, err := f.platform.client.Commit(ctx, txn); err != nil {
+			return fmt.Errorf("write holder rows: %w", err)
+		}
+	}
+	return nil
+}
--- a/pkg/slopes/measure_loaded.go
+++ b/pkg/slopes/measure_loaded.go
@@ -10,6 +10,10 @@
 	// loadedRate and loadedBudgets are per daemon.
 	loadedRate    = 9.0 // requests per second, the design size's 3,100 over 340 daemons
 	loadedBudgets = 4
+	// loadedHomes is the number of homes per region. It is to the fleets measured
+	// here as the default is to the design size, so that the writes of a few
+	// homes and of many other daemons are both seen.
+	loadedHomes = "--homes=2"
 )
 
 // measureLoaded measures table calls and bytes of fleets under load.
@@ -24,7 +28,10 @@
 }
 
 func measureBusy(ctx context.Context, s Settings, n int, results *series, out io.Writer) error {
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: n, targets: fleetTargets, budgets: n * loadedBudgets, customers: fleetCustomers})
+	f, err := startFleet(ctx, s.spec(fleetSpec{
+		extra: []string{loadedHomes}, daemons: n,
+		targets: fleetTargets, budgets: n * loadedBudgets, customers: fleetCustomers,
+	}))
 	defer f.stop()
 	if err != nil {
 		return err
--- a/pkg/slopes/measure_requests.go
+++ b/pkg/slopes/measure_requests.go
@@ -15,7 +15,7 @@
 // measureRequests measures what one daemon spends per request.
 func measureRequests(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
 	results := newSeries("request")
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: 1, targets: requestTargets})
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: 1, targets: requestTargets}))
 	defer f.stop()
 	if err != nil {
 		return nil, err
@@ -38,6 +38,8 @@
 			return nil, err
 		}
 		addRequests(results, float64(n), w)
+		// Memory is that of all requests so far, since a daemon remembers them.
+		results.add("memory_bytes_per_remembered_request", float64(l.next.Load()), float64(w.heap))
 	}
 	return results.slopes(), nil
 }
@@ -49,7 +51,6 @@
 	results.add("table_rows_written_per_request", n, float64(sum(w.calls.Rows)))
 	results.add("platform_bytes_per_request", n, w.platform)
 	results.add("target_bytes_per_request", n, w.targets)
-	results.add("memory_bytes_per_finished_request", n, float64(w.heap))
 }
 
 // warmUp waits until the targets are known and sends a few requests, so that
--- a/pkg/slopes/measure_streams.go
+++ b/pkg/slopes/measure_streams.go
@@ -15,7 +15,7 @@
 // measureStreams measures the memory of one daemon against open streams.
 func measureStreams(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
 	results := newSeries("stream")
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: 1, targets: requestTargets, tokenTime: openTokenTime})
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: 1, targets: requestTargets, tokenTime: openTokenTime}))
 	defer f.stop()
 	if err != nil {
 		return nil, err
--- a/pkg/slopes/measure_targets.go
+++ b/pkg/slopes/measure_targets.go
@@ -11,7 +11,7 @@
 // measureTargets measures what an idle daemon spends per target.
 func measureTargets(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
 	results := newSeries("target")
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: targetPollers, targets: s.TargetSizes[0]})
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: targetPollers, targets: s.TargetSizes[0]}))
 	defer f.stop()
 	if err != nil {
 		return nil, err
--- a/pkg/slopes/measure_tokens.go
+++ b/pkg/slopes/measure_tokens.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	tokenStreams = 100
+	tokenStreams = 200
 	tokenTime    = 20 * time.Millisecond // one write per token, as engines send them
 )
 
 // measureTokens measures what one daemon spends per streamed token.
 func measureTokens(ctx context.Context, s Settings, _ io.Writer) ([]Slope, error) {
 	results := newSeries("token")
-	f, err := startFleet(ctx, fleetSpec{binary: s.Daemon, daemons: 1, targets: requestTargets, tokenTime: tokenTime})
+	f, err := startFleet(ctx, s.spec(fleetSpec{daemons: 1, targets: requestTargets, tokenTime: tokenTime}))
 	defer f.stop()
 	if err != nil {
 		return nil, err
--- a/pkg/slopes/measurement.go
+++ b/pkg/slopes/measurement.go
@@ -17,9 +17,12 @@
 func Measurements() []Measurement {
 	return []Measurement{
 		{Name: "fleet", run: measureFleet},
+		{Name: "holders", run: measureHolders},
 		{Name: "targets", run: measureTargets},
 		{Name: "requests", run: measureRequests},
+		{Name: "homes", run: measureHomes},
 		{Name: "tokens", run: measureTokens},
+		{Name: "latency", run: measureLatency},
 		{Name: "streams", run: measureStreams},
 		{Name: "budgets", run: measureBudgets},
 		{Name: "loaded", run: measureLoaded},
--- a/pkg/slopes/settings.go
+++ b/pkg/slopes/settings.go
@@ -1,19 +1,27 @@
 package slopes
 
-import "time"
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+)
 
 // Settings are the sizes and durations of a run.
 type Settings struct {
 	Daemon       string        // path of the peppertraild binary
 	FleetSizes   []int         // daemons of the idle and loaded fleets
+	HolderSizes  []int         // holder rows, most of them of stopped daemons
 	TargetSizes  []int         // targets polled by two daemons
 	BudgetSizes  []int         // budgets held by one daemon
 	StreamSizes  []int         // streams open at one daemon
 	RequestSizes []int         // requests sent to one daemon
+	RateSizes    []int         // requests per second at one daemon
 	TokenSizes   []int         // tokens per stream
 	Window       time.Duration // length of one measurement
 	Settle       time.Duration // wait before a measurement
+	Spread       time.Duration // over which the daemons of a fleet start
 	Bundles      int           // bundles per fleet size
+	Extra        []string      // further flags of each daemon
 }
 
 // FullRun returns the settings of make slopes.
@@ -21,14 +29,19 @@
 	return Settings{
 		Daemon:       daemon,
 		FleetSizes:   []int{4, 8, 16, 32},
-		TargetSizes:  []int{25, 50, 100, 200, 400},
+		HolderSizes:  []int{200, 400, 800, 1600},
+		TargetSizes:  []int{50, 100, 200, 400, 600},
 		BudgetSizes:  []int{500, 1000, 2000, 4000},
 		StreamSizes:  []int{100, 200, 400, 800},
 		RequestSizes: []int{500, 1000, 2000, 4000},
-		TokenSizes:   []int{16, 32, 64, 128},
-		Window:       10 * time.Second,
+		RateSizes:    []int{25, 50, 100, 200},
+		TokenSizes:   []int{32, 64, 128, 256},
+		Window:       8 * time.Second,
 		Settle:       4 * time.Second,
-		Bundles:      3,
+		// Daemons that start at once read the bundle head in step, so that none
+		// learns of a bundle from a peer.
+		Spread:  bundle.BundlePoll,
+		Bundles: 5,
 	}
 }
 
@@ -37,13 +50,24 @@
 	return Settings{
 		Daemon:       daemon,
 		FleetSizes:   []int{1, 2},
+		HolderSizes:  []int{8, 16},
 		TargetSizes:  []int{2, 4},
 		BudgetSizes:  []int{4, 8},
 		StreamSizes:  []int{4, 8},
 		RequestSizes: []int{8, 16},
+		RateSizes:    []int{10, 20},
 		TokenSizes:   []int{4, 8},
 		Window:       300 * time.Millisecond,
 		Settle:       700 * time.Millisecond,
 		Bundles:      1,
+		Extra:        []string{"--bundle-poll=100ms"},
 	}
 }
+
+// spec completes the description of a fleet by the settings.
+func (s Settings) spec(f fleetSpec) fleetSpec {
+	f.binary = s.Daemon
+	f.spread = s.Spread
+	f.extra = append(f.extra, s.Extra...)
+	return f
+}
--- /dev/null
+++ b/pkg/slopes/stopwatch_test.go
@@ -0,0 +1,33 @@
+package slopes
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a percentile that is one rank off, which hides the slow ones.
+func TestQuantile(t *testing.T) {
+	var values []time.Duration
+	for i := 100; i > 0; i-- {
+		values = append(values, time.Duration(i)*time.Millisecond)
+	}
+	assert.Equal(t, quantile(values, 0.95), 95.0)
+	assert.Equal(t, quantile(values[:1], 0.95), 1.0)
+	assert.Equal(t, quantile(nil, 0.95), 0.0)
+}
+
+// Guards against a stream that broke off being taken for a whole answer.
+func TestStopwatchSeesTheEnd(t *testing.T) {
+	s := &stopwatch{}
+	whole, err := s.read(strings.NewReader("data: {}\n\ndata: {}\n\n"), time.Now())
+	assert.NilError(t, err)
+	assert.Assert(t, !whole)
+	whole, err = s.read(strings.NewReader("data: {}\n\ndata: [DONE]\n\n"), time.Now())
+	assert.NilError(t, err)
+	assert.Assert(t, whole)
+	assert.Equal(t, len(s.firsts), 2)
+	assert.Equal(t, len(s.gaps), 1)
+}
