--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint demo bench clean
+.PHONY: build test lint demo bench slopes clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -23,3 +23,6 @@
 # The policy measurement takes almost ten minutes.
 bench: build
 	$(BIN)/pepperload bench
+
+slopes: build
+	$(BIN)/pepperslopes measure
--- /dev/null
+++ b/pkg/slopes/load.go
@@ -0,0 +1,125 @@
+package slopes
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// load sends streamed requests to the daemons of a fleet in turn.
+type load struct {
+	fleet  *fleet
+	client *http.Client
+	only   *daemonProcess // receives all requests; nil: the daemons in turn
+	next   atomic.Int64
+	times  stopwatch
+}
+
+// loadConnections bounds the idle connections to one daemon.
+const loadConnections = 1024
+
+func newLoad(f *fleet) *load {
+	return &load{fleet: f, client: &http.Client{Transport: &http.Transport{
+		MaxIdleConns: loadConnections, MaxIdleConnsPerHost: loadConnections,
+	}}}
+}
+
+func (l *load) close() { l.client.CloseIdleConnections() }
+
+// errNoAnswer means that a stream ended without its last event.
+var errNoAnswer = errors.New("stream without its last event")
+
+// budget returns the budget of the n-th request. One daemon draws on all budgets
+// in turn; several draw at random, so that each budget is drawn on from everywhere.
+func (l *load) budget(n int64) int {
+	budgets := max(1, l.fleet.spec.budgets)
+	if len(l.fleet.daemons) == 1 {
+		return int(n) % budgets
+	}
+	return rand.IntN(budgets)
+}
+
+// send sends one request and reads its whole answer.
+func (l *load) send(ctx context.Context, tokens int) error {
+	n := l.next.Add(1)
+	daemon := l.only
+	if daemon == nil {
+		daemon = l.fleet.daemons[n%int64(len(l.fleet.daemons))]
+	}
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Menu of day %d"}]}`, farmModel, tokens, n)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.callers+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+l.fleet.operator.apiKey)
+	req.Header.Set("Idempotency-Key", fmt.Sprintf("slopes-%d", n))
+	req.Header.Set("X-Peppertrail-Budget", budgetName(l.budget(n)))
+	begin := time.Now()
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		refusal, _ := io.ReadAll(resp.Body) // the status tells enough if it is cut short
+		return fmt.Errorf("status %d: %s", resp.StatusCode, refusal)
+	}
+	whole, err := l.times.read(resp.Body, begin)
+	if err == nil && !whole {
+		err = errNoAnswer
+	}
+	return err
+}
+
+// sendAll sends n requests from a number of workers and returns how many failed
+// and the first error.
+func (l *load) sendAll(ctx context.Context, n, workers, tokens int) (failed int64, first error) {
+	var left, failures atomic.Int64
+	left.Store(int64(n))
+	var once sync.Once
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for left.Add(-1) >= 0 && ctx.Err() == nil {
+				if err := l.send(ctx, tokens); err != nil {
+					failures.Add(1)
+					once.Do(func() { first = err })
+				}
+			}
+		})
+	}
+	group.Wait()
+	return failures.Load(), first
+}
+
+// sendAt sends requests at a rate for a duration and returns how many were sent
+// and how many failed.
+func (l *load) sendAt(ctx context.Context, rate float64, d time.Duration, tokens int) (sent, failed int64) {
+	var failures atomic.Int64
+	var group sync.WaitGroup
+	defer func() { failed = failures.Load() }()
+	defer group.Wait()
+	begin := time.Now()
+	for ctx.Err() == nil {
+		elapsed := time.Since(begin)
+		if elapsed >= d {
+			break
+		}
+		for due := int64(rate * elapsed.Seconds()); sent < due; sent++ {
+			group.Go(func() {
+				if l.send(ctx, tokens) != nil {
+					failures.Add(1)
+				}
+			})
+		}
+		_ = sleep(ctx, time.Millisecond)
+	}
+	return sent, 0
+}
