Tell the truth about retried orders, charge abandoned attempts

Cause: (1) a non-idempotent request whose first submission ran, and whose retry met a host without targets or a table that was down, was refused as not_run; its caller may then send the order under a new key. (2) A reservation whose entry daemon died stayed open at the home for ever and blocked its graceful stop. Ruled out: a durable trace of every request before dispatch (one group commit wait before each first token, against 5 ms at p99). Change: before not_run is sent for a non-idempotent request the gateway looks its claim up, for at most 250 ms, and weakens the verdict if there is one or the table does not answer. Conclusion: verdicts of orders hold across submissions.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -119,6 +119,7 @@
 		Engine:         d.engine,
 		RetryBudget:    d.picker,
 		Identity:       d,
+		Claims:         claims{d.platform},
 		Metrics:        d.metrics,
 		Journal:        d.journal,
 		Logger:         d.logs.Logger("gateway"),
--- a/pkg/daemon/observer.go
+++ b/pkg/daemon/observer.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/phuslu/log"
@@ -35,6 +36,11 @@
 	o.repairs.add(telemetry.RepairRequestStopped, fingerprint, "Targets "+strings.Join(targets, ", ")+" died while they ran the request. It is refused from now on.")
 }
 
+// AttemptExpired implements home.Observer.
+func (o *homeObserver) AttemptExpired(stream string, bound int64) {
+	o.repairs.add(telemetry.RepairAttemptExpired, stream, fmt.Sprintf("No daemon settled the stream. Its bound of %d tokens was charged.", bound))
+}
+
 // Overrun implements home.Observer.
 func (o *homeObserver) Overrun(stream string, bound, reported int64) {
 	o.log.Error().Str("stream", stream).Int64("bound", bound).Int64("reported", reported).Msg("Target reported more than the bound. The bound was charged.")
--- /dev/null
+++ b/pkg/gateway/claims_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/verdict"
+)
+
+// fakeClaims answers every look-up alike.
+type fakeClaims struct {
+	claimed bool
+	err     error
+	asked   int
+}
+
+func (c *fakeClaims) Claimed(context.Context, string, string) (bool, error) {
+	c.asked++
+	return c.claimed, c.err
+}
+
+// Guards against "not run" for a retry whose first submission ran: its caller
+// would send the order again under a new key.
+func TestRefusalOfClaimedRequest(t *testing.T) {
+	cases := []struct {
+		desc     string
+		claims   fakeClaims
+		set      setHeader
+		shutdown bool
+		verdict  verdict.Verdict
+		reason   verdict.Reason
+		asked    int
+	}{
+		{"no claim", fakeClaims{}, once, false, verdict.NotRun, verdict.NoTarget, 1},
+		{"claimed", fakeClaims{claimed: true}, once, false, verdict.MayHaveRun, verdict.NoTarget, 1},
+		{"table down", fakeClaims{err: errors.New("down")}, once, false, verdict.MayHaveRun, verdict.NoTarget, 1},
+		{"claimed, shutting down", fakeClaims{claimed: true}, once, true, verdict.MayHaveRun, verdict.ShuttingDown, 1},
+		{"idempotent", fakeClaims{claimed: true}, withKey, false, verdict.NotRun, verdict.NoTarget, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := newRig(t)
+			r.server.opts.Claims = &tc.claims
+			r.picker.targets = nil
+			if tc.shutdown {
+				r.server.BeginShutdown()
+			}
+			assertRefused(t, r.chat(streamBody, tc.set), tc.verdict, tc.reason)
+			assert.Equal(t, tc.claims.asked, tc.asked)
+		})
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -49,11 +49,10 @@
 }
 
 // serve runs an admitted request to its end.
-func (x *exchange) serve(req *request) {
-	x.req = req
+func (x *exchange) serve() {
 	x.ctx, x.cancel = context.WithTimeout(context.WithoutCancel(x.r.Context()), x.server.opts.RequestTimeout)
 	defer x.cancel()
-	if !req.nonIdempotent {
+	if !x.req.nonIdempotent {
 		// A non-idempotent request goes on without its caller, so that a retry can attach.
 		stop := context.AfterFunc(x.r.Context(), x.cancel)
 		defer stop()
@@ -120,11 +119,7 @@
 // refuse ends the request with a refusal. A refusal that follows a dispatch
 // says that the request may have run.
 func (x *exchange) refuse(e *verdict.Error) {
-	if x.mayHaveRun && e.Verdict == verdict.NotRun {
-		weaker := *e
-		weaker.Verdict = verdict.MayHaveRun
-		e = &weaker
-	}
+	e = x.truthful(e)
 	x.server.opts.Metrics.Refused(e)
 	x.note(telemetry.Step{Kind: telemetry.StepRefused, Verdict: e.Verdict, Reason: e.Reason, Detail: e.Message})
 	if x.sink != nil && x.sink.started() {
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -29,6 +29,7 @@
 	Engine      engine.Client
 	RetryBudget RetryBudget
 	Identity    Identity
+	Claims      Claims // nil: refusals speak of the present submission only
 	Metrics     *telemetry.Metrics
 	Journal     *telemetry.Journal
 	Logger      *log.Logger
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -105,17 +105,18 @@
 func (s *Server) handle(admit admitFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := newExchange(s, w, r)
-		if !s.inflight.enter() {
-			x.refuse(verdict.New(verdict.NotRun, verdict.ShuttingDown, "this host is shutting down").After(shortRetry))
-			return
-		}
-		defer s.inflight.leave()
 		req, refusal := x.admit(admit)
 		if refusal != nil {
 			x.refuse(refusal)
 			return
 		}
-		x.serve(req)
+		x.req = req
+		if !s.inflight.enter() {
+			x.refuse(verdict.New(verdict.NotRun, verdict.ShuttingDown, "this host is shutting down").After(shortRetry))
+			return
+		}
+		defer s.inflight.leave()
+		x.serve()
 	}
 }
 
--- /dev/null
+++ b/pkg/home/expiry.go
@@ -0,0 +1,40 @@
+package home
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// openAttempt is an attempt that was granted and not settled.
+type openAttempt struct {
+	settle  SettleRequest // what to settle if its entry daemon never does
+	granted time.Time
+}
+
+// expireAttempts charges the bound of attempts whose entry daemon died. Until
+// then a retry may attach to their streams and settle them by the usage.
+func (l *Local) expireAttempts(now time.Time) {
+	for _, stream := range slices.Sorted(maps.Keys(l.attempts)) {
+		a := l.attempts[stream]
+		if now.Sub(a.granted) < l.opts.MaxAttempt {
+			continue
+		}
+		delete(l.attempts, stream)
+		r, ok := l.ledger.Reservation(stream)
+		if !ok {
+			continue
+		}
+		l.opts.Observer.AttemptExpired(stream, r.Bound)
+		l.settleOwn(now, &settleMessage{req: a.settle}, r)
+	}
+}
+
+// trackAttempt remembers a granted attempt until it is settled.
+func (l *Local) trackAttempt(now time.Time, req ReserveRequest, stream string) {
+	s := req.undispatched(stream)
+	s.Outcome = Failed
+	s.UsageKnown = false
+	s.Tokens = req.Bound
+	l.attempts[stream] = openAttempt{settle: s, granted: now}
+}
--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -46,9 +46,10 @@
 	settled   map[string]*settlement // by stream, until its grant is closed
 	lines     map[string]lineState   // by line key, while the registry knows the request
 	claims    map[string]*pendingClaim
-	crashRows map[string]uint64   // version of the crash row by fingerprint
-	waiters   []*waiter           // in order of arrival
-	woken     map[string]struct{} // budgets whose waiters are tried again
+	attempts  map[string]openAttempt // by stream
+	crashRows map[string]uint64      // version of the crash row by fingerprint
+	waiters   []*waiter              // in order of arrival
+	woken     map[string]struct{}    // budgets whose waiters are tried again
 	nextGrant uint64
 	lastFlush time.Time
 	lastSweep time.Time
@@ -75,6 +76,7 @@
 	l.settled = make(map[string]*settlement)
 	l.lines = make(map[string]lineState)
 	l.claims = make(map[string]*pendingClaim)
+	l.attempts = make(map[string]openAttempt)
 	l.crashRows = make(map[string]uint64)
 	l.waiters = nil
 	l.woken = make(map[string]struct{})
@@ -138,6 +140,7 @@
 		l.lastSweep = now
 		l.closeGrants(now)
 		l.sweepRequests(now)
+		l.expireAttempts(now)
 	}
 }
 
--- a/pkg/home/options.go
+++ b/pkg/home/options.go
@@ -23,6 +23,7 @@
 	LineBilled(customer string, tokens int64)
 	RequestStopped(fingerprint string, targets []string)
 	Overrun(stream string, bound, reported int64)
+	AttemptExpired(stream string, bound int64)
 }
 
 // Options sets up a Local authority. Zero durations take the defaults.
@@ -37,6 +38,7 @@
 	ReserveWait   time.Duration    // how long a reservation waits for a grant or a claim
 	GrantIdle     time.Duration    // unused grants are closed after this
 	CrashLimit    int              // targets that may die under one request
+	MaxAttempt    time.Duration    // a reservation that was not settled for this long is charged its bound
 }
 
 // Defaults of Options.
@@ -49,6 +51,9 @@
 	DefaultReserveWait = 250 * time.Millisecond
 	DefaultGrantIdle   = 60 * time.Second
 	DefaultCrashLimit  = 2
+	// DefaultMaxAttempt exceeds the request timeout of 10 min, after which no
+	// entry daemon reads or settles a stream any more.
+	DefaultMaxAttempt = 15 * time.Minute
 )
 
 func (o Options) withDefaults() Options {
@@ -67,6 +72,9 @@
 	if o.CrashLimit == 0 {
 		o.CrashLimit = DefaultCrashLimit
 	}
+	if o.MaxAttempt == 0 {
+		o.MaxAttempt = DefaultMaxAttempt
+	}
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
@@ -81,3 +89,4 @@
 func (noObserver) LineBilled(string, int64)        {}
 func (noObserver) RequestStopped(string, []string) {}
 func (noObserver) Overrun(string, int64, int64)    {}
+func (noObserver) AttemptExpired(string, int64)    {}
--- a/pkg/home/reserve.go
+++ b/pkg/home/reserve.go
@@ -100,6 +100,7 @@
 
 // granted completes a reservation, after a durable claim where one is needed.
 func (l *Local) granted(now time.Time, m *reserveMessage, r budget.Reservation) {
+	l.trackAttempt(now, m.req, r.Stream)
 	if m.req.NonIdempotent {
 		l.writeClaim(now, m, r)
 		return
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -96,6 +96,7 @@
 
 // settleOwn settles a reservation of this ledger.
 func (l *Local) settleOwn(now time.Time, m *settleMessage, r budget.Reservation) {
+	delete(l.attempts, r.Stream)
 	req := m.req
 	if req.Outcome == NotDispatched {
 		l.settleUndispatched(now, m, r)
--- a/pkg/telemetry/labels.go
+++ b/pkg/telemetry/labels.go
@@ -34,6 +34,7 @@
 	RepairGrantRefunded  RepairKind = "grant_refunded"  // the unspent part of a closed grant was returned to its budget
 	RepairLateLine       RepairKind = "late_line"       // a line for a closed grant was moved out of its written-off part
 	RepairRequestStopped RepairKind = "request_stopped" // a request that killed several targets is refused from now on
+	RepairAttemptExpired RepairKind = "attempt_expired" // the bound of an attempt that no daemon settled was charged
 	RepairBadRow         RepairKind = "bad_row"         // a table row that cannot be decoded was skipped
 )
 
@@ -46,7 +47,7 @@
 }
 
 func repairKinds() []RepairKind {
-	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairRequestStopped, RepairBadRow}
+	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairRequestStopped, RepairAttemptExpired, RepairBadRow}
 }
 
 func verdicts() []verdict.Verdict {
