Record take-overs, quarantined targets and missed bundles as repairs

Cause: operators could see fenced holders and closed grants, but not roles taken over, targets that failed or versions that a host had missed; the counter of table transactions was never increased, and the deadline estimate of the picker assumed 2 s for every request. Weighed: a row in the table per event (a failed target is seen by every daemon, so one event would write as many rows as there are daemons) against the daemon's own log, counter and list; the second was chosen. Conclusion: each repair of the fleet has a log line, a counter and an entry.

--- a/pkg/cluster/view.go
+++ b/pkg/cluster/view.go
@@ -115,6 +115,13 @@
 	v.unreachable.add(incarnation, time.Now())
 }
 
+// Live returns the live daemons by the table, also those left out as unreachable.
+func (v *View) Live() []Peer {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.peers
+}
+
 // Peers returns the live daemons of all regions, this one included, without the unreachable ones.
 func (v *View) Peers() []Peer {
 	v.mu.RLock()
--- a/pkg/daemon/bundles.go
+++ b/pkg/daemon/bundles.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/peppertrail/peppertrail/pkg/cluster"
 	"github.com/peppertrail/peppertrail/pkg/config"
 	"github.com/peppertrail/peppertrail/pkg/peer"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
 const (
@@ -39,11 +41,25 @@
 // bundleAdopted puts a new version into force.
 func (d *Daemon) bundleAdopted(a bundle.Adoption) {
 	d.metrics.SetBundle(d.watcher.Version(), d.watcher.Unconfirmed())
+	d.noteCatchUp(a)
 	d.logs.Logger("bundle").Info().Uint64("version", a.Index.Bundle.Version).Str("source", string(a.Source)).Msg("Bundle in force.")
 	d.applyServices(*a.Index.Bundle)
 	go d.pushBundle(a.Raw)
 }
 
+// noteCatchUp records that the daemon had missed versions or could not read
+// the table. Adoptions come one at a time.
+func (d *Daemon) noteCatchUp(a bundle.Adoption) {
+	version := a.Index.Bundle.Version
+	before := d.bundleBefore
+	d.bundleBefore = version
+	if before == 0 || (a.Source == bundle.FromTable && version <= before+1) {
+		return
+	}
+	text := fmt.Sprintf("Version %d learned from the %s after version %d.", version, a.Source, before)
+	d.repairs.add(telemetry.RepairBundleCaughtUp, fmt.Sprintf("v%d", version), text)
+}
+
 func (d *Daemon) bundlePolled(err error) {
 	if err != nil {
 		d.logs.Logger("bundle").Debug().Err(err).Msg("Bundle head not read.")
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -49,8 +49,10 @@
 	session  atomic.Pointer[session]
 	peerAddr string // address that other daemons connect to
 	targets  targetList
-	listen   *listeners
-	replaced AuthoritiesFunc // nil: the router
+
+	bundleBefore uint64 // last adopted version; owned by the watcher's callback
+	listen       *listeners
+	replaced     AuthoritiesFunc // nil: the router
 }
 
 // New builds a daemon from checked settings. Logs go to out. It does no I/O
--- a/pkg/daemon/gauges.go
+++ b/pkg/daemon/gauges.go
@@ -14,17 +14,36 @@
 func (d *Daemon) updateGauges(ctx context.Context) {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	states := make(targetStates)
+	commits := commitCounts{}
 	for {
 		select {
 		case <-ticker.C:
 			d.metrics.SetBundle(d.watcher.Version(), d.watcher.Unconfirmed())
 			d.metrics.SetPendingSettlements(d.gateway.Pending())
+			d.noteFailedTargets(states)
+			d.retainPeers()
+			commits.update(d.session.Load(), d.metrics)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// retainPeers closes the connections to daemons that are no longer live.
+func (d *Daemon) retainPeers() {
+	s := d.session.Load()
+	if s == nil {
+		return
+	}
+	peers := s.view.Live()
+	addrs := make([]string, 0, len(peers))
+	for _, p := range peers {
+		addrs = append(addrs, p.Addr)
+	}
+	d.pool.Retain(addrs)
+}
+
 func (d *Daemon) badRow(key string, err error) {
 	d.log.Warn().Err(err).Str("key", key).Msg("Row cannot be decoded and is skipped.")
 }
--- a/pkg/daemon/picker.go
+++ b/pkg/daemon/picker.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// Served implements gateway.Picker.
+func (p *picker) Served(service string, occupied time.Duration) {
+	p.policy.ObserveOccupancy(service, occupied)
+}
+
 // Target implements gateway.Targets.
 func (p *picker) Target(id string) (target.Target, bool) {
 	for _, s := range p.poller.View() {
--- /dev/null
+++ b/pkg/daemon/quarantine.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"fmt"
+
+	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
+)
+
+// targetStates follows the targets' states, to report those that failed.
+type targetStates map[string]target.State
+
+// update returns the targets that stopped working since the last call.
+func (s targetStates) update(view []target.Status) []target.Status {
+	var failed []target.Status
+	seen := make(map[string]bool, len(view))
+	for _, status := range view {
+		id := status.Target.ID
+		seen[id] = true
+		if working(s[id]) && (status.State == target.Suspect || status.State == target.Gone) {
+			failed = append(failed, status)
+		}
+		s[id] = status.State
+	}
+	for id := range s {
+		if !seen[id] {
+			delete(s, id)
+		}
+	}
+	return failed
+}
+
+func working(state target.State) bool {
+	return state == target.Ready || state == target.Joining
+}
+
+// noteFailedTargets records targets that get no new work because they failed.
+func (d *Daemon) noteFailedTargets(states targetStates) {
+	for _, status := range states.update(d.poller.View()) {
+		text := fmt.Sprintf("The target at %s is %s: its connections or reports failed. It gets no new work until it reports again.", status.Target.Addr, status.State)
+		d.repairs.add(telemetry.RepairTargetQuarantined, status.Target.ID, text)
+	}
+}
--- a/pkg/daemon/repair.go
+++ b/pkg/daemon/repair.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
 	"github.com/peppertrail/peppertrail/pkg/repair"
@@ -17,7 +18,9 @@
 	lessor := lease.NewTableLessor(d.platform, d.Incarnation(), d.config.HolderTTL)
 	interval := d.config.HolderTTL / roleTries
 	lease.Hold(ctx, lessor, repair.Role, interval, func(ctx context.Context, l lease.Lease) {
-		d.logs.Logger("repair").Info().Uint64("fencing", l.Fencing).Msg("Repair role taken.")
+		if l.Fencing > 1 {
+			d.repairs.add(telemetry.RepairLeaseTaken, repair.Role, fmt.Sprintf("The role was free or its holder did not renew it. Taken with fencing number %d.", l.Fencing))
+		}
 		repair.New(repair.Options{
 			Table:  d.platform,
 			Lessor: lessor,
--- a/pkg/daemon/session.go
+++ b/pkg/daemon/session.go
@@ -12,6 +12,7 @@
 	"github.com/peppertrail/peppertrail/pkg/commit"
 	"github.com/peppertrail/peppertrail/pkg/home"
 	"github.com/peppertrail/peppertrail/pkg/lease"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
 const (
@@ -96,6 +97,7 @@
 		return
 	}
 	d.log.Warn().Str("incarnation", s.record.Incarnation).Msg("Host was fenced. Registering again.")
+	d.metrics.Committed(telemetry.CommitFenced)
 	s.cancel()
 	if err := d.startSession(context.WithoutCancel(ctx)); err != nil {
 		d.log.Error().Err(err).Msg("Host stays unregistered.")
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -36,7 +36,11 @@
 	}
 	x.join(a)
 	x.server.opts.Picker.Started(a.target.ID)
+	began := time.Now()
 	f := x.dispatchTo(a)
+	if f == nil {
+		x.server.opts.Picker.Served(x.req.service.Name, time.Since(began))
+	}
 	x.server.opts.Picker.Ended(a.target.ID, f != nil && !f.gone && !f.permanent)
 	return f
 }
--- a/pkg/gateway/picker.go
+++ b/pkg/gateway/picker.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/peppertrail/peppertrail/pkg/route"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
@@ -15,6 +17,8 @@
 	// Ended ends what Started counted. Failed means that the target did not
 	// answer or answered with an error, not that the caller left.
 	Ended(id string, failed bool)
+	// Served tells how long a completed request occupied a target of a service.
+	Served(service string, occupied time.Duration)
 }
 
 // Targets looks up targets, also those that take no new work.
--- a/pkg/gateway/rig_test.go
+++ b/pkg/gateway/rig_test.go
@@ -88,6 +88,8 @@
 	}
 }
 
+func (p *fakePicker) Served(string, time.Duration) {}
+
 func (p *fakePicker) Target(id string) (target.Target, bool) {
 	for _, t := range p.targets {
 		if t.ID == id {
--- a/pkg/telemetry/labels.go
+++ b/pkg/telemetry/labels.go
@@ -29,13 +29,16 @@
 
 // Kinds of repairs.
 const (
-	RepairHolderFenced   RepairKind = "holder_fenced"   // a holder that stopped renewing was fenced
-	RepairGrantClosed    RepairKind = "grant_closed"    // the grant of a dead holder was closed, its remainder written off
-	RepairGrantRefunded  RepairKind = "grant_refunded"  // the unspent part of a closed grant was returned to its budget
-	RepairLateLine       RepairKind = "late_line"       // a line for a closed grant was moved out of its written-off part
-	RepairRequestStopped RepairKind = "request_stopped" // a request that killed several targets is refused from now on
-	RepairAttemptExpired RepairKind = "attempt_expired" // the bound of an attempt that no daemon settled was charged
-	RepairBadRow         RepairKind = "bad_row"         // a table row that cannot be decoded was skipped
+	RepairHolderFenced      RepairKind = "holder_fenced"      // a holder that stopped renewing was fenced
+	RepairGrantClosed       RepairKind = "grant_closed"       // the grant of a dead holder was closed, its remainder written off
+	RepairGrantRefunded     RepairKind = "grant_refunded"     // the unspent part of a closed grant was returned to its budget
+	RepairLateLine          RepairKind = "late_line"          // a line for a closed grant was moved out of its written-off part
+	RepairRequestStopped    RepairKind = "request_stopped"    // a request that killed several targets is refused from now on
+	RepairLeaseTaken        RepairKind = "lease_taken"        // a role was taken over from a holder that did not renew it
+	RepairTargetQuarantined RepairKind = "target_quarantined" // a target that failed gets no new work
+	RepairBundleCaughtUp    RepairKind = "bundle_caught_up"   // a bundle was learned from a peer, or versions were missed
+	RepairAttemptExpired    RepairKind = "attempt_expired"    // the bound of an attempt that no daemon settled was charged
+	RepairBadRow            RepairKind = "bad_row"            // a table row that cannot be decoded was skipped
 )
 
 func outcomes() []Outcome {
@@ -47,7 +50,8 @@
 }
 
 func repairKinds() []RepairKind {
-	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairRequestStopped, RepairAttemptExpired, RepairBadRow}
+	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairRequestStopped, RepairAttemptExpired,
+		RepairLeaseTaken, RepairTargetQuarantined, RepairBundleCaughtUp, RepairBadRow}
 }
 
 func verdicts() []verdict.Verdict {
