--- /dev/null
+++ b/pkg/load/baseline/recording_test.go
@@ -0,0 +1,22 @@
+package baseline
+
+import (
+	"context"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+)
+
+// recordingAuthority keeps the budgets that it was asked about.
+type recordingAuthority struct {
+	budgets []string
+}
+
+func (r *recordingAuthority) Reserve(_ context.Context, req home.ReserveRequest) (home.ReserveReply, error) {
+	r.budgets = append(r.budgets, req.Budget)
+	return home.ReserveReply{}, nil
+}
+
+func (r *recordingAuthority) Settle(_ context.Context, req home.SettleRequest) (home.SettleReply, error) {
+	r.budgets = append(r.budgets, req.Budget)
+	return home.SettleReply{}, nil
+}
