--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -12,6 +12,10 @@
 // adminHeaderTimeout bounds the reading of an operator's request header.
 const adminHeaderTimeout = 5 * time.Second
 
+// warmTime bounds the wait for the first report of a target. With every target
+// down, a truthful refusal is better than a host that the balancer leaves out.
+const warmTime = 5 * time.Second
+
 // backend gives operators what only this daemon knows.
 type backend struct {
 	daemon *Daemon
@@ -64,9 +68,24 @@
 	Targets int    `json:"targets"`
 }
 
+// warm reports whether a first target has reported, or warmTime has passed
+// since the start. A host that is ready before that refuses with no_target.
+func (d *Daemon) warm(now time.Time) bool {
+	if d.warmed.Load() || now.Sub(d.started) >= warmTime {
+		return true
+	}
+	for _, s := range d.poller.View() {
+		if !s.Snapshot.ReportedAt.IsZero() {
+			d.warmed.Store(true)
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	r := readiness{Phase: d.life.phase(), Bundle: d.watcher.Version(), Targets: len(d.poller.View())}
-	r.Ready = r.Phase == phaseServing && r.Bundle > 0
+	r.Ready = r.Phase == phaseServing && r.Bundle > 0 && d.warm(time.Now())
 	w.Header().Set("Content-Type", "application/json")
 	if !r.Ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -56,7 +57,9 @@
 	peerAddr string // address that other daemons connect to
 	targets  targetList
 
-	bundleBefore uint64 // last adopted version; owned by the watcher's callback
+	started      time.Time
+	warmed       atomic.Bool // a target has reported
+	bundleBefore uint64      // last adopted version; owned by the watcher's callback
 	listen       *listeners
 	replaced     AuthoritiesFunc // nil: the router
 }
@@ -70,6 +73,7 @@
 	}
 	d := &Daemon{
 		config:   c,
+		started:  time.Now(),
 		logs:     logs,
 		log:      logs.Logger("daemon"),
 		metrics:  telemetry.NewMetrics(),
--- /dev/null
+++ b/pkg/daemon/quarantine_test.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+// Guards against a failed target that is reported every second, or never, and
+// against reporting one that leaves in order.
+func TestTargetStates(t *testing.T) {
+	view := func(state target.State) []target.Status {
+		return []target.Status{{Target: target.Target{ID: "t1"}, State: state}}
+	}
+	states := make(targetStates)
+	for i, step := range []struct {
+		state  target.State
+		failed int
+	}{
+		{target.Joining, 0}, {target.Ready, 0}, {target.Suspect, 1}, {target.Suspect, 0},
+		{target.Ready, 0}, {target.Draining, 0}, {target.Gone, 0},
+	} {
+		assert.Equal(t, len(states.update(view(step.state))), step.failed, "step %d", i)
+	}
+	assert.Equal(t, len(states.update(nil)), 0)
+	assert.Equal(t, len(states), 0)
+}
--- /dev/null
+++ b/pkg/daemon/rig_test.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/access"
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/config"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/platform/remote"
+	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+const (
+	testAPIKey  = "test-key-of-the-regie"
+	testBudget  = "regie-main"
+	testTokens  = 100000
+	waitLimit   = 20 * time.Second
+	waitPause   = 20 * time.Millisecond
+	testRequest = `{"model":"chef","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"soup?"}]}`
+)
+
+// rig is a platform, an engine and the daemons under test, in one process.
+type rig struct {
+	platform *standin.Server
+	url      string
+	table    *remote.Client
+	operator ed25519.PrivateKey
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{platform: standin.New()}
+	server := httptest.NewServer(r.platform.Handler())
+	t.Cleanup(server.Close)
+	r.url = server.URL
+	r.table = remote.New(server.URL, 2*time.Second)
+	var err error
+	r.operator, err = access.NewOperatorKey()
+	assert.NilError(t, err)
+	model, err := engine.New(engine.Options{Slots: 8, Kind: target.PromText, CacheBlocks: 64, Keep: time.Minute})
+	assert.NilError(t, err)
+	replica := httptest.NewServer(model.Handler())
+	t.Cleanup(replica.Close)
+	r.platform.Local().PutMember(platform.Member{
+		ID: "chef-0", Kind: platform.TargetMember, Addr: strings.TrimPrefix(replica.URL, "http://"),
+		Region: "m", FailureDomain: "k", Service: "chef-llm", State: platform.MemberLive,
+	})
+	return r
+}
+
+// operators returns the bundle entry of the test's operator.
+func (r *rig) operators() []bundle.Operator {
+	return []bundle.Operator{bundle.NewOperator("ana", r.operator.Public().(ed25519.PublicKey))}
+}
+
+// install brings a bundle into force and creates the budget.
+func (r *rig) install(t *testing.T) {
+	t.Helper()
+	b := bundle.Normalized(bundle.Bundle{
+		Operators:        r.operators(),
+		RequiredSignoffs: 1,
+		Customers: []bundle.Customer{{
+			ID: "regie", KeyHashes: []string{access.HashAPIKey(testAPIKey)}, Services: []string{"chef-llm"},
+			Budget: testBudget, MaxPriority: 9, CoverSeconds: 10, MinTokens: 1000, MaxShare: 0.5,
+		}},
+		Services: []bundle.Service{{Name: "chef-llm", Model: "chef", Kind: target.PromText, MaxOutput: 64}},
+	})
+	signature, err := bundle.Sign(b, "ana", r.operator)
+	assert.NilError(t, err)
+	store := bundle.NewStore(r.table, r.operators())
+	_, err = store.Submit(t.Context(), bundle.Proposal{Author: "ana", Bundle: b, Signatures: []bundle.Signature{signature}})
+	assert.NilError(t, err)
+	record := budget.Record{ID: testBudget, Customer: "regie", Limit: testTokens}
+	_, err = r.table.Commit(t.Context(), platform.Txn{ID: "budget", Puts: []platform.Put{{Key: budget.BudgetKey(testBudget), Value: encode(t, record)}}})
+	assert.NilError(t, err)
+}
+
+// running is a daemon that runs until stop.
+type running struct {
+	*Daemon
+	logs   *syncBuffer
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+// start runs a daemon. extra are further settings.
+func (r *rig) start(t *testing.T, host string, extra ...string) *running {
+	t.Helper()
+	operator := r.operators()[0]
+	args := append([]string{
+		"--host", host, "--region", "m", "--failure-domain", "k", "--platform", r.url,
+		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+		"--bootstrap-operator", operator.Name + "=" + operator.PublicKey,
+		"--holder-ttl", "3s", "--renew-interval", "500ms", "--bundle-poll", "200ms",
+	}, extra...)
+	c, err := config.Parse(args, func(string) string { return "" })
+	assert.NilError(t, err)
+	logs := &syncBuffer{}
+	d, err := New(c, logs)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	run := &running{Daemon: d, logs: logs, cancel: cancel, ended: make(chan error, 1)}
+	go func() { run.ended <- d.Run(ctx) }()
+	t.Cleanup(cancel)
+	waitFor(t, "daemon "+host+" started", func() bool { return strings.Contains(logs.String(), "Daemon started.") })
+	return run
+}
+
+// stop ends the daemon and returns what Run returned.
+func (d *running) stop(t *testing.T) error {
+	t.Helper()
+	d.cancel()
+	select {
+	case err := <-d.ended:
+		return err
+	case <-time.After(waitLimit):
+		t.Fatalf("daemon did not stop: %s", d.logs.String())
+		return nil
+	}
+}
+
+// ask sends the test's request and returns status and body.
+func (d *running) ask(t *testing.T, client *http.Client, scheme string, headers ...string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, scheme+"://"+d.listen.callers.Addr().String()+"/v1/chat/completions", strings.NewReader(testRequest))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testAPIKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+// usable waits until the daemon serves requests.
+func (d *running) usable(t *testing.T) {
+	t.Helper()
+	waitFor(t, "daemon usable", func() bool {
+		return d.warmed.Load() || d.warm(d.started)
+	})
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", waitLimit, what)
+		}
+		time.Sleep(waitPause)
+	}
+}
+
+// syncBuffer collects logs from several goroutines.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written so far.
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func adminStatus(t *testing.T, d *running, path string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + d.listen.operators.Addr().String() + path)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
--- /dev/null
+++ b/pkg/daemon/tls_test.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/peer"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// put writes one row without conditions.
+func (r *rig) put(t *testing.T, key string, v any) {
+	t.Helper()
+	_, err := r.table.Commit(t.Context(), platform.Txn{ID: rand.Text(), Puts: []platform.Put{{Key: key, Value: encode(t, v)}}})
+	assert.NilError(t, err)
+}
+
+// certificate writes a self-signed certificate that is its own authority and
+// returns the settings that name it, and a pool that trusts it.
+func certificate(t *testing.T) ([]string, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "peppertrail test"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	encodedKey, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	certFile := filepath.Join(dir, "cert.pem")
+	keyFile := filepath.Join(dir, "key.pem")
+	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	assert.NilError(t, os.WriteFile(certFile, cert, 0o600))
+	assert.NilError(t, os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encodedKey}), 0o600))
+	pool := x509.NewCertPool()
+	assert.Assert(t, pool.AppendCertsFromPEM(cert))
+	return []string{"--tls-cert", certFile, "--tls-key", keyFile, "--tls-ca", certFile}, pool
+}
+
+// Guards against callers or daemons that are served without TLS, and against
+// daemons that cannot reach each other's home over it.
+func TestDaemonTLS(t *testing.T) {
+	r := newRig(t)
+	r.install(t)
+	settings, pool := certificate(t)
+	first := r.start(t, "h1", settings...)
+	second := r.start(t, "h2", settings...)
+	first.usable(t)
+	second.usable(t)
+	for _, d := range []*running{first, second} {
+		waitFor(t, "both daemons known", func() bool { return len(d.session.Load().view.Peers()) == 2 })
+	}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	for _, d := range []*running{first, second} {
+		status, body := d.ask(t, client, "https")
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	opened := strings.Count(first.logs.String(), "Grant opened.") + strings.Count(second.logs.String(), "Grant opened.")
+	assert.Equal(t, opened, 1, "each daemon authorised by itself instead of asking the home")
+
+	status, _ := first.ask(t, http.DefaultClient, "http")
+	assert.Equal(t, status, http.StatusBadRequest, "callers were served without TLS")
+	stranger := peer.NewClient(first.peerAddr, peer.Options{TLS: &tls.Config{RootCAs: pool}})
+	defer stranger.Close()
+	_, err := stranger.Hello(t.Context(), peer.Hello{})
+	assert.Assert(t, err != nil, "a peer without a certificate was served")
+	assert.NilError(t, first.stop(t))
+	assert.NilError(t, second.stop(t))
+}
--- /dev/null
+++ b/pkg/home/router_test.go
@@ -0,0 +1,108 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/cluster"
+)
+
+// recorder is an authority that records its calls.
+type recorder struct {
+	mu       sync.Mutex
+	err      error
+	reserves int
+	settles  []SettleRequest
+}
+
+func (r *recorder) Reserve(context.Context, ReserveRequest) (ReserveReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserves++
+	return ReserveReply{Outcome: Granted}, r.err
+}
+
+func (r *recorder) Settle(_ context.Context, req SettleRequest) (SettleReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settles = append(r.settles, req)
+	return SettleReply{Durable: true}, nil
+}
+
+func (r *recorder) settled() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.settles)
+}
+
+// fixedRing has the same order for every budget.
+type fixedRing struct {
+	peers       []cluster.Peer
+	unreachable []string
+}
+
+func (f *fixedRing) Home(string, string) []cluster.Peer { return f.peers }
+func (f *fixedRing) Peers() []cluster.Peer              { return f.peers }
+func (f *fixedRing) Unreachable(incarnation string)     { f.unreachable = append(f.unreachable, incarnation) }
+
+type recorders map[string]*recorder
+
+func (r recorders) Authority(addr string) Authority { return r[addr] }
+
+func newTestRouter(self string) (*Router, *recorder, recorders, *fixedRing) {
+	local := &recorder{}
+	remotes := recorders{"a": &recorder{}, "b": &recorder{}, "c": &recorder{}}
+	ring := &fixedRing{}
+	for _, name := range []string{"a", "b", "c"} {
+		ring.peers = append(ring.peers, cluster.Peer{Incarnation: name, Addr: name})
+	}
+	router := NewRouter(local, remotes, func() Ring { return ring }, func() string { return self }, "m")
+	return router, local, remotes, ring
+}
+
+// Guards against a request that is refused because its home is down, and
+// against a reservation that stays at a home whose reply was lost.
+func TestRouterFailsOverToTheNextHome(t *testing.T) {
+	router, local, remotes, ring := newTestRouter("z")
+	remotes["a"].err = errors.New("timeout")
+	_, err := router.For("c", "b").Reserve(t.Context(), ReserveRequest{Request: "r"})
+	assert.NilError(t, err)
+	assert.Equal(t, remotes["b"].reserves, 1)
+	assert.Equal(t, local.reserves, 0)
+	assert.DeepEqual(t, ring.unreachable, []string{"a"})
+	for deadline := time.Now().Add(5 * time.Second); remotes["a"].settled() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, remotes["a"].settled(), 1, "the lost reservation was not released")
+	assert.Equal(t, remotes["a"].settles[0].Stream, "")
+	assert.Equal(t, remotes["a"].settles[0].Outcome, NotDispatched)
+}
+
+// Guards against a daemon that keeps asking cut-off homes instead of opening a
+// direct grant.
+func TestRouterFallsBackToDirectGrant(t *testing.T) {
+	router, local, remotes, _ := newTestRouter("z")
+	remotes["a"].err = errors.New("timeout")
+	remotes["b"].err = errors.New("timeout")
+	_, err := router.For("c", "b").Reserve(t.Context(), ReserveRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, local.reserves, 1)
+	assert.Equal(t, remotes["c"].reserves, 0)
+}
+
+// Guards against a settlement that goes to the present home while the holder
+// of the grant lives: only the holder may settle its open grant.
+func TestRouterSettlesAtTheHolder(t *testing.T) {
+	for holder, want := range map[string]string{"b": "b", "self": "local", "dead": "local"} {
+		router, local, remotes, _ := newTestRouter("self")
+		_, err := router.For("c", "b").Settle(t.Context(), SettleRequest{Stream: holder + "-1.0"})
+		assert.NilError(t, err)
+		assert.Equal(t, local.settled() == 1, want == "local", holder)
+		assert.Equal(t, remotes["b"].settled() == 1, want == "b", holder)
+	}
+}
