--- a/pkg/home/router_test.go
+++ b/pkg/home/router_test.go
@@ -48,7 +48,9 @@
 
 func (f *fixedRing) Home(string, string) []cluster.Peer { return f.peers }
 func (f *fixedRing) Peers() []cluster.Peer              { return f.peers }
-func (f *fixedRing) Unreachable(incarnation string)     { f.unreachable = append(f.unreachable, incarnation) }
+func (f *fixedRing) Unreachable(incarnation string) {
+	f.unreachable = append(f.unreachable, incarnation)
+}
 
 type recorders map[string]*recorder
 
