Return the unspent part of a dead holder's grants on evidence

Cause: with a cover of 120 s each death of a daemon charged its customers up to two minutes of traffic that nobody had spent. Ruled out: ending the look-up at a run of unknown stream ids (failed dispatches leave runs of any length); one durable trace per request; the membership list as proof of death (it lags). Change: the grant row holds the limit of issued stream numbers and the settled ones; the router counts its unsettled attempts and testifies to them (peer.attempts); the repair role asks the holder's address, all daemons and all engines, and returns the rest. Conclusion: recovery rests on answers, and each missing answer keeps the charge.

--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -2,10 +2,19 @@
 
 import "time"
 
+const (
+	// minStreamWindow is the least number of streams ahead. Each one is looked
+	// up at every target when the holder dies, so that it should not be large.
+	minStreamWindow = 128
+	// windowReserve allows for a rate that doubles during an outage.
+	windowReserve = 2
+)
+
 // account is what the ledger holds of one budget.
 type account struct {
 	grants   map[string]*grant
 	spend    rate
+	starts   rate  // reservations
 	reserved int64 // sum over the grants
 }
 
@@ -26,7 +35,7 @@
 func (a *account) pick(bound int64) *grant {
 	var best *grant
 	for _, g := range a.grants {
-		if g.available() < bound {
+		if g.available() < bound || !g.issuable() {
 			continue
 		}
 		if best == nil || g.available() < best.available() || (g.available() == best.available() && g.record.ID < best.record.ID) {
@@ -36,6 +45,12 @@
 	return best
 }
 
+// window returns how many stream numbers to allow ahead of the last one, so
+// that a table outage of the cover's length does not use them up.
+func (a *account) window(now time.Time, p Policy) int64 {
+	return max(minStreamWindow, int64(windowReserve*a.starts.perSecond(now)*p.Cover.Seconds()))
+}
+
 // wanted returns the tokens that the open grants should have available.
 func (a *account) wanted(now time.Time, p Policy) int64 {
 	covered := int64(a.spend.perSecond(now) * p.Cover.Seconds())
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -17,6 +17,11 @@
 	return g.record.Amount - g.record.Used - g.record.WrittenOff - g.pending - g.reserved
 }
 
+// issuable reports whether the durable row allows a further stream number.
+func (g *grant) issuable() bool {
+	return g.next < g.record.Streams
+}
+
 // idle reports whether nothing runs on the grant and every line is durable.
 func (g *grant) idle() bool {
 	return g.reservations == 0 && g.pending == 0
--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -44,6 +44,9 @@
 	Used       int64      `json:"used"`        // sum of the durable lines settled from it
 	WrittenOff int64      `json:"written_off"` // charged without a line when the holder died
 	State      GrantState `json:"state"`
+	Streams    int64      `json:"streams"`         // stream numbers below it may have been issued
+	Settled    StreamSet  `json:"settled_streams"` // stream numbers whose use is durable or that were not dispatched
+	Resolved   bool       `json:"resolved"`        // the written-off part is final: it was held against the targets' records
 }
 
 // Line is a bill line, at key LineKey. There is one per request.
--- a/pkg/cluster/tracker.go
+++ b/pkg/cluster/tracker.go
@@ -17,7 +17,8 @@
 // trackedHolder is a holder row and how long it has stayed the same.
 type trackedHolder struct {
 	holderRow
-	age time.Duration
+	age     time.Duration
+	changed time.Time // when the row was last seen to change; zero if it never did
 }
 
 // tracker decides which daemons are live from successive scans of the holder
@@ -47,14 +48,29 @@
 	for _, row := range rows {
 		holder := trackedHolder{holderRow: row}
 		before, known := t.holders[row.record.Incarnation]
-		if known && before.record.Renewals == row.record.Renewals {
+		switch {
+		case known && before.record.Renewals == row.record.Renewals:
 			holder.age = before.age + gap
+			holder.changed = before.changed
+		case known:
+			holder.changed = now
 		}
 		next[row.record.Incarnation] = holder
 	}
 	t.holders = next
 }
 
+// changes returns when each row was last seen to change.
+func (t *tracker) changes() map[string]time.Time {
+	changes := make(map[string]time.Time, len(t.holders))
+	for incarnation, h := range t.holders {
+		if !h.changed.IsZero() {
+			changes[incarnation] = h.changed
+		}
+	}
+	return changes
+}
+
 // live returns the live daemons in order of address, at most one per address.
 func (t *tracker) live() []Peer {
 	byAddr := map[string]trackedHolder{}
--- a/pkg/cluster/view.go
+++ b/pkg/cluster/view.go
@@ -36,10 +36,11 @@
 	scan    sync.Mutex // held during Poll
 	tracker tracker    // guarded by scan
 
-	mu    sync.RWMutex
-	peers []Peer // live by the table, not modified after it was set
-	rows  int    // holder rows at the last scan
-	last  time.Time
+	mu      sync.RWMutex
+	peers   []Peer               // live by the table, not modified after it was set
+	changed map[string]time.Time // by incarnation, not modified after it was set
+	rows    int                  // holder rows at the last scan
+	last    time.Time
 }
 
 // NewView returns a view that contains only this daemon until the first scan.
@@ -91,9 +92,11 @@
 	now := time.Now()
 	v.tracker.observe(v.decode(rows), now)
 	peers := v.withSelf(v.tracker.live())
+	changed := v.tracker.changes()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.peers = peers
+	v.changed = changed
 	v.rows = len(rows)
 	v.last = now
 	return nil
@@ -115,6 +118,16 @@
 	v.unreachable.add(incarnation, time.Now())
 }
 
+// LastChange returns when this daemon last saw the row of an incarnation
+// change, false if it never did. Unlike the age that decides about liveness it
+// counts the time in which the table could not be read.
+func (v *View) LastChange(incarnation string) (time.Time, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	at, ok := v.changed[incarnation]
+	return at, ok
+}
+
 // Live returns the live daemons by the table, also those left out as unreachable.
 func (v *View) Live() []Peer {
 	v.mu.RLock()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -49,6 +49,7 @@
 	engine   *engine.HTTPClient
 	pool     *peer.Pool
 	local    *home.Local
+	router   *home.Router // nil if replaced
 	gateway  *gateway.Server
 	callers  *http.Server // serves gateway
 	admin    http.Handler
@@ -58,8 +59,9 @@
 	targets  targetList
 
 	started      time.Time
-	warmed       atomic.Bool // a target has reported
-	bundleBefore uint64      // last adopted version; owned by the watcher's callback
+	warmed       atomic.Bool  // a target has reported
+	targetLoss   atomic.Int64 // Unix time in nanoseconds at which a target was last lost
+	bundleBefore uint64       // last adopted version; owned by the watcher's callback
 	listen       *listeners
 	replaced     AuthoritiesFunc // nil: the router
 }
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -71,10 +71,11 @@
 	go serveHTTP(d.callers, d.listen.callers, failed)
 	go serveHTTP(&http.Server{Handler: d.admin, ReadHeaderTimeout: adminHeaderTimeout}, d.listen.operators, failed)
 	peers := peer.NewServer(peer.ServerOptions{
-		Authority: d.local,
-		OnBundle:  d.bundlePushed,
-		OnHello:   d.hello,
-		TLS:       d.listen.peerServer,
+		Authority:  d.local,
+		OnBundle:   d.bundlePushed,
+		OnHello:    d.hello,
+		OnAttempts: d.testify,
+		TLS:        d.listen.peerServer,
 	})
 	go func() {
 		if err := peers.Serve(ctx, d.listen.peer); err != nil {
--- a/pkg/daemon/option.go
+++ b/pkg/daemon/option.go
@@ -30,5 +30,6 @@
 	if d.replaced != nil {
 		return d.replaced(Parts{Table: d.platform, Local: d.local, Incarnation: d.Incarnation})
 	}
-	return home.NewRouter(d.local, remotes{d.pool}, d.ring, d.Incarnation, d.config.Region)
+	d.router = home.NewRouter(d.local, remotes{d.pool}, d.ring, d.Incarnation, d.config.Region)
+	return d.router
 }
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"github.com/peppertrail/peppertrail/pkg/telemetry"
@@ -10,9 +11,9 @@
 // targetStates follows the targets' states, to report those that failed.
 type targetStates map[string]target.State
 
-// update returns the targets that stopped working since the last call.
-func (s targetStates) update(view []target.Status) []target.Status {
-	var failed []target.Status
+// update returns the targets that stopped working since the last call, and
+// whether any target failed or left the view.
+func (s targetStates) update(view []target.Status) (failed []target.Status, lost bool) {
 	seen := make(map[string]bool, len(view))
 	for _, status := range view {
 		id := status.Target.ID
@@ -25,9 +26,10 @@
 	for id := range s {
 		if !seen[id] {
 			delete(s, id)
+			lost = true
 		}
 	}
-	return failed
+	return failed, lost || len(failed) > 0
 }
 
 func working(state target.State) bool {
@@ -36,7 +38,11 @@
 
 // noteFailedTargets records targets that get no new work because they failed.
 func (d *Daemon) noteFailedTargets(states targetStates) {
-	for _, status := range states.update(d.poller.View()) {
+	failed, lost := states.update(d.poller.View())
+	if lost {
+		d.targetLoss.Store(time.Now().UnixNano())
+	}
+	for _, status := range failed {
 		text := fmt.Sprintf("The target at %s is %s: its connections or reports failed. It gets no new work until it reports again.", status.Target.Addr, status.State)
 		d.repairs.add(telemetry.RepairTargetQuarantined, status.Target.ID, text)
 	}
--- a/pkg/daemon/repair.go
+++ b/pkg/daemon/repair.go
@@ -22,12 +22,13 @@
 			d.repairs.add(telemetry.RepairLeaseTaken, repair.Role, fmt.Sprintf("The role was free or its holder did not renew it. Taken with fencing number %d.", l.Fencing))
 		}
 		repair.New(repair.Options{
-			Table:  d.platform,
-			Lessor: lessor,
-			Self:   d.Incarnation(),
-			TTL:    d.config.HolderTTL,
-			Report: d.repaired,
-			TxnID:  rand.Text,
+			Table:    d.platform,
+			Lessor:   lessor,
+			Self:     d.Incarnation(),
+			TTL:      d.config.HolderTTL,
+			Report:   d.repaired,
+			TxnID:    rand.Text,
+			Evidence: evidence{d},
 		}).Run(ctx)
 	})
 }
--- a/pkg/home/budgets.go
+++ b/pkg/home/budgets.go
@@ -154,11 +154,12 @@
 	}
 	l.nextGrant++
 	record := budget.GrantRecord{
-		ID:     budget.GrantID(l.opts.Holder, l.nextGrant),
-		Holder: l.opts.Holder,
-		Budget: b.id,
-		Amount: amount,
-		State:  budget.GrantOpen,
+		ID:      budget.GrantID(l.opts.Holder, l.nextGrant),
+		Holder:  l.opts.Holder,
+		Budget:  b.id,
+		Amount:  amount,
+		State:   budget.GrantOpen,
+		Streams: l.ledger.Window(now, b.id, p),
 	}
 	next := b.record
 	next.Granted += amount
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -65,6 +65,7 @@
 	}
 	grant.WrittenOff -= tokens
 	grant.Used += tokens
+	grant.Settled = grant.Settled.Add(budget.StreamNumber(m.req.Stream))
 	l.opts.Committer.Submit(commit.Op{
 		Conditions: []platform.Condition{
 			{Key: rows[0].Key, Version: rows[0].Version},
--- a/pkg/home/lifecycle.go
+++ b/pkg/home/lifecycle.go
@@ -19,13 +19,14 @@
 
 // Status is what a Local holds at one moment.
 type Status struct {
-	OpenGrants int `json:"open_grants"`
-	Running    int `json:"running"`  // open reservations
-	Requests   int `json:"requests"` // known to the registry
+	Holder     string `json:"holder"` // incarnation that the authority acts for
+	OpenGrants int    `json:"open_grants"`
+	Running    int    `json:"running"`  // open reservations
+	Requests   int    `json:"requests"` // known to the registry
 }
 
 func (m *statusMessage) handle(l *Local, _ time.Time) {
-	m.reply <- Status{OpenGrants: len(l.grants), Running: l.ledger.Running(), Requests: l.registry.Len()}
+	m.reply <- Status{Holder: l.opts.Holder, OpenGrants: len(l.grants), Running: l.ledger.Running(), Requests: l.registry.Len()}
 }
 
 // Status returns what the authority holds.
--- a/pkg/home/lines.go
+++ b/pkg/home/lines.go
@@ -37,17 +37,17 @@
 
 // flushLines submits the queued lines, one operation per grant, so that the
 // committer joins them in one transaction.
-func (l *Local) flushLines(time.Time) {
+func (l *Local) flushLines(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(l.grants)) {
 		g := l.grants[id]
 		if len(g.queued) > 0 && len(g.inFlight) == 0 && !g.closing {
-			l.submitLines(id, g)
+			l.submitLines(now, id, g)
 		}
 	}
 }
 
 // submitLines writes the grant's use and its lines in one operation.
-func (l *Local) submitLines(id string, g *grantState) {
+func (l *Local) submitLines(now time.Time, id string, g *grantState) {
 	n := min(len(g.queued), maxLinesPerOp)
 	g.inFlight = slices.Clone(g.queued[:n])
 	g.queued = slices.Clone(g.queued[n:])
@@ -56,6 +56,10 @@
 	op := commit.Op{}
 	for _, line := range g.inFlight {
 		record.Used += line.Total()
+		record.Settled = record.Settled.Add(budget.StreamNumber(line.Streams[0]))
+	}
+	if policy, ok := l.opts.Policies(g.inFlight[0].Customer); ok {
+		record.Streams = l.ledger.Ahead(now, id, policy)
 	}
 	op.Conditions = append(op.Conditions, platform.Condition{Key: budget.GrantKey(record.Holder, id), Version: g.version})
 	op.Puts = append(op.Puts, platform.Put{Key: budget.GrantKey(record.Holder, id), Value: encode(record)})
@@ -66,7 +70,7 @@
 	}
 	holder := l.opts.Holder
 	op.Done = func(r commit.Result) {
-		l.post(&linesWritten{holder: holder, grant: id, rows: rows, result: r})
+		l.post(&linesWritten{holder: holder, grant: id, streams: record.Streams, rows: rows, result: r})
 	}
 	l.opts.Committer.Submit(op)
 }
@@ -92,10 +96,11 @@
 
 // linesWritten carries the outcome of submitLines to the control goroutine.
 type linesWritten struct {
-	holder string
-	grant  string
-	rows   map[string]lineState
-	result commit.Result
+	holder  string
+	grant   string
+	streams int64 // limit of stream numbers written with the grant row
+	rows    map[string]lineState
+	result  commit.Result
 }
 
 func (m *linesWritten) handle(l *Local, now time.Time) {
@@ -111,17 +116,18 @@
 	}
 	g.queued = append(lines, g.queued...)
 	if len(m.result.Conflicts) > 0 {
-		l.reloadLines(m.grant, g, m.result.Conflicts)
+		l.reloadLines(now, m.grant, g, m.result.Conflicts)
 	}
 }
 
 func (l *Local) linesDurable(m *linesWritten, g *grantState, lines []budget.Line) {
 	g.version = m.result.Revision
+	l.ledger.Extend(m.grant, m.streams)
 	for key, row := range m.rows {
 		l.lines[key] = lineState{version: m.result.Revision, line: row.line}
 	}
 	for _, line := range lines {
-		_ = l.ledger.Durable(m.grant, line.Total())
+		_ = l.ledger.Durable(line.Streams[0], line.Total()) // the grant is open until its lines are durable
 		l.settled[line.Streams[0]].resolve(true)
 		l.opts.Observer.LineBilled(line.Customer, line.Total())
 		l.wake(line.Budget)
@@ -131,7 +137,7 @@
 // reloadLines takes over the rows that another home wrote and submits again.
 // A changed grant row means that the grant was closed by the repair role; the
 // holder row is fenced too, and the next commit finds out.
-func (l *Local) reloadLines(id string, g *grantState, conflicts []platform.Row) {
+func (l *Local) reloadLines(now time.Time, id string, g *grantState, conflicts []platform.Row) {
 	for _, row := range conflicts {
 		if row.Key == budget.GrantKey(l.opts.Holder, id) {
 			return
@@ -144,5 +150,5 @@
 		}
 		l.lines[row.Key] = state
 	}
-	l.submitLines(id, g)
+	l.submitLines(now, id, g)
 }
--- a/pkg/home/local_test.go
+++ b/pkg/home/local_test.go
@@ -288,3 +288,22 @@
 		w.deliver(d)
 	}
 }
+
+// Guards against a durable grant row that hides a stream without a line.
+func TestLocalGrantRowNamesSettledStreams(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	settled, running := request("r1"), request("r2")
+	r := granted(t, w, d, settled)
+	granted(t, w, d, running)
+	w.settle(d, completed(settled, r.Stream, 20))
+	w.tick(d, DefaultFlushInterval)
+	w.commitNext(d)
+	w.deliver(d)
+	var g budget.GrantRecord
+	w.table.decode(budget.GrantKey(d.holder, r.Grant), &g)
+	assert.Equal(t, g.Used, int64(20))
+	assert.DeepEqual(t, g.Settled.Missing(2), []int64{1})
+	assert.Assert(t, g.Streams > 2)
+}
--- a/pkg/home/router.go
+++ b/pkg/home/router.go
@@ -44,12 +44,19 @@
 	ring    func() Ring
 	self    func() string // incarnation
 	region  string
+	open    *attempts
+}
+
+// OpenAttempts returns how many attempts of this daemon on grants of a holder
+// are not known to be settled. It is evidence for the recovery of the grants.
+func (r *Router) OpenAttempts(holder string) int {
+	return r.open.open(holder)
 }
 
 // NewRouter returns a router. ring and self are asked for each call, since both
 // change when a fenced daemon registers again.
 func NewRouter(local Authority, remotes Remotes, ring func() Ring, self func() string, region string) *Router {
-	return &Router{local: local, remotes: remotes, ring: ring, self: self, region: region}
+	return &Router{local: local, remotes: remotes, ring: ring, self: self, region: region, open: newAttempts()}
 }
 
 // For returns the authority over a budget. Customer is not used: a budget has
@@ -66,6 +73,14 @@
 
 // Reserve implements Authority.
 func (a routed) Reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error) {
+	reply, err := a.reserve(ctx, req)
+	if err == nil && reply.Outcome == Granted {
+		a.router.open.begin(reply.Stream)
+	}
+	return reply, err
+}
+
+func (a routed) reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error) {
 	r := a.router
 	ring := r.ring()
 	for i, peer := range ring.Home(a.budget, r.region) {
@@ -99,6 +114,14 @@
 // Settle implements Authority. It asks the holder of the attempt's grant, and
 // the present home of the budget if that holder is gone.
 func (a routed) Settle(ctx context.Context, req SettleRequest) (SettleReply, error) {
+	reply, err := a.settle(ctx, req)
+	if err == nil && reply.Durable {
+		a.router.open.end(req.Stream)
+	}
+	return reply, err
+}
+
+func (a routed) settle(ctx context.Context, req SettleRequest) (SettleReply, error) {
 	r := a.router
 	holder := budget.HolderOfGrant(budget.GrantOfStream(req.Stream))
 	if holder == r.self() {
--- a/pkg/home/world_test.go
+++ b/pkg/home/world_test.go
@@ -39,6 +39,7 @@
 	daemons []*daemon
 	now     time.Time
 	policy  budget.Policy
+	ended   []string // incarnations whose daemon acts under another one now
 }
 
 func newWorld(daemons int) *world {
@@ -173,6 +174,25 @@
 	}
 }
 
+// recover returns to the budgets what an ended holder's grants did not spend.
+// ran gives the tokens that targets ran for a stream.
+func (w *world) recover(holder string, ran func(stream string) int64) {
+	for _, key := range w.table.keys(budget.GrantPrefix(holder)) {
+		var g budget.GrantRecord
+		w.table.decode(key, &g)
+		if g.State != budget.GrantClosed || g.Resolved || g.WrittenOff == 0 {
+			continue
+		}
+		var used int64
+		for _, n := range g.Settled.Missing(g.Streams) {
+			used += ran(budget.StreamID(g.ID, n))
+		}
+		b, g := repair.Return(w.budget(g.Budget), g, used)
+		w.table.put(budget.BudgetKey(g.Budget), b)
+		w.table.put(key, g)
+	}
+}
+
 // restart gives a fenced daemon a new incarnation, as the daemon does when a
 // commit finds it fenced.
 func (w *world) restart(d *daemon) {
@@ -180,6 +200,7 @@
 	d.committer.decided = nil
 	d.fenced = false
 	old := d.holder
+	w.ended = append(w.ended, old)
 	w.register(d)
 	d.local.opts.Holder = old
 	d.local.Reset(d.holder, d.committer)
--- a/pkg/peer/dispatch.go
+++ b/pkg/peer/dispatch.go
@@ -27,6 +27,10 @@
 		return handle(req, func(in json.RawMessage) (accepted, error) {
 			return accepted{}, s.opt.OnBundle(in)
 		})
+	case req.Method == methodAttempts && s.opt.OnAttempts != nil:
+		return handle(req, func(in AttemptsRequest) (AttemptsReply, error) {
+			return s.opt.OnAttempts(ctx, in)
+		})
 	case req.Method == methodHello && s.opt.OnHello != nil:
 		return handle(req, func(in Hello) (Hello, error) {
 			return s.opt.OnHello(in), nil
--- a/pkg/peer/method.go
+++ b/pkg/peer/method.go
@@ -3,10 +3,11 @@
 
 // Methods of the protocol between daemons.
 const (
-	methodReserve = "authority.reserve"
-	methodSettle  = "authority.settle"
-	methodBundle  = "bundle.push"
-	methodHello   = "peer.hello"
+	methodReserve  = "authority.reserve"
+	methodSettle   = "authority.settle"
+	methodBundle   = "bundle.push"
+	methodHello    = "peer.hello"
+	methodAttempts = "peer.attempts"
 )
 
 // codeFailed is the JSON-RPC error code of a handler's own error, from the
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -26,11 +26,12 @@
 
 // ServerOptions configure a Server. Calls whose handler is nil are answered with an error.
 type ServerOptions struct {
-	Authority home.Authority
-	OnBundle  func(bundle json.RawMessage) error // called concurrently for each pushed bundle
-	OnHello   func(caller Hello) Hello           // returns what this daemon says of itself
-	TLS       *tls.Config                        // with the server's certificate and ClientCAs (else RootCAs), which must have signed the client's; nil for plain TCP
-	Logf      func(format string, args ...any)   // receives connection errors; may be nil
+	Authority  home.Authority
+	OnBundle   func(bundle json.RawMessage) error // called concurrently for each pushed bundle
+	OnHello    func(caller Hello) Hello           // returns what this daemon says of itself
+	OnAttempts func(ctx context.Context, req AttemptsRequest) (AttemptsReply, error)
+	TLS        *tls.Config                      // with the server's certificate and ClientCAs (else RootCAs), which must have signed the client's; nil for plain TCP
+	Logf       func(format string, args ...any) // receives connection errors; may be nil
 }
 
 // Server serves the calls of other daemons. Each call is handled in its own
--- /dev/null
+++ b/pkg/repair/recovery_test.go
@@ -0,0 +1,107 @@
+package repair
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/lease"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/target"
+)
+
+// fakeEvidence answers from fixed values.
+type fakeEvidence struct {
+	testimonies map[string]Testimony // by incarnation
+	changed     time.Time
+	stable      bool
+	usage       map[string]int64 // by target and stream
+	usageErr    error
+	callCost    int64
+}
+
+func (e *fakeEvidence) Ask(_ context.Context, d lease.HolderRecord, _ string) (Testimony, error) {
+	t, ok := e.testimonies[d.Incarnation]
+	if !ok {
+		return Testimony{}, errors.New("no answer")
+	}
+	return t, nil
+}
+
+func (e *fakeEvidence) LastChange(string) (time.Time, bool) {
+	return e.changed, !e.changed.IsZero()
+}
+
+func (e *fakeEvidence) Targets(time.Time) ([]target.Target, bool) {
+	return []target.Target{{ID: "t1"}, {ID: "t2"}}, e.stable
+}
+
+func (e *fakeEvidence) Usage(_ context.Context, t target.Target, stream string) (int64, bool, error) {
+	tokens, known := e.usage[t.ID+"/"+stream]
+	return tokens, known, e.usageErr
+}
+
+func (e *fakeEvidence) CallCost() int64 { return e.callCost }
+
+// Guards against tokens that return to a budget although they may have been
+// spent, and against tokens that stay lost although nothing spent them.
+func TestRecoveryNeedsEveryPieceOfEvidence(t *testing.T) {
+	const writtenOff = 70
+	cases := []struct {
+		desc   string
+		change func(*fakeEvidence)
+		kept   int64 // of the written-off tokens
+	}{
+		{"everything known, nothing ran", func(*fakeEvidence) {}, 0},
+		{"a stream without a line ran", func(e *fakeEvidence) { e.usage["t2/dead-1.2"] = 25 }, 25},
+		{"a stream with a line is not charged twice", func(e *fakeEvidence) { e.usage["t1/dead-1.0"] = 30 }, 0},
+		{"more ran than was written off", func(e *fakeEvidence) { e.usage["t1/dead-1.2"] = 900 }, writtenOff},
+		{"calls of plain services leave no trace", func(e *fakeEvidence) { e.callCost = 5 }, 15},
+		{"holder alive", func(e *fakeEvidence) { e.testimonies["dead"] = Testimony{Home: "dead"} }, writtenOff},
+		{"holder silent", func(e *fakeEvidence) { delete(e.testimonies, "dead") }, writtenOff},
+		{"holder registered again", func(e *fakeEvidence) { e.testimonies["dead"] = Testimony{Home: "dead2"} }, 0},
+		{"open attempts", func(e *fakeEvidence) { e.testimonies["live"] = Testimony{Home: "live", Open: 1} }, writtenOff},
+		{"a daemon does not answer", func(e *fakeEvidence) { delete(e.testimonies, "live") }, writtenOff},
+		{"a target was lost", func(e *fakeEvidence) { e.stable = false }, writtenOff},
+		{"a target does not answer", func(e *fakeEvidence) { e.usageErr = errors.New("reset") }, writtenOff},
+		{"too late", func(e *fakeEvidence) { e.changed = time.Now().Add(-StreamKeep) }, writtenOff},
+		{"last change unknown", func(e *fakeEvidence) { e.changed = time.Time{} }, writtenOff},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			e := &fakeEvidence{
+				testimonies: map[string]Testimony{"dead": {Gone: true}, "live": {Home: "live"}},
+				changed:     time.Now(),
+				stable:      true,
+				usage:       make(map[string]int64),
+			}
+			tc.change(e)
+			table := standin.New().Local()
+			r := testRepairer(t, table)
+			r.opts.Evidence = e
+			put(t, table, lease.HolderKey("dead"), lease.HolderRecord{Incarnation: "dead", Fenced: true})
+			put(t, table, lease.HolderKey("live"), lease.HolderRecord{Incarnation: "live"})
+			put(t, table, budget.BudgetKey("b"), budget.Record{ID: "b", Limit: 200, Granted: 100})
+			put(t, table, budget.GrantKey("dead", "dead-1"), budget.GrantRecord{
+				ID: "dead-1", Holder: "dead", Budget: "b", Amount: 100, Used: 30, State: budget.GrantOpen,
+				Streams: 4, Settled: budget.StreamSet{Below: 1},
+			})
+			assert.NilError(t, r.Pass(t.Context(), time.Now()))
+			assert.NilError(t, r.Pass(t.Context(), time.Now()))
+			rows, err := table.Get(t.Context(), budget.BudgetKey("b"), budget.GrantKey("dead", "dead-1"))
+			assert.NilError(t, err)
+			var b budget.Record
+			var g budget.GrantRecord
+			assert.NilError(t, json.Unmarshal(rows[0].Value, &b))
+			assert.NilError(t, json.Unmarshal(rows[1].Value, &g))
+			assert.Equal(t, b.Granted, int64(0))
+			assert.Equal(t, b.Settled, 30+tc.kept)
+			assert.Equal(t, g.WrittenOff, tc.kept)
+		})
+	}
+}
--- a/pkg/repair/repairer.go
+++ b/pkg/repair/repairer.go
@@ -33,27 +33,31 @@
 
 // Kinds of repairs.
 const (
-	HolderFenced Kind = "holder_fenced"
-	GrantClosed  Kind = "grant_closed"
-	BadRow       Kind = "bad_row"
+	HolderFenced  Kind = "holder_fenced"
+	GrantClosed   Kind = "grant_closed"
+	GrantRefunded Kind = "grant_refunded"
+	GrantKept     Kind = "grant_kept"
+	BadRow        Kind = "bad_row"
 )
 
 // Options set up a Repairer.
 type Options struct {
-	Table  platform.Table
-	Lessor lease.Lessor  // holds Role
-	Self   string        // incarnation of this daemon
-	TTL    time.Duration // a holder row unchanged for this long is fenced
-	Report func(Report)  // called after each repair is durable
-	TxnID  func() string // returns a fresh transaction id
+	Table    platform.Table
+	Lessor   lease.Lessor  // holds Role
+	Self     string        // incarnation of this daemon
+	TTL      time.Duration // a holder row unchanged for this long is fenced
+	Report   func(Report)  // called after each repair is durable
+	TxnID    func() string // returns a fresh transaction id
+	Evidence Evidence      // nil: written-off tokens are never returned
 }
 
 // Repairer fences holders that stopped renewing and closes their grants. It
 // runs on the daemon that holds Role.
 type Repairer struct {
-	opts   Options
-	seen   map[string]sighting
-	closed map[string]bool // fenced holders without open grants
+	opts    Options
+	seen    map[string]sighting
+	closed  map[string]bool      // fenced holders without open grants
+	pending map[string]*recovery // fenced holders whose written-off tokens may be returned
 }
 
 // sighting is when a holder row was last seen to change.
@@ -65,9 +69,10 @@
 // New returns a repairer for one term of the role.
 func New(opts Options) *Repairer {
 	return &Repairer{
-		opts:   opts,
-		seen:   make(map[string]sighting),
-		closed: make(map[string]bool),
+		opts:    opts,
+		seen:    make(map[string]sighting),
+		closed:  make(map[string]bool),
+		pending: make(map[string]*recovery),
 	}
 }
 
@@ -87,14 +92,21 @@
 // Pass scans the holder rows once and repairs what it finds. It returns the
 // error of the table; what was not done is done by a later pass.
 func (r *Repairer) Pass(ctx context.Context, now time.Time) error {
-	return r.scan(ctx, lease.HolderPrefix, func(row platform.Row) error {
+	var daemons []lease.HolderRecord
+	err := r.scan(ctx, lease.HolderPrefix, func(row platform.Row) error {
 		var holder lease.HolderRecord
 		if err := json.Unmarshal(row.Value, &holder); err != nil {
 			r.badRow(row.Key, err)
 			return nil
 		}
+		daemons = append(daemons, holder)
 		return r.inspect(ctx, now, row, holder)
 	})
+	if err != nil {
+		return err
+	}
+	r.recoverPending(ctx, now, daemons)
+	return nil
 }
 
 // inspect decides about one holder.
@@ -150,6 +162,9 @@
 	})
 	if err == nil && open == 0 {
 		r.closed[holder.Incarnation] = true
+		if r.opts.Evidence != nil {
+			r.pending[holder.Incarnation] = &recovery{holder: holder}
+		}
 	}
 	return err
 }
--- a/pkg/repair/writeoff.go
+++ b/pkg/repair/writeoff.go
@@ -23,5 +23,6 @@
 	keep := min(max(ran, 0), g.WrittenOff)
 	b.Settled -= g.WrittenOff - keep
 	g.WrittenOff = keep
+	g.Resolved = true
 	return b, g
 }
--- a/pkg/telemetry/labels.go
+++ b/pkg/telemetry/labels.go
@@ -32,6 +32,7 @@
 	RepairHolderFenced      RepairKind = "holder_fenced"      // a holder that stopped renewing was fenced
 	RepairGrantClosed       RepairKind = "grant_closed"       // the grant of a dead holder was closed, its remainder written off
 	RepairGrantRefunded     RepairKind = "grant_refunded"     // the unspent part of a closed grant was returned to its budget
+	RepairGrantKept         RepairKind = "grant_kept"         // evidence was missing, the written-off part stays charged
 	RepairLateLine          RepairKind = "late_line"          // a line for a closed grant was moved out of its written-off part
 	RepairRequestStopped    RepairKind = "request_stopped"    // a request that killed several targets is refused from now on
 	RepairLeaseTaken        RepairKind = "lease_taken"        // a role was taken over from a holder that did not renew it
@@ -50,7 +51,7 @@
 }
 
 func repairKinds() []RepairKind {
-	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairLateLine, RepairRequestStopped, RepairAttemptExpired,
+	return []RepairKind{RepairHolderFenced, RepairGrantClosed, RepairGrantRefunded, RepairGrantKept, RepairLateLine, RepairRequestStopped, RepairAttemptExpired,
 		RepairLeaseTaken, RepairTargetQuarantined, RepairBundleCaughtUp, RepairBadRow}
 }
 
