Test answers, refusals and bills under faults

Considered: one bill line per answer cannot be demanded when the entry daemon and the home die with an unconfirmed line, since the design then covers the request by the written-off part of the grant. The billing test therefore kills daemons only while answers wait for their line (settle wait 10 s), and in its second case pauses and cuts them off with a settle wait of 100 ms.

--- /dev/null
+++ b/test/integration/answer_test.go
@@ -0,0 +1,154 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+const (
+	answerDaemons    = 3
+	answerEngines    = 3
+	answerGroups     = 16 // of callers that use the same key at the same time
+	answerDuration   = 15 * time.Second
+	answerTokens     = 2_000_000
+	answerLeastWhole = 200
+	// answerTimeout is above the idle timeout of 3 s, three attempts included,
+	// so that a caller whose answer breaks hears of it from the daemon.
+	answerTimeout = 15 * time.Second
+)
+
+// groupCallers are the callers of a group. The first two send the same request,
+// so that one attaches to the other's stream. The third is another customer
+// that happens to use the same key.
+var groupCallers = []string{"regie", "regie", "lanester"}
+
+// Guards against an answer that reaches another caller, lacks or repeats a part,
+// or ends without saying that it is incomplete, while streams are attached to,
+// delayed, broken and resumed.
+func TestAnswerReachesOnlyItsCaller(t *testing.T) {
+	seed := harness.Seed(t)
+	f := harness.Start(t, harness.Options{
+		Daemons:    answerDaemons,
+		Engines:    answerEngines,
+		EngineArgs: []string{"--token-ms", "8"},
+		Customers: []harness.Customer{
+			{ID: "regie", Budget: "regie-main", Tokens: answerTokens, CoverSeconds: 5, MinTokens: 20_000, MaxShare: 0.2},
+			{ID: "lanester", Budget: "lanester-main", Tokens: answerTokens, CoverSeconds: 5, MinTokens: 20_000, MaxShare: 0.2},
+		},
+	})
+	b := newBook()
+	stop := make(chan struct{})
+	var groups sync.WaitGroup
+	for i := range answerGroups {
+		r := harness.Rand(seed, uint64(i)+1)
+		groups.Go(func() { groupTraffic(f, b, r, i, stop) })
+	}
+	plan := planFaults(harness.Rand(seed, 0), planSettings{
+		kinds: []faultKind{
+			resetTarget, resetTarget, breakTarget, delayTarget, delayTarget, dropTarget,
+			halfOpenTarget, cutTarget, cutPeer, slowTable, lostReplies,
+		},
+		daemons: answerDaemons, targets: answerEngines, duration: answerDuration,
+		gap: 400 * time.Millisecond, shortest: 100 * time.Millisecond, longest: 2 * time.Second,
+	})
+	chaos{t: t, fleet: f, targets: f.Engines}.run(plan)
+	close(stop)
+	groups.Wait()
+	t.Logf("answers: %v", b.tally())
+	for _, a := range b.all() {
+		assert.Check(t, checkAnswer(a))
+	}
+	assert.Assert(t, b.tally()["whole"] >= answerLeastWhole)
+}
+
+// groupTraffic lets the callers of a group send under one key until stop is closed.
+func groupTraffic(f *harness.Fleet, b *book, r *rand.Rand, group int, stop <-chan struct{}) {
+	callers := make([]*harness.Caller, len(groupCallers))
+	for i := range callers {
+		callers[i] = f.NewCaller()
+	}
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		var round sync.WaitGroup
+		for i, customer := range groupCallers {
+			s := sending{
+				daemon:  f.Daemons[r.IntN(len(f.Daemons))],
+				delay:   time.Duration(r.IntN(100)) * time.Millisecond,
+				timeout: answerTimeout,
+				request: harness.Request{
+					Customer:  customer,
+					Key:       fmt.Sprintf("order-%d-%d", group, n),
+					Prompt:    fmt.Sprintf("allergens of order %d of group %d for %s", n, group, customer),
+					MaxTokens: 32,
+					Whole:     r.IntN(4) == 0 && i == 2, // the body of the first two is the same
+				},
+			}
+			if i == 0 && r.Float64() < abandonShare {
+				s.timeout = abandonAfter
+			}
+			round.Go(func() { s.run(callers[i], b) })
+		}
+		round.Wait()
+	}
+}
+
+// sending is one sending of a request.
+type sending struct {
+	daemon  *harness.Daemon
+	delay   time.Duration
+	timeout time.Duration // after which the caller leaves
+	request harness.Request
+}
+
+func (s sending) run(c *harness.Caller, b *book) {
+	time.Sleep(s.delay)
+	b.sending(s.request)
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	b.received(c.Send(ctx, s.daemon, s.request))
+}
+
+// checkAnswer compares an answer with the text that its own prompt has.
+func checkAnswer(a harness.Answer) error {
+	name := fmt.Sprintf("%s %s through %s, stream %s", a.Request.Customer, a.Request.Key, a.Daemon, a.Stream)
+	want := a.Request.Text(a.Stream)
+	switch {
+	case a.Whole && a.Text != want:
+		return fmt.Errorf("%s: got %q, want %q", name, a.Text, want)
+	case a.Whole && (a.Usage == nil || a.Usage.CompletionTokens != int(a.Request.MaxTokens)):
+		return fmt.Errorf("%s: usage %+v", name, a.Usage)
+	case !strings.HasPrefix(want, a.Text):
+		return fmt.Errorf("%s: got %q, which is not the start of %q", name, a.Text, want)
+	case a.Whole:
+		return nil
+	}
+	return checkIncomplete(name, a)
+}
+
+// checkIncomplete requires that an incomplete answer says so truthfully, unless
+// the caller left.
+func checkIncomplete(name string, a harness.Answer) error {
+	switch {
+	case a.Refused() && (!a.Verdict.Valid() || !a.Reason.Valid()):
+		return fmt.Errorf("%s: refused with verdict %q and reason %q", name, a.Verdict, a.Reason)
+	case a.Refused() && a.Text != "" && a.Verdict == "not_run":
+		return fmt.Errorf("%s: refused as not run after %q", name, a.Text)
+	case !a.Refused() && !errors.Is(a.Err, context.DeadlineExceeded):
+		return fmt.Errorf("%s: ended without a refusal after %q: %v", name, a.Text, a.Err)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/integration/billing_test.go
@@ -0,0 +1,146 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+const (
+	billingDaemons  = 4
+	billingCallers  = 12
+	billingDuration = 9 * time.Second
+	// billingTail is how long callers go on with their last request after the faults.
+	billingTail       = 8 * time.Second
+	billingTokens     = 2_000_000
+	billingLeastWhole = 40
+	// recoverTimeout bounds the repair of dead holders: their TTL, the TTL of
+	// the repair role and a pass of the repairer.
+	recoverTimeout = 15 * time.Second
+	// billingDrain is below leaveTimeout, so that a daemon which cannot stop logs the cause.
+	billingDrain = 22 * time.Second
+	// leaveTimeout bounds a graceful stop without requests.
+	leaveTimeout = 24 * time.Second
+)
+
+// billingCase is one combination of settle wait and faults.
+type billingCase struct {
+	name       string
+	settleWait time.Duration
+	faults     []faultKind
+}
+
+// A daemon that dies together with an unconfirmed line leaves the request to
+// the written-off part of its grant, so that a line for each answer can be
+// demanded only if the answer waits for the line (first case) or no daemon
+// dies (second case).
+var billingCases = []billingCase{
+	{
+		name:       "daemons die and answers wait for their line",
+		settleWait: 10 * time.Second,
+		faults:     []faultKind{killDaemon, restartDaemon, killDaemon, tableDown, lostReplies},
+	},
+	{
+		name:       "lines follow answers and daemons are paused and cut off",
+		settleWait: 100 * time.Millisecond,
+		faults:     []faultKind{pauseDaemon, cutPeer, cutPlatform, losePlatform, tableDown, lostReplies, slowTable},
+	},
+}
+
+// Guards against answers without a bill line, with two or with a wrong amount,
+// lines of requests that never ran, and budgets that don't balance.
+func TestRequestBilledExactlyOnce(t *testing.T) {
+	seed := harness.Seed(t)
+	for _, c := range billingCases {
+		t.Run(c.name, func(t *testing.T) { testBilling(t, seed, c) })
+	}
+}
+
+func testBilling(t *testing.T, seed uint64, c billingCase) {
+	f := harness.Start(t, harness.Options{
+		Daemons:    billingDaemons,
+		EngineArgs: []string{"--token-ms", "4"},
+		Times:      harness.Times{Drain: billingDrain},
+		DaemonArgs: []string{"--settle-wait", c.settleWait.String()},
+		Customers: []harness.Customer{
+			{ID: "regie", Budget: "regie-main", Tokens: billingTokens, CoverSeconds: 2, MinTokens: 2000, MaxShare: 0.1},
+			{ID: "lanester", Budget: "lanester-main", Tokens: billingTokens, CoverSeconds: 2, MinTokens: 2000, MaxShare: 0.1},
+		},
+	})
+	b := newBook()
+	stop := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var callers sync.WaitGroup
+	for i := range billingCallers {
+		p := persistentCaller{fleet: f, book: b, caller: f.NewCaller(), random: harness.Rand(seed, uint64(i)+1), timeout: sendTimeout}
+		callers.Go(func() { p.bill(ctx, t, i, stop) })
+	}
+	plan := planFaults(harness.Rand(seed, 0), planSettings{
+		kinds: c.faults, daemons: billingDaemons, targets: 2, duration: billingDuration,
+		gap: 600 * time.Millisecond, shortest: 300 * time.Millisecond, longest: 4 * time.Second,
+	})
+	chaos{t: t, fleet: f, targets: f.Engines}.run(plan)
+	close(stop)
+	time.AfterFunc(billingTail, cancel)
+	callers.Wait()
+	t.Logf("answers: %v", b.tally())
+	l := closeGrants(t, f)
+	records, err := f.Journals()
+	assert.NilError(t, err)
+	assert.NilError(t, l.checkClosed())
+	for _, record := range l.budgets {
+		assert.NilError(t, l.checkBalance(record))
+	}
+	assert.NilError(t, checkBills(l, b.all(), b, records))
+	assert.Assert(t, b.tally()["whole"] >= billingLeastWhole)
+}
+
+// bill completes one request after the other until stop is closed.
+func (p persistentCaller) bill(ctx context.Context, t *testing.T, worker int, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		a, ok := p.complete(ctx, harness.Request{
+			Customer:  []string{"regie", "lanester"}[p.random.IntN(2)],
+			Key:       fmt.Sprintf("bill-%d-%d", worker, n),
+			Prompt:    fmt.Sprintf("ration list %d of caller %d", n, worker),
+			MaxTokens: int64(8 + p.random.IntN(25)),
+			Whole:     p.random.IntN(4) == 0,
+		})
+		if !ok {
+			t.Logf("request %s was not answered: %s %s %v", a.Request.Key, a.Verdict, a.Reason, a.Err)
+		}
+	}
+}
+
+// closeGrants waits for the recovery of dead holders, then stops every daemon
+// gracefully. The last one holds the repair role until the others have gone.
+func closeGrants(t *testing.T, f *harness.Fleet) ledger {
+	t.Helper()
+	last := f.Daemons[len(f.Daemons)-1]
+	for _, d := range f.Daemons[:len(f.Daemons)-1] {
+		d.Leave()
+	}
+	for _, d := range f.Daemons[:len(f.Daemons)-1] {
+		assert.NilError(t, d.Left(leaveTimeout), d.Name)
+	}
+	harness.Eventually(t, recoverTimeout, "grants of dead holders are closed", func() bool {
+		l, err := readLedger(f.Platform.Table())
+		return err == nil && len(l.openBeside(last.Name)) == 0 && len(l.unfenced(last.Name)) == 0
+	})
+	last.Leave()
+	assert.NilError(t, last.Left(leaveTimeout), last.Name)
+	l, err := readLedger(f.Platform.Table())
+	assert.NilError(t, err)
+	return l
+}
--- /dev/null
+++ b/test/integration/persistent_caller_test.go
@@ -0,0 +1,53 @@
+package integration
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+const (
+	// retryPause is the longest pause between two sendings of a request.
+	retryPause = 300 * time.Millisecond
+	// abandonShare is the share of sendings whose caller leaves early.
+	abandonShare = 0.1
+	// abandonAfter is when such a caller leaves; answers take about 150 ms.
+	abandonAfter = 60 * time.Millisecond
+)
+
+// persistentCaller sends each request under its key until it has the whole
+// answer, each time through a random daemon.
+type persistentCaller struct {
+	fleet   *harness.Fleet
+	book    *book
+	caller  *harness.Caller
+	random  *rand.Rand
+	timeout time.Duration // of one sending
+}
+
+// complete repeats a request until it is answered or ctx ends. It reports
+// whether it was answered and the last answer.
+func (p persistentCaller) complete(ctx context.Context, r harness.Request) (harness.Answer, bool) {
+	p.book.sending(r)
+	for {
+		a := p.send(ctx, r)
+		p.book.received(a)
+		if a.Whole || ctx.Err() != nil {
+			return a, a.Whole
+		}
+		time.Sleep(time.Duration(p.random.Int64N(int64(retryPause))))
+	}
+}
+
+// send sends a request once. Some callers leave before the answer is complete.
+func (p persistentCaller) send(ctx context.Context, r harness.Request) harness.Answer {
+	timeout := p.timeout
+	if p.random.Float64() < abandonShare {
+		timeout = abandonAfter
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return p.caller.Send(ctx, p.fleet.Daemons[p.random.IntN(len(p.fleet.Daemons))], r)
+}
