Answer a settlement before its entry daemon gives up

Cause: a home answered a settlement only when the line was durable, so with the table down never within the 250 ms that the entry daemon waits. The client counts calls without a reply and closes the connection after eight of them in 600 ms. Reservations under way on it failed, the home counted as unreachable for 3 s and the next daemons, which hold no grant of that budget, refused.

The server now answers durable=false after 240 ms, which the entry daemon treats like its own timeout: it keeps the settlement and submits it again. A longer silence limit was ruled out, since it would also delay the failover from a home that really is silent.

--- a/pkg/peer/calls_test.go
+++ b/pkg/peer/calls_test.go
@@ -136,3 +136,19 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.Assert(t, !errors.Is(err, ErrUnreachable))
 }
+
+// Guards against a home whose table is down being taken for an unreachable one:
+// after enough settlements without a reply the client gave the connection up,
+// and reservations under way on it failed.
+func TestSettleRepliesBeforeTheLineIsDurable(t *testing.T) {
+	authority := &fakeAuthority{settle: func(ctx context.Context, _ home.SettleRequest) (home.SettleReply, error) {
+		<-ctx.Done()
+		return home.SettleReply{Durable: false}, nil
+	}}
+	addr, _ := serve(t, "127.0.0.1:0", ServerOptions{Authority: authority})
+	c := newTestClient(t, addr, Options{})
+	reply, err := c.Settle(t.Context(), home.SettleRequest{Stream: "g.1"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Durable, false)
+	assert.Assert(t, settleReplyTimeout < DefaultTimeout)
+}
--- a/pkg/peer/dispatch.go
+++ b/pkg/peer/dispatch.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/peppertrail/peppertrail/pkg/home"
 )
 
+// settleReplyTimeout bounds the wait for a durable line. The entry daemon waits
+// 250 ms; without a reply until then it would take a home whose table is down for
+// an unreachable one and close the connection under its reservations.
+const settleReplyTimeout = 240 * time.Millisecond
+
 // accepted is the result of a call that returns nothing.
 type accepted struct{}
 
@@ -21,6 +27,8 @@
 		})
 	case req.Method == methodSettle && s.opt.Authority != nil:
 		return handle(req, func(in home.SettleRequest) (home.SettleReply, error) {
+			ctx, cancel := context.WithTimeout(ctx, settleReplyTimeout)
+			defer cancel()
 			return s.opt.Authority.Settle(ctx, in)
 		})
 	case req.Method == methodBundle && s.opt.OnBundle != nil:
--- a/pkg/peer/fixture_test.go
+++ b/pkg/peer/fixture_test.go
@@ -18,6 +18,7 @@
 // fakeAuthority answers from functions and counts its calls.
 type fakeAuthority struct {
 	reserve func(context.Context, home.ReserveRequest) (home.ReserveReply, error)
+	settle  func(context.Context, home.SettleRequest) (home.SettleReply, error)
 
 	mu      sync.Mutex
 	settled []home.SettleRequest
@@ -30,7 +31,10 @@
 	return home.ReserveReply{Outcome: home.Granted, Stream: req.Request + ".1"}, nil
 }
 
-func (f *fakeAuthority) Settle(_ context.Context, req home.SettleRequest) (home.SettleReply, error) {
+func (f *fakeAuthority) Settle(ctx context.Context, req home.SettleRequest) (home.SettleReply, error) {
+	if f.settle != nil {
+		return f.settle(ctx, req)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settled = append(f.settled, req)
