Take the rest of a budget whole below the smallest grant

Cause: grant_max_share halved the free tokens with each grant down to the bound of one request.

The share no longer cuts a grant below grant_min_tokens, which is documented as the smallest grant asked for. Extending an open grant instead of opening another would avoid the pieces altogether; it changes the grant row under lines in flight and was left for later.

--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -6,7 +6,7 @@
 type Policy struct {
 	Cover     time.Duration // traffic that the open grants should cover
 	MinTokens int64         // smallest grant asked for
-	MaxShare  float64       // largest share of the free budget in one grant, 0 to 1
+	MaxShare  float64       // largest share of the free budget in one grant above MinTokens, 0 to 1
 }
 
 // refillShare is the share of the wanted tokens below which a further grant is
@@ -20,8 +20,9 @@
 	if free <= 0 || free < need {
 		return 0
 	}
-	amount := max(want, p.MinTokens)
-	amount = min(amount, int64(p.MaxShare*float64(free)))
-	amount = max(amount, need)
+	amount := min(max(want, p.MinTokens), int64(p.MaxShare*float64(free)))
+	// The share does not divide what is below the smallest grant: a rest that is
+	// halved with each grant ends in pieces that no request fits into.
+	amount = max(amount, need, p.MinTokens)
 	return min(amount, free)
 }
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -43,7 +43,7 @@
 	MaxPriority  int      `json:"max_priority"`        // 0 to 9; a request's priority is capped here
 	CoverSeconds int      `json:"grant_cover_seconds"` // traffic that a grant should cover
 	MinTokens    int64    `json:"grant_min_tokens"`    // smallest grant asked for
-	MaxShare     float64  `json:"grant_max_share"`     // largest share of the free budget in one grant, 0 to 1
+	MaxShare     float64  `json:"grant_max_share"`     // largest share of the free budget in one grant above grant_min_tokens, 0 to 1
 }
 
 // Service is a group of interchangeable targets.
