Visit only grants with unwritten lines, and tick less when idle

A home looked at all of its grants ten times per second, in sorted order, to find those with lines to write, and woke up 50 times per second whether or not anything waited. Its processor time grew with the budgets that it holds.

Chosen: a set of the grants with queued lines, and a tick every 100 ms while no reservation, claim or line waits. A message that leaves something waiting returns to ticks of 20 ms, so that a settlement waits as before.

--- a/pkg/home/lines.go
+++ b/pkg/home/lines.go
@@ -33,16 +33,25 @@
 	g := l.grants[grantID]
 	g.queued = append(g.queued, line)
 	g.streams = append(g.streams, line.Streams...)
+	l.unwritten[grantID] = struct{}{}
 }
 
 // flushLines submits the queued lines, one operation per grant, so that the
-// committer joins them in one transaction.
+// committer joins them in one transaction. It visits only grants with queued
+// lines: a home may hold thousands of others.
 func (l *Local) flushLines(time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(l.grants)) {
+	for _, id := range slices.Sorted(maps.Keys(l.unwritten)) {
 		g := l.grants[id]
+		if g == nil {
+			delete(l.unwritten, id)
+			continue
+		}
 		if len(g.queued) > 0 && len(g.inFlight) == 0 && !g.closing {
 			l.submitLines(id, g)
 		}
+		if len(g.queued) == 0 {
+			delete(l.unwritten, id)
+		}
 	}
 }
 
@@ -110,6 +119,7 @@
 		return
 	}
 	g.queued = append(lines, g.queued...)
+	l.unwritten[m.grant] = struct{}{}
 	if len(m.result.Conflicts) > 0 {
 		l.reloadLines(m.grant, g, m.result.Conflicts)
 	}
--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -19,7 +19,10 @@
 )
 
 const (
-	tickInterval  = 20 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
+	// idleInterval is the time between ticks while nothing waits. The wake-ups of
+	// short ticks were a large part of an idle daemon's processor time.
+	idleInterval  = 100 * time.Millisecond
 	sweepInterval = time.Second
 	inboxSize     = 4096 // messages; senders wait beyond it
 )
@@ -44,6 +47,7 @@
 	budgets   map[string]*budgetState
 	grants    map[string]*grantState
 	settled   map[string]*settlement // by stream, until its grant is closed
+	unwritten map[string]struct{}    // grants with queued lines
 	lines     map[string]lineState   // by line key, while the registry knows the request
 	claims    map[string]*pendingClaim
 	crashRows map[string]uint64   // version of the crash row by fingerprint
@@ -72,6 +76,7 @@
 	l.registry = claim.NewRegistry(l.opts.CrashLimit)
 	l.budgets = make(map[string]*budgetState)
 	l.grants = make(map[string]*grantState)
+	l.unwritten = make(map[string]struct{})
 	l.settled = make(map[string]*settlement)
 	l.lines = make(map[string]lineState)
 	l.claims = make(map[string]*pendingClaim)
@@ -84,22 +89,42 @@
 func (l *Local) Run(ctx context.Context) {
 	defer close(l.done)
 	l.loadCrashes(ctx)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	idle := false // the timer runs for idleInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-l.inbox:
 			l.step(m)
-		case <-ticker.C:
+			if idle && !l.idle() {
+				idle = false
+				timer.Reset(tickInterval)
+			}
+		case <-timer.C:
 			now := l.opts.Now()
 			l.tick(now)
 			l.runWoken(now)
+			idle = l.idle()
+			timer.Reset(pauseFor(idle))
 		}
 	}
 }
 
+// idle reports whether nothing waits for the next tick.
+func (l *Local) idle() bool {
+	return len(l.waiters)+len(l.claims)+len(l.unwritten) == 0
+}
+
+// pauseFor returns the time until the next tick.
+func pauseFor(idle bool) time.Duration {
+	if idle {
+		return idleInterval
+	}
+	return tickInterval
+}
+
 // step handles one message and whatever it made possible.
 func (l *Local) step(m message) {
 	now := l.opts.Now()
