--- a/test/integration/once_oracle_test.go
+++ b/test/integration/once_oracle_test.go
@@ -26,7 +26,7 @@
 	var wrong []error
 	for _, i := range o.items {
 		dispatches := o.dispatched[i.digest()]
-		for _, check := range []func(*onceItem, []harness.Dispatch) error{checkRuns, checkAnswers, checkNotRun, checkEnd} {
+		for _, check := range []func(*onceItem, []harness.Dispatch) error{checkRuns, checkAnswers, checkRefusedNeverRan, checkEnd} {
 			if err := check(i, dispatches); err != nil {
 				wrong = append(wrong, fmt.Errorf("%s: %w; dispatches %+v, sendings %+v", i.key(), err, dispatches, i.history()))
 			}
@@ -58,10 +58,10 @@
 	return nil
 }
 
-// checkNotRun rejects a dispatch before the first sending that did not end in
+// checkRefusedNeverRan rejects a dispatch before the first sending that did not end in
 // a refusal as "not run". Later refusals as "not run" speak of their own
 // sending only: a daemon that is cut off cannot know of the others.
-func checkNotRun(i *onceItem, dispatches []harness.Dispatch) error {
+func checkRefusedNeverRan(i *onceItem, dispatches []harness.Dispatch) error {
 	for _, s := range i.history() {
 		if s.verdict != verdict.NotRun {
 			for _, d := range dispatches {
