Keep busy targets in service and bind late replies to their incarnation

Cause: a target that answered 429 was reported as failed, so that each daemon took it for suspect until its next report. With every queue full no target was left: callers got no_target in place of overloaded, and the targets flapped as long as the load lasted. Two operations of the home also read the holder and the committer from its options outside the control goroutine, while Reset replaces them: a late reply of a fenced incarnation passed as one of the next.

The second fault was found by reading.

Considered: not blaming a target for 503 either. Ruled out, since that answer also means that the target leaves.

Change: a failure by a full queue does not count against the target. grantOpened and grantClosed carry the holder of their submission; settleForeign gets its committer from the control goroutine.

Measured: the unit tests of both changes pass with -race. The home test fails without its change (the budget of the next incarnation is not busy any more).

Conclusion: overload is refused as overload.

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -37,7 +37,7 @@
 	x.join(a)
 	x.server.opts.Picker.Started(a.target.ID)
 	f := x.dispatchTo(a)
-	x.server.opts.Picker.Ended(a.target.ID, f != nil && !f.gone && !f.permanent)
+	x.server.opts.Picker.Ended(a.target.ID, f.blamesTarget())
 	return f
 }
 
--- a/pkg/gateway/failure.go
+++ b/pkg/gateway/failure.go
@@ -16,9 +16,18 @@
 	died      bool // the target stopped answering
 	permanent bool // another target would give the same result
 	gone      bool // the caller left
+	busy      bool // the target's queue is full
 	err       error
 }
 
+// blamesTarget reports whether the target should take no new work until it
+// reports again. A target whose queue is full is healthy: taking out every busy
+// target turns overload into refusals for lack of a target. A target that
+// answers with 503 may be leaving.
+func (f *failure) blamesTarget() bool {
+	return f != nil && !f.gone && !f.permanent && !f.busy
+}
+
 // failureOf classifies an error of the engine client. An error without a
 // verdict may have run.
 func failureOf(err error) *failure {
@@ -31,6 +40,7 @@
 		f.verdict = e.Verdict
 	}
 	f.died = e.Died
+	f.busy = e.Status == http.StatusTooManyRequests
 	switch e.Status {
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		f.reason = verdict.BadRequest
--- a/pkg/gateway/failure_test.go
+++ b/pkg/gateway/failure_test.go
@@ -286,3 +286,23 @@
 	assertRefused(t, w, verdict.MayHaveRun, verdict.TargetFailed)
 	r.drain(t)
 }
+
+// Guards against a busy target that is taken out of service, since a few full
+// queues then leave no target at all, and against work for one that leaves.
+func TestFullQueueDoesNotBlameTarget(t *testing.T) {
+	cases := []struct {
+		code   int
+		blamed []string
+	}{
+		{http.StatusTooManyRequests, nil},
+		{http.StatusServiceUnavailable, []string{"t1"}},
+	}
+	for _, tc := range cases {
+		r := newRig(t)
+		r.engine.plans["t1"].openErr = &engine.Error{Verdict: verdict.NotRun, Status: tc.code, Err: errors.New("refused")}
+		w := r.chat(streamBody)
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.DeepEqual(t, r.picker.failed, tc.blamed)
+		r.drain(t)
+	}
+}
--- a/pkg/gateway/picker.go
+++ b/pkg/gateway/picker.go
@@ -13,7 +13,8 @@
 	// Started counts a dispatch to a target until Ended.
 	Started(id string)
 	// Ended ends what Started counted. Failed means that the target did not
-	// answer or answered with an error, not that the caller left.
+	// answer or answered with an error, not that the caller left or that the
+	// target's queue is full.
 	Ended(id string, failed bool)
 }
 
--- a/pkg/home/budgets.go
+++ b/pkg/home/budgets.go
@@ -172,8 +172,9 @@
 			{Key: budget.GrantKey(record.Holder, record.ID), Value: encode(record)},
 		},
 	}
+	holder := l.opts.Holder
 	op.Done = func(r commit.Result) {
-		l.post(&grantOpened{holder: l.opts.Holder, budget: next, record: record, policy: p, need: need, result: r})
+		l.post(&grantOpened{holder: holder, budget: next, record: record, policy: p, need: need, result: r})
 	}
 	l.opts.Committer.Submit(op)
 }
--- a/pkg/home/closing.go
+++ b/pkg/home/closing.go
@@ -78,8 +78,9 @@
 			{Key: budget.GrantKey(record.Holder, record.ID), Value: encode(record)},
 		},
 	}
+	holder := l.opts.Holder
 	op.Done = func(r commit.Result) {
-		l.post(&grantClosed{holder: l.opts.Holder, budget: next, record: record, result: r})
+		l.post(&grantClosed{holder: holder, budget: next, record: record, result: r})
 	}
 	l.opts.Committer.Submit(op)
 }
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -13,8 +13,8 @@
 // settleForeign writes the line of an attempt that ran on another holder's
 // grant. It is done only after that grant was closed: while it is open, its
 // holder may still settle the attempt itself. It runs outside the control
-// goroutine and touches only the options.
-func (l *Local) settleForeign(m *settleMessage) {
+// goroutine and touches only the table.
+func (l *Local) settleForeign(m *settleMessage, committer Committer) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	holder := budget.HolderOfGrant(m.req.Grant)
@@ -38,7 +38,7 @@
 		m.answer(true)
 		return
 	}
-	l.submitForeign(m, grant, rows)
+	submitForeign(committer, m, grant, rows)
 }
 
 // lineCovers reports whether the row already bills the stream.
@@ -54,7 +54,7 @@
 }
 
 // submitForeign moves tokens from the written-off part of the grant to the line.
-func (l *Local) submitForeign(m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
+func submitForeign(committer Committer, m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
 	tokens := min(m.req.Tokens, grant.WrittenOff)
 	line := newLine(m.req, tokens, time.Now())
 	if rows[1].Version > 0 {
@@ -65,7 +65,7 @@
 	}
 	grant.WrittenOff -= tokens
 	grant.Used += tokens
-	l.opts.Committer.Submit(commit.Op{
+	committer.Submit(commit.Op{
 		Conditions: []platform.Condition{
 			{Key: rows[0].Key, Version: rows[0].Version},
 			{Key: rows[1].Key, Version: rows[1].Version},
--- a/pkg/home/local_test.go
+++ b/pkg/home/local_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
@@ -252,3 +253,21 @@
 	assert.Equal(t, w.budget("b").Granted, int64(0))
 	assert.Equal(t, w.budget("b").Settled, int64(20))
 }
+
+// Guards against the late reply of a fenced incarnation that ends an operation
+// of the next one, which would then debit the budget twice for one need.
+func TestLateReplyOfFencedIncarnationIsIgnored(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	w.reserve(d, request("r1"))
+	assert.Equal(t, len(d.committer.queue), 1)
+	late := d.committer.queue[0]
+	w.restart(d)
+	w.reserve(d, request("r2"))
+	assert.Equal(t, len(d.committer.queue), 1)
+	assert.Assert(t, d.local.budget("b").busy)
+	late.Done(commit.Result{Err: commit.ErrFenced})
+	w.pump(d)
+	assert.Assert(t, d.local.budget("b").busy)
+}
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -88,7 +88,8 @@
 		m.answer(true) // nothing ran; the bound stays with the other holder's grant
 		return
 	}
-	l.async(func() { l.settleForeign(m) })
+	committer := l.opts.Committer // Reset replaces it while the settlement runs
+	l.async(func() { l.settleForeign(m, committer) })
 }
 
 // settleOwn settles a reservation of this ledger.
