Listen on loopback addresses that no connection leaves from

Cause: the test processes listened on 127.0.0.1 with port 0. On a machine with 52,000 closed loopback connections in TIME_WAIT, nearly all from 127.0.0.1 to 127.0.0.1 by other processes, no port was free: 5 of 6 test starts failed with "address already in use".

Change: stand-ins listen on 127.0.0.201 and proxies on 127.0.0.202. The chaos log says when every daemon is ready.

Conclusion: the tests start on a busy machine.

--- a/test/harness/platform.go
+++ b/test/harness/platform.go
@@ -17,6 +17,11 @@
 const (
 	// controlTimeout bounds the harness's own calls to stand-ins.
 	controlTimeout = 10 * time.Second
+	// standinHost and proxyHost are addresses that no connection leaves from. On
+	// 127.0.0.1 a busy machine runs out of free ports to listen on, since every
+	// loopback connection that was closed lately occupies one there.
+	standinHost = "127.0.0.201"
+	proxyHost   = "127.0.0.202"
 	// listeningPrefix starts the line with which stand-ins announce their address.
 	listeningPrefix = "listening "
 )
@@ -33,7 +38,7 @@
 // startPlatform starts the stand-in.
 func startPlatform(t testing.TB) *Platform {
 	t.Helper()
-	p, addr := launchStandin(t, "platform", "platform", "--listen", "127.0.0.1:0")
+	p, addr := launchStandin(t, "platform", "platform", "--listen", standinHost+":0")
 	return &Platform{process: p, Addr: addr}
 }
 
--- a/test/harness/proxy/proxy_test.go
+++ b/test/harness/proxy/proxy_test.go
@@ -18,7 +18,7 @@
 // startEcho starts a server that returns every byte and counts them in received.
 func startEcho(t *testing.T) (addr string, received chan []byte) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.201:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	received = make(chan []byte, 16)
@@ -52,7 +52,7 @@
 func startProxy(t *testing.T) (*Proxy, chan []byte) {
 	t.Helper()
 	addr, received := startEcho(t)
-	p, err := Listen("127.0.0.1:0", addr)
+	p, err := Listen("127.0.0.202:0", addr)
 	assert.NilError(t, err)
 	t.Cleanup(p.Close)
 	return p, received
--- a/test/harness/target.go
+++ b/test/harness/target.go
@@ -40,7 +40,7 @@
 // Start starts the process, again if it has ended. Its journal file goes on.
 func (g *Target) Start() {
 	g.t.Helper()
-	args := append([]string{g.kind, "--listen", "127.0.0.1:0", "--journal", g.journal}, g.args...)
+	args := append([]string{g.kind, "--listen", standinHost + ":0", "--journal", g.journal}, g.args...)
 	g.process, g.addr = launchStandin(g.t, g.ID, args...)
 	g.Link.SetUpstream(g.addr)
 }
@@ -69,7 +69,7 @@
 // listen starts a proxy that ends with the test.
 func listen(t testing.TB, upstream string) *proxy.Proxy {
 	t.Helper()
-	p, err := proxy.Listen("127.0.0.1:0", upstream)
+	p, err := proxy.Listen(proxyHost+":0", upstream)
 	if err != nil {
 		t.Fatalf("harness: %v", fmt.Errorf("proxy: %w", err))
 	}
--- a/test/integration/chaos_test.go
+++ b/test/integration/chaos_test.go
@@ -43,6 +43,7 @@
 		d.AwaitStart()
 	}
 	c.fleet.AwaitReady()
+	c.t.Logf("%5.2fs every daemon is ready", time.Since(began).Seconds())
 }
 
 // begin starts a fault.
