--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -41,7 +41,7 @@
 	if f == nil {
 		x.server.opts.Picker.Served(x.req.service.Name, time.Since(began))
 	}
-	x.server.opts.Picker.Ended(a.target.ID, f != nil && !f.gone && !f.permanent)
+	x.server.opts.Picker.Ended(a.target.ID, f.blamesTarget())
 	return f
 }
 
