Bill an answer that was settled as failed before

The first caller left, its daemon settled the stream as failed with the usage that the cancel reported, and a retry on another daemon had read the same stream to its end; the home ignored the second settlement. Ruled out: a lost settlement (the total of the line was right). Change: a settlement as completed of a stream that was settled as failed rewrites the line: same total, billed as the answer. While the first line is not durable the entry daemon asks again. Figures: TestLocalBillsAnswerOfAbandonedStream is new and passes, with the grant open and closed. Conclusion: a line says completed if any reader got the answer whole.

--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -85,6 +85,22 @@
 	return merged
 }
 
+// Answered returns the line after a stream that it charges as failed turned out
+// to be answered: another caller read it to its end. The tokens of the answer
+// are billed as such; the total does not change.
+func (l Line) Answered(stream string, tokens int64) Line {
+	if l.Completed || !l.Covers(stream) {
+		return l
+	}
+	answered := l
+	answered.Tokens = min(tokens, l.ExtraTokens)
+	answered.ExtraTokens = l.ExtraTokens - answered.Tokens
+	answered.Completed = true
+	rest := slices.DeleteFunc(slices.Clone(l.Streams), func(s string) bool { return s == stream })
+	answered.Streams = append([]string{stream}, rest...)
+	return answered
+}
+
 // Covers reports whether the line charges a stream.
 func (l Line) Covers(stream string) bool {
 	return slices.Contains(l.Streams, stream)
--- /dev/null
+++ b/pkg/home/amend.go
@@ -0,0 +1,40 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/commit"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+)
+
+// amend bills a stream as answered that was settled as failed before: its first
+// caller left, and a retry that had attached to it read it to its end.
+func (l *Local) amend(m *settleMessage) {
+	committer := l.opts.Committer
+	l.async(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		defer cancel()
+		rows, err := l.opts.Table.Get(ctx, budget.LineKey(m.req.Customer, m.req.Request))
+		if err != nil || !lineCovers(rows[0], m.req.Stream) {
+			m.answer(false) // the line is not durable yet; the entry daemon asks again
+			return
+		}
+		amendLine(committer, m, rows[0])
+	})
+}
+
+// amendLine rewrites a line that covers the stream. The grant does not change.
+func amendLine(committer Committer, m *settleMessage, row platform.Row) {
+	var line budget.Line
+	if m.req.Outcome != Completed || json.Unmarshal(row.Value, &line) != nil || line.Completed {
+		m.answer(true)
+		return
+	}
+	committer.Submit(commit.Op{
+		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+		Puts:       []platform.Put{{Key: row.Key, Value: encode(line.Answered(m.req.Stream, m.req.Tokens))}},
+		Done:       func(r commit.Result) { m.answer(r.Err == nil) },
+	})
+}
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if lineCovers(rows[1], m.req.Stream) {
-		m.answer(true)
+		amendLine(committer, m, rows[1])
 		return
 	}
 	submitForeign(committer, m, grant, rows)
--- a/pkg/home/local_test.go
+++ b/pkg/home/local_test.go
@@ -326,3 +326,33 @@
 	w.pump(d)
 	assert.Assert(t, d.local.budget("b").busy)
 }
+
+// Guards against an answer that is billed as a failed attempt: the first caller
+// left and a retry read the stream to its end.
+func TestLocalBillsAnswerOfAbandonedStream(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		w := newWorld(1)
+		w.createBudget("b", 1000)
+		d := w.daemons[0]
+		req := request("r1")
+		r := granted(t, w, d, req)
+		left := completed(req, r.Stream, 22)
+		left.Outcome = Failed
+		w.settle(d, left)
+		early := w.settle(d, completed(req, r.Stream, 22))
+		assert.Assert(t, !(<-early).Durable, "answered before the line was durable")
+		w.settleDown(d)
+		if closed {
+			w.tick(d, DefaultGrantIdle)
+			w.settleDown(d)
+			assert.Equal(t, d.local.ledger.OpenGrants(), 0)
+		}
+		late := w.settle(d, completed(req, r.Stream, 22))
+		w.settleDown(d)
+		assert.Assert(t, (<-late).Durable)
+		line := w.lines("c")["r1"]
+		assert.Assert(t, line.Completed)
+		assert.Equal(t, line.Tokens, int64(22))
+		assert.Equal(t, line.ExtraTokens, int64(0))
+	}
+}
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -9,8 +9,9 @@
 
 // settlement is an attempt that was settled at this home.
 type settlement struct {
-	durable bool
-	waiting []chan SettleReply
+	durable   bool
+	completed bool // settled as Completed
+	waiting   []chan SettleReply
 }
 
 // settleMessage ends an attempt.
@@ -34,6 +35,10 @@
 		if m.req.Outcome == NotDispatched && m.req.Final {
 			l.dropClaim(m.req.Stream) // the entry daemon found no further target
 		}
+		if m.req.Outcome == Completed && !s.completed {
+			l.amend(m)
+			return
+		}
 		s.await(m)
 		return
 	}
@@ -83,6 +88,10 @@
 // settleUnknown handles a stream that this ledger has no reservation for.
 func (l *Local) settleUnknown(m *settleMessage) {
 	holder := budget.HolderOfGrant(budget.GrantOfStream(m.req.Stream))
+	if holder == l.opts.Holder && m.req.Outcome == Completed {
+		l.amend(m)
+		return
+	}
 	if holder == l.opts.Holder {
 		m.answer(true) // its grant was closed, which requires every line to be durable
 		return
@@ -119,7 +128,7 @@
 		return
 	}
 	l.registry.Move(now, req.Stream, stateAfter(req.Outcome))
-	s := &settlement{}
+	s := &settlement{completed: req.Outcome == Completed}
 	l.settled[req.Stream] = s
 	s.await(m)
 	l.queueLine(now, r.Grant, newLine(req, charged, now))
