peer: refuse calls on a closed client

Close ends the context of a connection, and the connection itself ends a moment later in another goroutine. A call that started in between was still sent. TestPool, which expects ErrClosed, failed in one run of the whole test suite with "error is nil".

Considered: closing the connection within Close, which still leaves a call that had fetched the connection before; that call is under way and may end either way. Chosen: a call that starts after Close gets ErrClosed.

Conclusion: the fault was in the client; the test is unchanged.

--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -45,8 +45,12 @@
 	return l.ctx.Err() != nil
 }
 
-// get returns the kept connection or a new one.
+// get returns the kept connection or a new one. After close it returns
+// ErrClosed: the connection itself ends a moment later.
 func (l *link) get(ctx context.Context) (*clientConn, error) {
+	if l.closed() {
+		return nil, ErrClosed
+	}
 	conn, attempt := l.current()
 	if conn != nil {
 		return conn, nil
