Send settlements to a holder that is left out as unreachable

Cause: a home that is leaving refuses reservations with an error. The entry daemon then leaves it out as unreachable for 3 s, again with each later refusal, and looked up the holder of a grant among the daemons that are not left out. The ends of streams on the grants of the leaving home therefore went to the local authority, which may not write the line of an open grant, and the home waited for them: a SIGTERM took as long as traffic went on.

Ruled out: not leaving out a daemon that refuses with ErrLeaving, since each request would then ask it first; a shorter backoff of the outbox, since the wrong daemon is asked each time.

Change: home.Ring has Holder, which gives the address of every daemon that the table shows as live; Settle uses it.

A stream entered elsewhere that runs longer than storeGrace (30 s) after the stopping home's own requests ended is not covered by this change.

--- a/pkg/cluster/view.go
+++ b/pkg/cluster/view.go
@@ -123,6 +123,19 @@
 	return v.unreachable.without(peers, time.Now())
 }
 
+// Holder returns the address of a daemon that the table shows as live, whether
+// or not it is left out as unreachable.
+func (v *View) Holder(incarnation string) (addr string, live bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for _, p := range v.peers {
+		if p.Incarnation == incarnation {
+			return p.Addr, true
+		}
+	}
+	return "", false
+}
+
 // Home returns the live daemons of the region in the order in which they are
 // the home of the budget: the first is the home, the next takes over if it
 // cannot be reached. The result is empty if the region has no live daemon.
--- a/pkg/cluster/view_test.go
+++ b/pkg/cluster/view_test.go
@@ -108,6 +108,22 @@
 	})
 }
 
+// Guards against settlements that cannot reach the holder of their grant
+// because it refused a reservation a moment before.
+func TestHolderIncludesUnreachablePeer(t *testing.T) {
+	table := standin.New().Local()
+	register(t, table, record(0, "east"))
+	register(t, table, record(1, "east"))
+	v := NewView(Options{Table: table, Self: record(0, "east")})
+	assert.NilError(t, v.Poll(t.Context()))
+	v.Unreachable("d0001")
+	addr, live := v.Holder("d0001")
+	assert.Assert(t, live)
+	assert.Equal(t, addr, record(1, "east").PeerAddr)
+	_, live = v.Holder("d0002")
+	assert.Assert(t, !live)
+}
+
 // Guards against a view that shrinks while the table is down, and a loop that ends with the first error.
 func TestRunThroughOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/home/router.go
+++ b/pkg/home/router.go
@@ -25,8 +25,9 @@
 	// Home returns the daemons of a region in the order in which they are the
 	// home of a budget.
 	Home(budget, region string) []cluster.Peer
-	// Peers returns all live daemons.
-	Peers() []cluster.Peer
+	// Holder returns the address of a live daemon, also of one that is left out
+	// as unreachable.
+	Holder(incarnation string) (addr string, live bool)
 	// Unreachable leaves a daemon out for a while.
 	Unreachable(incarnation string)
 }
@@ -97,7 +98,10 @@
 }
 
 // Settle implements Authority. It asks the holder of the attempt's grant, and
-// the present home of the budget if that holder is gone.
+// the present home of the budget if that holder is gone. A holder that is left
+// out as unreachable is asked too: one that is leaving refuses reservations,
+// but waits for the settlements of its grants, which nobody else may write
+// while they are open.
 func (a routed) Settle(ctx context.Context, req SettleRequest) (SettleReply, error) {
 	r := a.router
 	holder := budget.HolderOfGrant(budget.GrantOfStream(req.Stream))
@@ -105,7 +109,7 @@
 		return r.local.Settle(ctx, req)
 	}
 	ring := r.ring()
-	if addr, ok := addrOf(ring.Peers(), holder); ok {
+	if addr, live := ring.Holder(holder); live {
 		reply, err := r.remotes.Authority(addr).Settle(ctx, req)
 		if err == nil || errors.Is(err, context.DeadlineExceeded) {
 			return reply, err
@@ -114,12 +118,3 @@
 	}
 	return r.local.Settle(ctx, req)
 }
-
-func addrOf(peers []cluster.Peer, incarnation string) (string, bool) {
-	for _, p := range peers {
-		if p.Incarnation == incarnation {
-			return p.Addr, true
-		}
-	}
-	return "", false
-}
