Test that a graceful stop cuts no request

Considered: callers that keep sending to the stopping daemon, since only they show when it starts to refuse. Requests sent up to 0.4 s after SIGTERM must be served (the daemon serves for 1 s); later ones may be refused as not run or meet a closing port, but then no engine may have accepted them. EOF without a reply counts as a closing port: HTTP/1.1 closes idle connections while a request may be on its way.

Change: TestGracefulShutdownCutsNoRequest stops and restarts each of three daemons, then stops them one after the other, with 18 callers on 12 budgets. It checks each answer, the exit status, that every grant of the daemon is closed without a write-off, and at the end that no budget has granted tokens left and that the settled tokens are those that the engines ran.

--- /dev/null
+++ b/test/integration/graceful_grants_test.go
@@ -0,0 +1,72 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+// gracefulPage is more rows than a test writes.
+const gracefulPage = 1000
+
+// tableRows decodes the rows under a key prefix.
+func tableRows[T any](ctx context.Context, table platform.Table, prefix string) ([]T, error) {
+	rows, err := table.Scan(ctx, prefix, "", gracefulPage)
+	if err != nil {
+		return nil, fmt.Errorf("scan %s: %w", prefix, err)
+	}
+	decoded := make([]T, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &decoded[i]); err != nil {
+			return nil, fmt.Errorf("decode %s: %w", row.Key, err)
+		}
+	}
+	return decoded, nil
+}
+
+// checkGrantsClosed returns an error unless every grant that any process of a
+// daemon opened is closed and nothing of it was written off.
+func checkGrantsClosed(ctx context.Context, table platform.Table, daemon string) (int, error) {
+	grants, err := tableRows[budget.GrantRecord](ctx, table, "grant/"+daemon+"~")
+	if err != nil {
+		return 0, err
+	}
+	for _, g := range grants {
+		if g.State != budget.GrantClosed || g.WrittenOff != 0 {
+			return len(grants), fmt.Errorf("grant %s of %s after its exit: %s, %d tokens written off", g.ID, g.Holder, g.State, g.WrittenOff)
+		}
+	}
+	return len(grants), nil
+}
+
+// checkBudgetsWhole returns an error unless no budget has granted tokens left
+// and their spend is what the engines ran.
+func checkBudgetsWhole(ctx context.Context, f *harness.Fleet) error {
+	budgets, err := tableRows[budget.Record](ctx, f.Platform.Table(), "budget/")
+	if err != nil {
+		return err
+	}
+	var settled int64
+	for _, b := range budgets {
+		settled += b.Settled
+		if b.Granted != 0 {
+			return fmt.Errorf("budget %s: %d tokens granted after every daemon has stopped", b.ID, b.Granted)
+		}
+	}
+	records, err := f.Journals()
+	if err != nil {
+		return err
+	}
+	var ran int64
+	for _, r := range records {
+		ran += harness.Tokens(r)
+	}
+	if settled != ran {
+		return fmt.Errorf("budgets settled %d tokens, engines ran %d", settled, ran)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/integration/graceful_test.go
@@ -0,0 +1,148 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+// Sizes of the test of graceful stops. A stream lasts 0.5 s to 1.6 s, so that
+// each stop meets streams in all phases.
+const (
+	gracefulDaemons   = 3
+	gracefulEngines   = 3
+	gracefulCustomers = 12 // so that each daemon is the home of some budget
+	gracefulCallers   = 18
+	gracefulTokens    = 1_000_000
+	gracefulPause     = 50 * time.Millisecond // of a caller after a refusal
+	gracefulInterval  = 1500 * time.Millisecond
+	gracefulExit      = 15 * time.Second
+	gracefulCheck     = 10 * time.Second
+)
+
+// Guards against a graceful stop that cuts off a stream, whether it runs
+// through the stopping daemon or draws on a budget whose home stops, that
+// refuses requests before the balancer can know, or that leaves grants open.
+func TestGracefulShutdownCutsNoRequest(t *testing.T) {
+	seed := harness.Seed(t)
+	f := harness.Start(t, harness.Options{
+		Daemons:    gracefulDaemons,
+		Engines:    gracefulEngines,
+		EngineArgs: []string{"--token-ms", "25"},
+		Customers:  gracefulCustomerList(),
+	})
+	g := &gracefulTraffic{fleet: f, book: newBook(), unused: make([]atomic.Bool, gracefulDaemons)}
+	stop := make(chan struct{})
+	var traffic sync.WaitGroup
+	for i := range gracefulCallers {
+		traffic.Go(func() { g.caller(harness.Rand(seed, uint64(i)+1), i, stop) })
+	}
+	r := harness.Rand(seed, 0)
+	var windows []gracefulWindow
+	for _, i := range r.Perm(gracefulDaemons) {
+		time.Sleep(gracefulInterval)
+		w := gracefulWindow{stop: stopGracefully(t, f, i)}
+		g.unused[i].Store(true) // until it is ready, as a balancer does
+		f.Daemons[i].StartAgain()
+		f.AwaitReady()
+		w.restarted = time.Now()
+		g.unused[i].Store(false)
+		windows = append(windows, w)
+	}
+	for _, i := range r.Perm(gracefulDaemons) {
+		time.Sleep(gracefulInterval)
+		windows = append(windows, gracefulWindow{stop: stopGracefully(t, f, i)})
+		g.unused[i].Store(true)
+	}
+	close(stop)
+	traffic.Wait()
+	checkGracefulStops(t, g.book.all(), windows)
+	checkGracefulAnswers(t, f, g.book.all(), windows)
+	ctx, cancel := context.WithTimeout(context.Background(), gracefulCheck)
+	defer cancel()
+	assert.NilError(t, checkBudgetsWhole(ctx, f))
+	t.Logf("answers: %v", g.book.tally())
+}
+
+// gracefulWindow is a graceful stop and the time from which the daemon serves
+// again, zero if it does not.
+type gracefulWindow struct {
+	stop      gracefulStop
+	restarted time.Time
+}
+
+// stopGracefully stops a daemon and checks its exit status and its grants.
+func stopGracefully(t *testing.T, f *harness.Fleet, i int) gracefulStop {
+	t.Helper()
+	d := f.Daemons[i]
+	s := gracefulStop{daemon: d.Name, signaled: time.Now()}
+	d.Leave()
+	assert.NilError(t, d.Left(gracefulExit), "exit of %s", d.Name)
+	s.exited = time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), gracefulCheck)
+	defer cancel()
+	grants, err := checkGrantsClosed(ctx, f.Platform.Table(), d.Name)
+	assert.NilError(t, err)
+	t.Logf("%s exited after %v, %d grants closed", d.Name, s.exited.Sub(s.signaled).Round(time.Millisecond), grants)
+	return s
+}
+
+// checkGracefulStops checks that the stops met streams through the stopping
+// daemon and through others, without which the test would prove nothing.
+func checkGracefulStops(t *testing.T, answers []harness.Answer, windows []gracefulWindow) {
+	t.Helper()
+	var foreign int // streams through other daemons, open when their home was stopped
+	for _, w := range windows {
+		var own int
+		for _, a := range answers {
+			switch {
+			case !w.stop.during(a):
+			case a.Daemon == w.stop.daemon:
+				own++
+			case w.stop.homeOf(a):
+				foreign++
+			}
+		}
+		assert.Assert(t, own > 0, "no stream was open through %s when it was stopped", w.stop.daemon)
+	}
+	assert.Assert(t, foreign > 0, "no stream was open whose home was stopped")
+	t.Logf("%d streams were open whose home was stopped", foreign)
+}
+
+// checkGracefulAnswers checks each answer.
+func checkGracefulAnswers(t *testing.T, f *harness.Fleet, answers []harness.Answer, windows []gracefulWindow) {
+	t.Helper()
+	dispatches, err := f.Dispatches()
+	assert.NilError(t, err)
+	dispatched := make(map[string]bool)
+	for _, d := range dispatches {
+		dispatched[d.Digest] = true
+	}
+	for _, a := range answers {
+		mayRefuse := false
+		for _, w := range windows {
+			mayRefuse = mayRefuse || w.stop.mayRefuse(a, w.restarted)
+		}
+		if err := checkGraceful(a, mayRefuse, dispatched[a.Request.Digest()]); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func gracefulCustomer(number int) string { return fmt.Sprintf("mess-%d", number) }
+
+func gracefulCustomerList() []harness.Customer {
+	list := make([]harness.Customer, gracefulCustomers)
+	for i := range list {
+		id := gracefulCustomer(i)
+		list[i] = harness.Customer{ID: id, Budget: id, Tokens: gracefulTokens, CoverSeconds: 5, MinTokens: 5_000, MaxShare: 0.2}
+	}
+	return list
+}
--- /dev/null
+++ b/test/integration/graceful_traffic_test.go
@@ -0,0 +1,51 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+// gracefulSendTimeout is far above the duration of a stream.
+const gracefulSendTimeout = 20 * time.Second
+
+// gracefulTraffic sends streams through every daemon that is in use.
+type gracefulTraffic struct {
+	fleet  *harness.Fleet
+	book   *book
+	unused []atomic.Bool // by daemon; its process has ended or is not ready yet
+}
+
+// caller sends streams one after the other until stop is closed.
+func (g *gracefulTraffic) caller(r *rand.Rand, number int, stop <-chan struct{}) {
+	caller := g.fleet.NewCaller()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		at := r.IntN(len(g.fleet.Daemons))
+		if g.unused[at].Load() {
+			time.Sleep(gracefulPause)
+			continue
+		}
+		request := harness.Request{
+			Customer:  gracefulCustomer((number + n) % gracefulCustomers),
+			Key:       fmt.Sprintf("graceful-%d-%d", number, n),
+			Prompt:    fmt.Sprintf("allergy check %d of caller %d", n, number),
+			MaxTokens: int64(20 + r.IntN(45)),
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), gracefulSendTimeout)
+		a := caller.Send(ctx, g.fleet.Daemons[at], request)
+		cancel()
+		g.book.received(a)
+		if !a.Whole {
+			time.Sleep(gracefulPause)
+		}
+	}
+}
