Test that a leaving target gets no new work

Considered: the engines' journals alone. An engine that drains or is dead accepts nothing, so they do not show dispatches that reach it; a front before each leaving target records every dispatch that arrives, and the journals are checked too.

Change: TestLeavingTargetGetsNoNewWork has five of eight engines leave in turn: membership, own report, own report during a platform outage, an operator's order, death without a sign. The limit is 3 s, 5 s for the order. Streams that were accepted have to end; an answer may only be refused if its stream had begun at the target that died, before its death.

--- /dev/null
+++ b/test/integration/leaving_front_test.go
@@ -0,0 +1,113 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+// leavingFront stands between the proxy of a target and its process and records
+// every dispatch, also those that a draining or dead process does not accept
+// and that its journal therefore does not show.
+type leavingFront struct {
+	upstream string
+	client   *http.Client
+
+	mu         sync.Mutex
+	dispatches []time.Time
+}
+
+// newLeavingFront puts a front before a target. It ends with the test.
+func newLeavingFront(t *testing.T, target *harness.Target) *leavingFront {
+	t.Helper()
+	f := &leavingFront{upstream: "http://" + target.Addr(), client: &http.Client{Transport: &http.Transport{}}}
+	server := httptest.NewServer(f)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		f.client.CloseIdleConnections()
+	})
+	target.Link.SetUpstream(server.Listener.Addr().String())
+	target.Link.Reset()
+	return f
+}
+
+// ServeHTTP implements http.Handler.
+func (f *leavingFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/chat/completions" {
+		f.mu.Lock()
+		f.dispatches = append(f.dispatches, time.Now())
+		f.mu.Unlock()
+	}
+	if err := f.forward(w, r); err != nil {
+		panic(http.ErrAbortHandler) // the daemon sees a connection that ends, as from a dead process
+	}
+}
+
+// forward passes a request on and its answer back piece by piece.
+func (f *leavingFront) forward(w http.ResponseWriter, r *http.Request) error {
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, f.upstream+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	request.Header = r.Header.Clone()
+	request.ContentLength = r.ContentLength
+	response, err := f.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("forward: %w", err)
+	}
+	defer response.Body.Close()
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(response.StatusCode)
+	return copyFlushed(w, response.Body)
+}
+
+// copyFlushed copies a body and flushes after each piece, since it may be a stream.
+func copyFlushed(w http.ResponseWriter, body io.Reader) error {
+	control := http.NewResponseController(w)
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return fmt.Errorf("write: %w", err)
+			}
+			if err := control.Flush(); err != nil {
+				return fmt.Errorf("flush: %w", err)
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+	}
+}
+
+// times returns when requests were dispatched to the target.
+func (f *leavingFront) times() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.dispatches)
+}
+
+// post sends an empty POST past the daemons.
+func (f *leavingFront) post(t *testing.T, path string) {
+	t.Helper()
+	response, err := f.client.Post(f.upstream+path, "", nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusNoContent)
+}
--- /dev/null
+++ b/test/integration/leaving_test.go
@@ -0,0 +1,120 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/test/harness"
+)
+
+// Sizes of the test of leaving targets. A stream lasts 0.4 s to 1.3 s.
+const (
+	leavingDaemons  = 3
+	leavingEngines  = 8
+	leavingCallers  = 24
+	leavingWarmUp   = 3 * time.Second
+	leavingMargin   = time.Second // of observation beyond the limit
+	leavingTimeout  = 15 * time.Second
+	leavingBefore   = 5 // dispatches to a target before its sign, without which the test would prove nothing
+	leavingCustomer = "regie"
+)
+
+// Guards against a target that gets new work after it began to leave, whatever
+// the first sign was, against streams that are cut off there and against
+// callers that notice.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	seed := harness.Seed(t)
+	f := harness.Start(t, harness.Options{
+		Daemons:    leavingDaemons,
+		Engines:    leavingEngines,
+		EngineArgs: []string{"--token-ms", "20"},
+		// The grants cover the outage of the platform.
+		Customers: []harness.Customer{{ID: leavingCustomer, Budget: "regie-main", Tokens: 20_000_000, CoverSeconds: 60, MinTokens: 500_000, MaxShare: 0.2}},
+	})
+	r := harness.Rand(seed, 0)
+	left := planLeaving(t, f, r)
+	f.AwaitReady()
+	b := newBook()
+	stop := make(chan struct{})
+	var traffic sync.WaitGroup
+	for i := range leavingCallers {
+		traffic.Go(func() { leavingTraffic(f, b, harness.Rand(seed, uint64(i)+1), i, stop) })
+	}
+	time.Sleep(leavingWarmUp)
+	for _, l := range left {
+		time.Sleep(time.Duration(r.Int64N(int64(leavingMargin))))
+		l.begin(t, f)
+		time.Sleep(l.sign.limit() + leavingMargin)
+		l.end(t, f)
+	}
+	close(stop)
+	traffic.Wait()
+	dispatches, err := f.Dispatches()
+	assert.NilError(t, err)
+	checkLeaving(t, leavingOracle{left: left, dispatches: dispatches, answers: b.all()})
+	t.Logf("answers: %v", b.tally())
+}
+
+// planLeaving draws a target for each sign and the order of the signs.
+func planLeaving(t *testing.T, f *harness.Fleet, r *rand.Rand) []*leaving {
+	t.Helper()
+	signs := []leavingSign{signMembership, signReport, signReportOutage, signOrder, signDeath}
+	r.Shuffle(len(signs), func(i, j int) { signs[i], signs[j] = signs[j], signs[i] })
+	targets := r.Perm(len(f.Engines))
+	left := make([]*leaving, len(signs))
+	for i, sign := range signs {
+		target := f.Engines[targets[i]]
+		left[i] = &leaving{sign: sign, target: target, front: newLeavingFront(t, target)}
+	}
+	return left
+}
+
+// leavingTraffic sends streams through all daemons until stop is closed.
+func leavingTraffic(f *harness.Fleet, b *book, r *rand.Rand, number int, stop <-chan struct{}) {
+	caller := f.NewCaller()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		request := harness.Request{
+			Customer:  leavingCustomer,
+			Key:       fmt.Sprintf("leaving-%d-%d", number, n),
+			Prompt:    fmt.Sprintf("%d ration of caller %d, %x", n, number, r.Uint64()),
+			MaxTokens: int64(20 + r.IntN(45)),
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), leavingTimeout)
+		b.received(caller.Send(ctx, f.Daemons[r.IntN(len(f.Daemons))], request))
+		cancel()
+	}
+}
+
+// checkLeaving checks every target that left and every answer.
+func checkLeaving(t *testing.T, o leavingOracle) {
+	t.Helper()
+	for _, l := range o.left {
+		t.Logf("%s: %s, %d streams at the sign, last dispatch %v after it", l.target.ID, l.sign, o.busy(l), o.latest(l).Round(time.Millisecond))
+		before := 0
+		for _, at := range l.front.times() {
+			if at.Before(l.began) {
+				before++
+			}
+		}
+		assert.Assert(t, before >= leavingBefore, "%s got %d dispatches before its sign", l.target.ID, before)
+		for _, err := range o.checkTarget(l) {
+			t.Error(err)
+		}
+	}
+	for _, a := range o.answers {
+		if err := o.checkAnswer(a); err != nil {
+			t.Error(err)
+		}
+	}
+}
