--- a/pkg/home/router_test.go
+++ b/pkg/home/router_test.go
@@ -47,11 +47,19 @@
 }
 
 func (f *fixedRing) Home(string, string) []cluster.Peer { return f.peers }
-func (f *fixedRing) Peers() []cluster.Peer              { return f.peers }
 func (f *fixedRing) Unreachable(incarnation string) {
 	f.unreachable = append(f.unreachable, incarnation)
 }
 
+func (f *fixedRing) Holder(incarnation string) (string, bool) {
+	for _, p := range f.peers {
+		if p.Incarnation == incarnation {
+			return p.Addr, true
+		}
+	}
+	return "", false
+}
+
 type recorders map[string]*recorder
 
 func (r recorders) Authority(addr string) Authority { return r[addr] }
