--- a/pkg/load/baseline/transactions.go
+++ b/pkg/load/baseline/transactions.go
@@ -12,16 +12,13 @@
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/home"
 	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/platform/retry"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
-const (
-	// submitPause is the wait before a transaction with an unknown outcome is
-	// submitted again.
-	submitPause = 20 * time.Millisecond
-	// submitLimit bounds the resubmission. The outage that is measured lasts 60 s.
-	submitLimit = 3 * time.Minute
-)
+// submitLimit bounds the resubmission of a transaction with an unknown outcome.
+// The outage that is measured lasts 60 s.
+const submitLimit = 3 * time.Minute
 
 // transactions authorises spending with one transaction on the budget row for
 // each reservation and each settlement.
@@ -165,10 +162,11 @@
 	if req.Outcome == home.NotDispatched {
 		tokens = 0
 	}
+	var delay retry.Backoff
 	for {
 		if row.version == 0 {
 			if err := t.read(ctx, req.Budget, row); err != nil {
-				time.Sleep(submitPause)
+				time.Sleep(delay.Next())
 				continue
 			}
 		}
@@ -255,14 +253,18 @@
 	return false, nil
 }
 
+// submit submits a transaction until it is decided. The pauses grow: with 20 ms
+// throughout, the rows of nine daemons used up the free ports of the machine in
+// an outage of 60 s.
 func (t *transactions) submit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+	var delay retry.Backoff
 	deadline := time.Now().Add(submitLimit)
 	for {
 		outcome, err := t.table.Commit(ctx, txn)
 		if err == nil || time.Now().After(deadline) {
 			return outcome, err
 		}
-		time.Sleep(submitPause)
+		time.Sleep(delay.Next())
 	}
 }
 
