Join the remainders of idle grants while others are in use

Cause: a request that no single grant covers waited until every running attempt of the budget had ended before idle grants were closed to make one new grant. A budget that all daemons draw on always has a running attempt, so such requests were refused after 250 ms although the sum of the remainders covered them.

Idle grants are now closed at once. Grants in use still have to become idle; a grant that is drawn on all the time keeps its remainder.

The test fails without the change (budget_exhausted).

--- a/pkg/home/closing.go
+++ b/pkg/home/closing.go
@@ -21,14 +21,12 @@
 
 // mayGainRoom reports whether a budget without room for bound may get it
 // before the waiter's deadline: a running attempt may settle below its bound,
-// or the remainders of several grants together cover it. It starts closing
-// those grants so that one new grant can replace them.
+// or the remainders of several grants together cover it. It starts closing the
+// idle ones among those grants, whether or not others are in use, so that one
+// new grant can replace them.
 func (l *Local) mayGainRoom(now time.Time, b *budgetState, bound int64) bool {
-	if b.outstanding(l) > 0 {
-		return true
-	}
 	if b.record.Free()+l.ledger.Available(b.id) < bound {
-		return false
+		return b.outstanding(l) > 0
 	}
 	for _, id := range l.ledger.GrantsOf(b.id) {
 		l.closeGrant(now, id)
--- a/pkg/home/local_test.go
+++ b/pkg/home/local_test.go
@@ -288,3 +288,33 @@
 		w.deliver(d)
 	}
 }
+
+// Guards against a refusal of a request that the remainders of two idle grants
+// cover, while a third grant of the budget is in use.
+func TestLocalJoinsRemaindersWhileAnotherGrantIsInUse(t *testing.T) {
+	w := newWorld(1)
+	w.policy = budget.Policy{MinTokens: 100, MaxShare: 1}
+	w.createBudget("b", 300)
+	d := w.daemons[0]
+	var replies []ReserveReply
+	for i, bound := range []int64{40, 70, 90} {
+		req := request("r" + string(rune('1'+i)))
+		req.Bound = bound
+		replies = append(replies, granted(t, w, d, req))
+		assert.Equal(t, replies[i].Outcome, Granted)
+	}
+	assert.Equal(t, len(d.local.grants), 3)
+	for i, bound := range []int64{40, 70} {
+		req := request("r" + string(rune('1'+i)))
+		req.Bound = bound
+		w.settle(d, completed(req, replies[i].Stream, 40))
+	}
+	w.tick(d, DefaultFlushInterval)
+	commitAll(w, d)
+	req := request("r4")
+	req.Bound = 100
+	r := granted(t, w, d, req)
+	assert.Equal(t, r.Outcome, Granted, "%v", r.Refusal)
+	b := w.budget("b")
+	assert.Assert(t, b.Granted+b.Settled <= b.Limit, "%+v", b)
+}
