Ask entry daemons before a stop waits, end a loop of budget reads

Ruled out for (1): a shorter expiry of reservations (retries attach to streams for as long as a request may run). Change: (1) the home asks the entry daemons of attempts older than 30 s, or 2 s when it leaves; those that have nothing open are released, and when it leaves those of ended daemons are charged their bound. The router counts reservations under way, so that it cannot deny one that is just being granted. (2) A row read for a close only wakes the close. The test world stops after 10,000 messages. Conclusion: a lost reservation no longer blocks a stop.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -120,6 +120,7 @@
 		Table:     d.platform,
 		Committer: noCommitter{},
 		Policies:  d.grantPolicy,
+		Entries:   d.askEntry,
 		Observer:  &homeObserver{log: d.logs.Logger("home"), metrics: d.metrics, repairs: d.repairs},
 	})
 }
--- a/pkg/daemon/evidence.go
+++ b/pkg/daemon/evidence.go
@@ -62,6 +62,19 @@
 	return peer.AttemptsReply{Home: status.Holder, Open: d.router.OpenAttempts(req.Holder)}, nil
 }
 
+// askEntry implements home.Entries.
+func (d *Daemon) askEntry(entry, holder string) (int, bool, error) {
+	if entry == holder && d.router != nil {
+		return d.router.OpenAttempts(holder), false, nil
+	}
+	addr, live := d.session.Load().view.Holder(entry)
+	if !live {
+		return 0, false, fmt.Errorf("entry daemon %s is not live", entry)
+	}
+	t, err := evidence{d}.Ask(context.Background(), lease.HolderRecord{Incarnation: entry, PeerAddr: addr}, holder)
+	return t.Open, t.Gone, err
+}
+
 // LastChange implements repair.Evidence.
 func (e evidence) LastChange(incarnation string) (time.Time, bool) {
 	return e.daemon.session.Load().view.LastChange(incarnation)
--- /dev/null
+++ b/pkg/home/abandoned_test.go
@@ -0,0 +1,57 @@
+package home
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a graceful stop that waits for a reservation whose reply was
+// lost, and against releasing one that its entry daemon still runs.
+func TestLocalAsksEntriesBeforeItLeaves(t *testing.T) {
+	cases := []struct {
+		desc    string
+		open    int
+		gone    bool
+		err     error
+		running int
+		total   int64
+	}{
+		{"nothing open there", 0, false, nil, 0, 0},
+		{"still running there", 1, false, nil, 1, 0},
+		{"entry daemon gone", 0, true, nil, 0, 50},
+		{"no answer", 0, false, errors.New("timeout"), 1, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			w := newWorld(1)
+			w.createBudget("b", 1000)
+			d := w.daemons[0]
+			d.local.opts.Entries = func(string, string) (int, bool, error) { return tc.open, tc.gone, tc.err }
+			granted(t, w, d, request("r1"))
+			w.tick(d, leavingAfter)
+			assert.Equal(t, d.local.ledger.Running(), 1, "asked before the home leaves")
+			d.local.step(leaveMessage{})
+			w.tick(d, askInterval)
+			w.settleDown(d)
+			assert.Equal(t, d.local.ledger.Running(), tc.running)
+			assert.Equal(t, w.lines("c")["r1"].Total(), tc.total)
+		})
+	}
+}
+
+// Guards against a daemon that testifies to no open attempt while a home may
+// just be granting one to it.
+func TestRouterCountsReservationsUnderWay(t *testing.T) {
+	open := newAttempts()
+	open.ask("h")
+	assert.Equal(t, open.open("h"), 1)
+	open.answered("h", ReserveReply{Outcome: Granted, Stream: "h-1.0"}, nil)
+	assert.Equal(t, open.open("h"), 1)
+	open.end("h-1.0")
+	assert.Equal(t, open.open("h"), 0)
+	open.ask("h")
+	open.answered("h", ReserveReply{}, errors.New("timeout"))
+	assert.Equal(t, open.open("h"), 0)
+}
--- a/pkg/home/attempts.go
+++ b/pkg/home/attempts.go
@@ -11,16 +11,31 @@
 type attempts struct {
 	mu      sync.Mutex
 	streams map[string]struct{}
+	asked   map[string]int // reservations under way, by the incarnation asked
 }
 
 func newAttempts() *attempts {
-	return &attempts{streams: make(map[string]struct{})}
+	return &attempts{streams: make(map[string]struct{}), asked: make(map[string]int)}
 }
 
-func (a *attempts) begin(stream string) {
+// ask counts a reservation at a home until answered.
+func (a *attempts) ask(home string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.streams[stream] = struct{}{}
+	a.asked[home]++
+}
+
+// answered ends ask. A granted stream counts from the same moment on. A
+// reservation that failed is never dispatched, whatever the home decided.
+func (a *attempts) answered(home string, reply ReserveReply, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.asked[home]--; a.asked[home] == 0 {
+		delete(a.asked, home)
+	}
+	if err == nil && reply.Outcome == Granted {
+		a.streams[reply.Stream] = struct{}{}
+	}
 }
 
 func (a *attempts) end(stream string) {
@@ -33,7 +48,7 @@
 func (a *attempts) open(holder string) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := 0
+	n := a.asked[holder]
 	for stream := range a.streams {
 		if budget.HolderOfGrant(budget.GrantOfStream(stream)) == holder {
 			n++
--- a/pkg/home/budgets.go
+++ b/pkg/home/budgets.go
@@ -99,7 +99,7 @@
 // budgetRead carries a budget row to the control goroutine.
 type budgetRead struct {
 	id     string
-	policy budget.Policy
+	policy budget.Policy // zero: the row is read to close a grant
 	need   int64
 	row    platform.Row
 	err    error
@@ -116,6 +116,10 @@
 		l.wake(m.id)
 		return
 	}
+	if m.policy == (budget.Policy{}) {
+		l.wake(b.id) // read for a close, which is tried again with the row at hand
+		return
+	}
 	l.ensureOpen(now, b, m.policy, m.need)
 }
 
--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -57,6 +57,7 @@
 	nextGrant uint64
 	lastFlush time.Time
 	lastSweep time.Time
+	askedAt   time.Time // when entry daemons were last asked
 }
 
 // NewLocal returns an authority that serves once Run is called.
@@ -166,6 +167,7 @@
 		l.closeGrants(now)
 		l.sweepRequests(now)
 		l.expireAttempts(now)
+		l.askEntries(now)
 	}
 }
 
--- a/pkg/home/options.go
+++ b/pkg/home/options.go
@@ -16,6 +16,11 @@
 // Policies returns the grant policy of a customer, false for an unknown one.
 type Policies func(customer string) (budget.Policy, bool)
 
+// Entries asks an entry daemon how many attempts on the grants of this holder it
+// has open. Gone means that its process has ended. It is called outside the
+// control goroutine.
+type Entries func(entry, holder string) (open int, gone bool, err error)
+
 // Observer is told of decisions for metrics and logs. Its methods must not block.
 type Observer interface {
 	GrantOpened(budget string, tokens int64)
@@ -38,6 +43,7 @@
 	ReserveWait   time.Duration    // how long a reservation waits for a grant or a claim
 	GrantIdle     time.Duration    // unused grants are closed after this
 	CrashLimit    int              // targets that may die under one request
+	Entries       Entries          // asks entry daemons about old attempts; nil: never
 	MaxAttempt    time.Duration    // a reservation that was not settled for this long is charged its bound
 }
 
--- a/pkg/home/router.go
+++ b/pkg/home/router.go
@@ -74,28 +74,28 @@
 
 // Reserve implements Authority.
 func (a routed) Reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error) {
-	reply, err := a.reserve(ctx, req)
-	if err == nil && reply.Outcome == Granted {
-		a.router.open.begin(reply.Stream)
-	}
-	return reply, err
-}
-
-func (a routed) reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error) {
 	r := a.router
 	ring := r.ring()
 	for i, peer := range ring.Home(a.budget, r.region) {
 		if i >= remoteHomes || peer.Incarnation == r.self() {
 			break
 		}
-		reply, err := r.remotes.Authority(peer.Addr).Reserve(ctx, req)
+		reply, err := r.reserveAt(ctx, peer.Incarnation, r.remotes.Authority(peer.Addr), req)
 		if err == nil {
 			return reply, nil
 		}
 		ring.Unreachable(peer.Incarnation)
 		go r.release(peer.Addr, req)
 	}
-	return r.local.Reserve(ctx, req)
+	return r.reserveAt(ctx, r.self(), r.local, req)
+}
+
+// reserveAt asks one authority and counts the attempt as open meanwhile.
+func (r *Router) reserveAt(ctx context.Context, home string, authority Authority, req ReserveRequest) (ReserveReply, error) {
+	r.open.ask(home)
+	reply, err := authority.Reserve(ctx, req)
+	r.open.answered(home, reply, err)
+	return reply, err
 }
 
 // release gives back what a home may have reserved whose reply was lost.
--- a/pkg/home/world_test.go
+++ b/pkg/home/world_test.go
@@ -23,6 +23,10 @@
 	c.queue = append(c.queue, op)
 }
 
+// maxMessages bounds what one step of a test may cause, so that a home that keeps
+// reading the table fails the test at once instead of hanging it.
+const maxMessages = 10_000
+
 // daemon is a home with its committer and holder row.
 type daemon struct {
 	local     *Local
@@ -94,7 +98,7 @@
 
 // pump handles every message that is waiting at a daemon.
 func (w *world) pump(d *daemon) {
-	for {
+	for range maxMessages {
 		select {
 		case m := <-d.local.inbox:
 			d.local.step(m)
@@ -102,6 +106,7 @@
 			return
 		}
 	}
+	panic("the home sends itself messages without end")
 }
 
 // tick advances time and runs the timers of one daemon.
