Ask a peer for the bundle while the table does not confirm it

Cause: a daemon that is cut off from the platform for longer than the holder TTL is no longer live in the view of the others, so that nobody pushes new versions to it. It kept the version that it held until the platform was reachable again, although its peers were.

Considered: pushing to daemons whose rows have expired, which would cost a timeout for every dead one; an address in the greeting to which the peer pushes back, which would let a greeting choose where bundles are sent. Chosen: the reply to peer.hello carries the bundle if the greeter's version is lower.

Change: a daemon that the table has not confirmed for two polls greets one random peer of its last view per poll and offers the reply to its watcher, which checks the signatures as for a push.

Conclusion: a daemon needs either the platform or one peer of its last view. One that starts while it is cut off knows no peers and waits for the platform.

--- a/pkg/daemon/bundles.go
+++ b/pkg/daemon/bundles.go
@@ -83,7 +83,16 @@
 	return err
 }
 
-// hello answers the greeting of a peer.
-func (d *Daemon) hello(peer.Hello) peer.Hello {
+// hello answers the greeting of a peer, with the bundle if the peer's is older.
+func (d *Daemon) hello(caller peer.Hello) peer.Hello {
+	reply := d.greeting()
+	if caller.BundleVersion < reply.BundleVersion {
+		reply.Bundle = d.watcher.Raw()
+	}
+	return reply
+}
+
+// greeting is what this daemon tells its peers of itself.
+func (d *Daemon) greeting() peer.Hello {
 	return peer.Hello{Incarnation: d.Incarnation(), Host: d.config.Host, BundleVersion: d.watcher.Version()}
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -166,6 +166,7 @@
 	go d.poller.Run(ctx)
 	go d.local.Run(ctx)
 	go d.watchBundles(ctx)
+	go d.bundlePull().run(ctx)
 	go d.watchMembers(ctx)
 	go d.watchDrains(ctx)
 	go d.repairLoop(ctx)
