Test that bundles are in force everywhere and never revert

Considered: only the version that /readyz names. A daemon may name a version whose keys it does not check, so each version has an API key that only it knows; the watches try the keys of all versions on each daemon all the time.

Change: TestBundleInForceEverywhereNeverReverts. Two operators race on each version; one daemon is cut off from the platform, at first and beyond its lease, one is paused, one restarts and one starts late during a platform outage, table replies are lost, every daemon is killed and restarted, and every older version is pushed to every daemon as by a peer that was delayed.

A daemon that is cut off from the platform and from every peer of its last view is not reachable and not tested.

--- /dev/null
+++ b/test/integration/bundle_force_test.go
@@ -0,0 +1,213 @@
+package integration
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/peer"
+	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/test/harness"
+	"github.com/peppertrail/peppertrail/test/harness/proxy"
+)
+
+const (
+	bundleDaemons = 5
+	// bundleLimit is the time in which a version is in force on each reachable daemon.
+	bundleLimit = 14 * time.Second
+	// bundleCut is longer than the holder TTL of 3 s, after which the table no
+	// longer shows the daemon that is cut off as live.
+	bundleCut = 5 * time.Second
+	// bundlePause is longer than the holder TTL too.
+	bundlePause = 4 * time.Second
+	// bundleOutage is how long the platform is down.
+	bundleOutage = 3 * time.Second
+	// bundleCustomer owns the keys by which versions are told apart.
+	bundleCustomer = "regie"
+)
+
+// bundleTest is the state of the test of bundles.
+type bundleTest struct {
+	t       *testing.T
+	fleet   *harness.Fleet
+	race    *bundleRace
+	watches []*bundleWatch // by daemon
+}
+
+// Guards against a version that does not reach a daemon which is cut off from
+// the platform, was paused, restarted or started late, against two accepted
+// versions on one base, and against a daemon that returns to an older version
+// or serves before it knows one.
+func TestBundleInForceEverywhereNeverReverts(t *testing.T) {
+	seed := harness.Seed(t)
+	f := harness.Start(t, harness.Options{
+		Daemons:    bundleDaemons,
+		EngineArgs: []string{"--token-ms", "2"},
+		Customers:  []harness.Customer{{ID: bundleCustomer, Budget: "regie-main", Tokens: 1_000_000, CoverSeconds: 60, MinTokens: 10_000, MaxShare: 0.1}},
+	})
+	base := f.Bundle
+	base.Version = 1
+	log := &bundleLog{}
+	b := &bundleTest{t: t, fleet: f, race: &bundleRace{t: t, fleet: f, log: log, base: base}}
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	for _, d := range f.Daemons {
+		w := newBundleWatch(t, d, log)
+		b.watches = append(b.watches, w)
+	}
+	r := harness.Rand(seed, 0)
+	order := r.Perm(bundleDaemons)
+	late := order[0]
+	f.Daemons[late].Kill()
+	for _, w := range b.watches {
+		watching.Go(func() { w.run(stop) })
+	}
+	defer watching.Wait()
+	defer close(stop)
+	b.raceThrough(r, order[1:], order[1:], "plain")
+	b.cutOff(r, order[1], order[1:])
+	b.paused(r, order[2], order[1:])
+	b.outage(order[3], late, order)
+	b.lostReplies(r, order)
+	b.pushOld(order)
+	b.restartAll(order)
+	b.pushOld(order)
+}
+
+// raceThrough runs a race through two of the daemons and waits until the
+// version is in force on all of those that are reachable.
+func (b *bundleTest) raceThrough(r *rand.Rand, through, reachable []int, what string) {
+	b.t.Helper()
+	pick := r.Perm(len(through))
+	b.race.run(b.fleet.Daemons[through[pick[0]]], b.fleet.Daemons[through[pick[1]]])
+	b.await(reachable, what)
+}
+
+// await waits until the newest version is in force on daemons, at most
+// bundleLimit after now, which is when it was accepted or they became reachable.
+func (b *bundleTest) await(daemons []int, what string) {
+	b.t.Helper()
+	version, _ := b.race.log.newest()
+	began := time.Now()
+	for _, i := range daemons {
+		w := b.watches[i]
+		harness.Eventually(b.t, max(0, bundleLimit-time.Since(began)), w.daemon.Name+": "+what, func() bool { return w.shows(version) })
+	}
+	b.t.Logf("%s: version %d on %d daemons within %v", what, version, len(daemons), time.Since(began).Round(time.Millisecond))
+}
+
+// cutOff cuts a daemon off from the platform, not from its peers, and accepts
+// one version at once and one after its lease has ended.
+func (b *bundleTest) cutOff(r *rand.Rand, cut int, running []int) {
+	b.t.Helper()
+	others := without(running, cut)
+	link := b.fleet.Daemons[cut].PlatformLink
+	assert.NilError(b.t, link.Set(proxy.Cut()))
+	b.raceThrough(r, others, running, "just cut off from the platform")
+	time.Sleep(bundleCut)
+	b.raceThrough(r, others, running, "cut off from the platform beyond the lease")
+	assert.NilError(b.t, link.Heal())
+}
+
+// paused accepts a version while a daemon is paused.
+func (b *bundleTest) paused(r *rand.Rand, paused int, running []int) {
+	b.t.Helper()
+	others := without(running, paused)
+	b.fleet.Daemons[paused].Pause()
+	b.raceThrough(r, others, others, "one paused")
+	time.Sleep(bundlePause)
+	b.fleet.Daemons[paused].Resume()
+	b.await(running, "woken")
+}
+
+// outage takes the platform down while one daemon restarts and one starts
+// late. Both must not serve before they know a version; the others go on.
+func (b *bundleTest) outage(restarted, late int, all []int) {
+	b.t.Helper()
+	assert.NilError(b.t, b.fleet.Platform.SetFaults(standin.Faults{TableDown: true, ObjectsDown: true, MembersDown: true}))
+	b.fleet.Daemons[restarted].Kill()
+	for _, i := range []int{restarted, late} {
+		b.fleet.Daemons[i].Launch(true)
+	}
+	for began := time.Now(); time.Since(began) < bundleOutage; time.Sleep(bundleTick) {
+		for _, i := range []int{restarted, late} {
+			assert.Assert(b.t, !b.serves(i), "%s serves without a bundle", b.fleet.Daemons[i].Name)
+		}
+	}
+	for _, i := range without(without(all, restarted), late) {
+		assert.Assert(b.t, b.serves(i), "%s does not serve during the outage", b.fleet.Daemons[i].Name)
+	}
+	assert.NilError(b.t, b.fleet.Platform.SetFaults(standin.Faults{}))
+	for _, i := range []int{restarted, late} {
+		b.fleet.Daemons[i].AwaitStart()
+	}
+	b.await(all, "after the outage")
+}
+
+// lostReplies races while the table's replies are lost after the commit.
+func (b *bundleTest) lostReplies(r *rand.Rand, all []int) {
+	b.t.Helper()
+	assert.NilError(b.t, b.fleet.Platform.SetFaults(standin.Faults{LostReplyProbability: lostShare}))
+	b.raceThrough(r, all, all, "replies lost")
+	assert.NilError(b.t, b.fleet.Platform.SetFaults(standin.Faults{}))
+}
+
+// restartAll restarts every daemon; the watches see whether one comes back
+// with an older version.
+func (b *bundleTest) restartAll(all []int) {
+	b.t.Helper()
+	for _, i := range all {
+		b.fleet.Daemons[i].Kill()
+		b.fleet.Daemons[i].StartAgain()
+	}
+	b.await(all, "restarted")
+	time.Sleep(4 * bundleTick)
+}
+
+// pushOld pushes every older version to every daemon, as a peer does that was
+// paused before it sent them.
+func (b *bundleTest) pushOld(all []int) {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bundleRaceTimeout)
+	defer cancel()
+	newest, _ := b.race.log.newest()
+	for version := uint64(1); version < newest; version++ {
+		accepted, err := b.fleet.Operators[0].Client(b.fleet.Daemons[all[0]]).Version(ctx, version)
+		assert.NilError(b.t, err)
+		raw, err := accepted.Encode()
+		assert.NilError(b.t, err)
+		for _, i := range all {
+			b.push(ctx, i, raw)
+		}
+	}
+	time.Sleep(4 * bundleTick)
+	b.await(all, "older versions pushed")
+}
+
+// push sends a bundle to a daemon over the protocol between daemons.
+func (b *bundleTest) push(ctx context.Context, i int, raw []byte) {
+	b.t.Helper()
+	client := peer.NewClient(b.fleet.Daemons[i].PeerLink.Addr(), peer.Options{})
+	defer client.Close()
+	assert.NilError(b.t, client.PushBundle(ctx, raw))
+}
+
+// serves reports whether a daemon accepts the key that every version knows.
+func (b *bundleTest) serves(i int) bool {
+	return b.watches[i].knows(b.fleet.APIKey(bundleCustomer))
+}
+
+// without returns the numbers other than one.
+func without(numbers []int, one int) []int {
+	var rest []int
+	for _, n := range numbers {
+		if n != one {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
