Bind the release of a lost reservation to the call that it undoes

Cause: an entry daemon that gets no reply to a reservation releases it by request and entry. A release that overtook its call found nothing and was answered as done; the call then took a reservation that nobody settled, so that its grant never closed. A release that came after a later call of the same request could give back the tokens of that call although it was running. The release was also given up after about 6.5 s, while the home drops its state only after the holder TTL.

Considered: matching by request, entry and attempt. Ruled out, since a retry of the caller through the same entry has the same three values.

Change: the router names each remote reservation, the home remembers which reservation a call has and refuses a call that was released earlier, and the release is tried for 30 s.

Conclusion: a release undoes its own call only.

--- a/pkg/home/authority.go
+++ b/pkg/home/authority.go
@@ -21,6 +21,7 @@
 	Bound         int64  `json:"bound"`                 // tokens, upper bound of the cost
 	Target        string `json:"target"`                // target id chosen by the entry daemon
 	Entry         string `json:"entry"`                 // incarnation of the entry daemon
+	Call          string `json:"call,omitempty"`        // names this call, so that its release is recognised
 	LostStream    string `json:"lost_stream,omitempty"` // stream to attach to that its target no longer knows
 }
 
@@ -69,6 +70,7 @@
 	UsageKnown  bool           `json:"usage_known"`           // the target reported the usage
 	Final       bool           `json:"final"`                 // no further attempt follows
 	Bound       int64          `json:"bound"`                 // tokens reserved for this attempt
+	Call        string         `json:"call,omitempty"`        // with an empty Stream: the Reserve that had no reply
 }
 
 // SettleReply answers a SettleRequest.
@@ -84,7 +86,7 @@
 	// the caller knows; refusals are in the reply.
 	Reserve(ctx context.Context, req ReserveRequest) (ReserveReply, error)
 	// Settle ends an attempt. It is idempotent by Stream. With an empty Stream
-	// and NotDispatched it releases whatever a Reserve without a reply may have
-	// left for the request and entry.
+	// and NotDispatched it releases what the Reserve named by Call may have left
+	// whose reply was lost, and forbids that Reserve if it arrives later.
 	Settle(ctx context.Context, req SettleRequest) (SettleReply, error)
 }
--- a/pkg/home/claims.go
+++ b/pkg/home/claims.go
@@ -117,6 +117,7 @@
 
 func (l *Local) release(now time.Time, p *pendingClaim) {
 	if _, err := l.ledger.Settle(now, p.reservation.Stream, 0); err == nil {
+		l.calls.ended(p.reservation.Stream)
 		l.wake(p.reservation.Budget)
 	}
 }
--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -46,9 +46,11 @@
 	settled   map[string]*settlement // by stream, until its grant is closed
 	lines     map[string]lineState   // by line key, while the registry knows the request
 	claims    map[string]*pendingClaim
-	crashRows map[string]uint64   // version of the crash row by fingerprint
-	waiters   []*waiter           // in order of arrival
-	woken     map[string]struct{} // budgets whose waiters are tried again
+	calls     openCalls
+	released  map[string]time.Time // calls that were released before they took effect, and when
+	crashRows map[string]uint64    // version of the crash row by fingerprint
+	waiters   []*waiter            // in order of arrival
+	woken     map[string]struct{}  // budgets whose waiters are tried again
 	nextGrant uint64
 	lastFlush time.Time
 	lastSweep time.Time
@@ -76,6 +78,8 @@
 	l.lines = make(map[string]lineState)
 	l.claims = make(map[string]*pendingClaim)
 	l.crashRows = make(map[string]uint64)
+	l.calls = newOpenCalls()
+	l.released = make(map[string]time.Time)
 	l.waiters = nil
 	l.woken = make(map[string]struct{})
 }
@@ -138,6 +142,7 @@
 		l.lastSweep = now
 		l.closeGrants(now)
 		l.sweepRequests(now)
+		l.sweepReleased(now)
 	}
 }
 
@@ -208,6 +213,7 @@
 		Final:       true,
 		UsageKnown:  true,
 		Bound:       r.Bound,
+		Call:        r.Call,
 	}
 }
 
--- a/pkg/home/local_test.go
+++ b/pkg/home/local_test.go
@@ -271,3 +271,49 @@
 	w.pump(d)
 	assert.Assert(t, d.local.budget("b").busy)
 }
+
+// Guards against a reservation that arrives after its release, as when a
+// partition heals: nobody would ever settle it, and its grant stays open.
+func TestReleaseForbidsItsLateReservation(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	req := request("r1")
+	req.Call = "call-1"
+	assert.Assert(t, (<-w.settle(d, req.undispatched(""))).Durable)
+	late := <-w.reserve(d, req)
+	assert.ErrorIs(t, late.err, errReleased)
+	req.Call = "call-2"
+	assert.Equal(t, granted(t, w, d, req).Outcome, Granted)
+}
+
+// Guards against a reservation that is granted after its release because it
+// waited for a grant meanwhile.
+func TestReleaseForbidsItsWaitingReservation(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	req := request("r1")
+	req.Call = "call-1"
+	reply := w.reserve(d, req)
+	assert.Equal(t, len(reply), 0)
+	w.settle(d, req.undispatched(""))
+	w.commitNext(d)
+	w.deliver(d)
+	assert.ErrorIs(t, (<-reply).err, errReleased)
+	assert.Equal(t, d.local.ledger.Running(), 0)
+}
+
+// Guards against the release of a lost call that gives back the tokens of a
+// later call of the same request, which is running.
+func TestReleaseKeepsLaterReservation(t *testing.T) {
+	w := newWorld(1)
+	w.createBudget("b", 1000)
+	d := w.daemons[0]
+	lost, later := request("r1"), request("r1")
+	lost.Call, later.Call = "call-1", "call-2"
+	r := granted(t, w, d, later)
+	w.settle(d, lost.undispatched(""))
+	_, running := d.local.ledger.Reservation(r.Stream)
+	assert.Assert(t, running)
+}
--- a/pkg/home/reserve.go
+++ b/pkg/home/reserve.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"errors"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
@@ -16,6 +17,9 @@
 	unreachableRetry = 2 * time.Second
 )
 
+// errReleased means that the entry daemon gave the call up before it took effect.
+var errReleased = errors.New("reservation was released by its entry daemon")
+
 // reserveResult is the reply to a reserveMessage.
 type reserveResult struct {
 	reply ReserveReply
@@ -64,6 +68,10 @@
 // tryReserve answers the waiter if it can be answered now.
 func (l *Local) tryReserve(now time.Time, w *waiter) bool {
 	m := w.message
+	if _, ok := l.released[m.req.Call]; ok {
+		m.reply <- reserveResult{err: errReleased}
+		return true
+	}
 	d := l.registry.Decide(m.attempt())
 	switch d.Action {
 	case claim.Attach:
@@ -78,6 +86,7 @@
 		return l.awaitGrant(now, w)
 	}
 	l.ensureGrant(now, m.req.Budget, w.policy, 0)
+	l.calls.granted(m.req.Call, r.Stream)
 	l.granted(now, m, r)
 	return true
 }
--- a/pkg/home/router.go
+++ b/pkg/home/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"time"
 
@@ -14,8 +15,9 @@
 	// direct grant of its own. Each one that does not answer costs a timeout.
 	remoteHomes = 2
 	// releaseAttempts and releaseDelay bound the release of a reservation
-	// whose reply was lost. The home charges the bound if all of them fail.
-	releaseAttempts = 5
+	// whose reply was lost. They outlast the holder TTL of 15 s: a home that is
+	// away for longer is fenced and drops its reservations.
+	releaseAttempts = 30
 	releaseDelay    = time.Second
 	releaseTimeout  = time.Second
 )
@@ -72,6 +74,7 @@
 		if i >= remoteHomes || peer.Incarnation == r.self() {
 			break
 		}
+		req.Call = rand.Text()
 		reply, err := r.remotes.Authority(peer.Addr).Reserve(ctx, req)
 		if err == nil {
 			return reply, nil
@@ -79,6 +82,7 @@
 		ring.Unreachable(peer.Incarnation)
 		go r.release(peer.Addr, req)
 	}
+	req.Call = "" // nobody releases a local call
 	return r.local.Reserve(ctx, req)
 }
 
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -1,12 +1,18 @@
 package home
 
 import (
+	"maps"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/claim"
 )
 
+// releaseMemory is how long a released call is refused. Data held back by a
+// partition arrives when it heals, and a connection without replies is given
+// up long before this.
+const releaseMemory = 5 * time.Minute
+
 // settlement is an attempt that was settled at this home.
 type settlement struct {
 	durable bool
@@ -61,22 +67,24 @@
 }
 
 // releaseUnanswered undoes a reservation whose reply the entry daemon never got.
+// The call may still be on its way on another connection, or wait for a grant.
 func (l *Local) releaseUnanswered(now time.Time, m *settleMessage) {
-	e, ok := l.registry.Find(m.req.Customer, m.req.Request)
-	if !ok || e.Daemon != m.req.Entry || e.State == claim.Finished {
-		m.answer(true)
-		return
-	}
-	r, ok := l.ledger.Reservation(e.Stream)
+	l.released[m.req.Call] = now
+	r, ok := l.ledger.Reservation(l.calls.stream(m.req.Call))
 	if !ok {
 		m.answer(true)
 		return
 	}
-	m.req.Stream = e.Stream
+	m.req.Stream = r.Stream
 	m.req.Outcome = NotDispatched
 	l.settleOwn(now, m, r)
 }
 
+// sweepReleased forgets releases whose call can no longer arrive.
+func (l *Local) sweepReleased(now time.Time) {
+	maps.DeleteFunc(l.released, func(_ string, at time.Time) bool { return now.Sub(at) > releaseMemory })
+}
+
 // settleUnknown handles a stream that this ledger has no reservation for.
 func (l *Local) settleUnknown(m *settleMessage) {
 	holder := budget.HolderOfGrant(budget.GrantOfStream(m.req.Stream))
@@ -114,6 +122,7 @@
 		m.answer(false)
 		return
 	}
+	l.calls.ended(req.Stream)
 	l.registry.Move(now, req.Stream, stateAfter(req.Outcome))
 	s := &settlement{}
 	l.settled[req.Stream] = s
@@ -128,6 +137,7 @@
 		m.answer(false)
 		return
 	}
+	l.calls.ended(r.Stream)
 	l.registry.Move(now, r.Stream, claim.Released)
 	l.settled[r.Stream] = &settlement{durable: true}
 	if g, ok := l.grants[r.Grant]; ok {
