--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -54,6 +54,8 @@
 	crashRows map[string]uint64      // version of the crash row by fingerprint
 	waiters   []*waiter              // in order of arrival
 	woken     map[string]struct{}    // budgets whose waiters are tried again
+	calls     openCalls
+	released  map[string]time.Time // calls that were released before they took effect, and when
 	nextGrant uint64
 	lastFlush time.Time
 	lastSweep time.Time
@@ -84,6 +86,8 @@
 	l.claims = make(map[string]*pendingClaim)
 	l.attempts = make(map[string]openAttempt)
 	l.crashRows = make(map[string]uint64)
+	l.calls = newOpenCalls()
+	l.released = make(map[string]time.Time)
 	l.waiters = nil
 	l.woken = make(map[string]struct{})
 }
@@ -168,6 +172,7 @@
 		l.sweepRequests(now)
 		l.expireAttempts(now)
 		l.askEntries(now)
+		l.sweepReleased(now)
 	}
 }
 
@@ -238,6 +243,7 @@
 		Final:       true,
 		UsageKnown:  true,
 		Bound:       r.Bound,
+		Call:        r.Call,
 	}
 }
 
