Wait for other daemons' streams under the drain timeout, pass a lagging home on

Cause: (1) a stopping home gave streams that entered through other daemons 30 s, the time meant for the table, although the drain timeout is 11 minutes; longer ones left its grants open (seen in a scaled trial of the graceful test). Ruled out: a longer limit for the table (a stop with the platform gone would take as long). Change: the stop waits for all attempts on its grants under the drain timeout and then 30 s for the table; a home without the customer returns an error, so that the router asks the next one.

--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -27,7 +27,10 @@
 	time.Sleep(leaveDelay)
 	d.gateway.BeginShutdown()
 	d.life.fire(triggerDrain)
-	err := wrap("open requests", d.gateway.AwaitRequests(ctx))
+	err := errors.Join(
+		wrap("open requests", d.gateway.AwaitRequests(ctx)),
+		wrap("attempts of other daemons", d.local.AwaitAttempts(ctx)),
+	)
 	final, stop := context.WithTimeout(ctx, storeGrace)
 	defer stop()
 	err = errors.Join(
--- a/pkg/home/lifecycle.go
+++ b/pkg/home/lifecycle.go
@@ -45,10 +45,21 @@
 	}
 }
 
-// Leave refuses new reservations with ErrLeaving, waits until every attempt is
-// settled, then closes all grants. It returns ctx's error if that takes longer;
-// what is left is recovered by the repair role.
+// AwaitAttempts refuses new reservations with ErrLeaving and waits until every
+// attempt on this daemon's grants is settled, also those of other entry daemons.
+// It returns ctx's error if that takes longer.
+func (l *Local) AwaitAttempts(ctx context.Context) error {
+	return l.leaveUntil(ctx, func(s Status) bool { return s.Running == 0 })
+}
+
+// Leave refuses new reservations with ErrLeaving and waits until all grants are
+// closed. It returns ctx's error if that takes longer; what is left is recovered
+// by the repair role.
 func (l *Local) Leave(ctx context.Context) error {
+	return l.leaveUntil(ctx, func(s Status) bool { return s.OpenGrants == 0 })
+}
+
+func (l *Local) leaveUntil(ctx context.Context, done func(Status) bool) error {
 	l.post(leaveMessage{})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -57,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		if s.OpenGrants == 0 {
+		if done(s) {
 			return nil
 		}
 		select {
--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -14,6 +14,9 @@
 var (
 	// ErrLeaving means that the daemon stops and another daemon should be asked.
 	ErrLeaving = errors.New("home is leaving")
+	// ErrNoPolicy means that this daemon's bundle does not know the customer and
+	// another daemon should be asked.
+	ErrNoPolicy = errors.New("customer is not in this home's bundle")
 	// ErrStopped means that the control goroutine has ended.
 	ErrStopped = errors.New("home stopped")
 )
--- a/pkg/home/local_test.go
+++ b/pkg/home/local_test.go
@@ -432,3 +432,12 @@
 	_, running := d.local.ledger.Reservation(r.Stream)
 	assert.Assert(t, running)
 }
+
+// Guards against a home whose bundle lags and that refuses a customer whom the
+// entry daemon knows: the caller would be told that its key is unknown.
+func TestLocalWithoutPolicySendsOn(t *testing.T) {
+	w := newWorld(1)
+	d := w.daemons[0]
+	d.local.opts.Policies = func(string) (budget.Policy, bool) { return budget.Policy{}, false }
+	assert.ErrorIs(t, (<-w.reserve(d, request("r1"))).err, ErrNoPolicy)
+}
--- a/pkg/home/reserve.go
+++ b/pkg/home/reserve.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"fmt"
 	"errors"
 	"time"
 
@@ -56,7 +57,8 @@
 	}
 	policy, ok := l.opts.Policies(m.req.Customer)
 	if !ok {
-		m.refuse(verdict.New(verdict.NotRun, verdict.UnknownCustomer, "customer %q is not in the bundle in force", m.req.Customer))
+		// The entry daemon knows the customer, so this home's bundle lags.
+		m.reply <- reserveResult{err: fmt.Errorf("reserve for %s: %w", m.req.Customer, ErrNoPolicy)}
 		return
 	}
 	w := &waiter{message: m, policy: policy, deadline: now.Add(l.opts.ReserveWait)}
