--- a/pkg/home/reserve.go
+++ b/pkg/home/reserve.go
@@ -1,8 +1,8 @@
 package home
 
 import (
-	"fmt"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
