--- a/cmd/peppertrail/fixtures_test.go
+++ b/cmd/peppertrail/fixtures_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/admin"
 	"github.com/peppertrail/peppertrail/pkg/bundle"
+	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -43,7 +44,7 @@
 	t       *testing.T
 	dir     string
 	env     map[string]string
-	table   *fakeTable
+	table   *faketable.Table
 	backend *fakeBackend
 	watcher *bundle.Watcher
 	entries map[string]bundle.Operator
@@ -52,7 +53,7 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	flaggy.PanicInsteadOfExit = true
-	f := &fixture{t: t, dir: t.TempDir(), env: map[string]string{}, table: newFakeTable(), backend: &fakeBackend{}, entries: map[string]bundle.Operator{}}
+	f := &fixture{t: t, dir: t.TempDir(), env: map[string]string{}, table: faketable.New(), backend: &fakeBackend{}, entries: map[string]bundle.Operator{}}
 	var bootstrap []bundle.Operator
 	for _, name := range []string{"alice", "bob"} {
 		out := f.ok("keys", "operator", "--name", name, "--out", f.path(name+".pem"), "--json")
@@ -140,5 +141,5 @@
 	f.t.Helper()
 	raw, err := json.Marshal(value)
 	assert.NilError(f.t, err)
-	f.table.set(key, string(raw))
+	f.table.Set(key, string(raw))
 }
--- a/cmd/peppertrail/operator_test.go
+++ b/cmd/peppertrail/operator_test.go
@@ -99,7 +99,7 @@
 	f.bring(f.sample(0))
 	f.put(lease.HolderKey("d1"), lease.HolderRecord{Incarnation: "d1", Host: "h1", BundleVersion: 1})
 	f.put(budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 12, ExtraTokens: 4, Completed: true, Attempts: 2})
-	f.table.set("repair/2026-x", `{"text":"closed"}`)
+	f.table.Set("repair/2026-x", `{"text":"closed"}`)
 	assertContains(t, f.ok("customers", "list"), "regie", "chef-llm")
 	assertContains(t, f.ok("bill", "regie"), "r1", "1 lines, 12 tokens billed, 4 extra")
 	assertContains(t, f.ok("targets", "list"), "t1", "ready")
@@ -134,7 +134,7 @@
 func TestOutage(t *testing.T) {
 	f := newFixture(t)
 	f.bring(f.sample(0))
-	f.table.setDown(true)
+	f.table.SetDown(true)
 	f.fails(exitFailed, []string{"platform does not answer", "retry after 2s"}, "hosts", "list")
 }
 
--- a/pkg/admin/budgets_test.go
+++ b/pkg/admin/budgets_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
+	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 )
 
 // Guards against a repeated command adding tokens twice, and against a reused
@@ -86,9 +87,9 @@
 	_, err := f.as("alice").CreateBudget(ctx, CreateBudget{ID: "regie-main", Customer: "regie"})
 	assert.NilError(t, err)
 	n := 0
-	f.table.fault = func() fault { // called under the table's lock
+	f.table.Fault = func() faketable.Fault { // called under the table's lock
 		n++
-		return []fault{noFault, lostReply, noFault, lostCall}[n%4]
+		return []faketable.Fault{faketable.NoFault, faketable.LostReply, faketable.NoFault, faketable.LostCall}[n%4]
 	}
 	const writers, each = 4, 5
 	var group sync.WaitGroup
@@ -123,7 +124,7 @@
 	for _, g := range grants {
 		f.put(t, budget.GrantKey(g.Holder, g.ID), g)
 	}
-	f.table.set("grant/z/bad", "7")
+	f.table.Set("grant/z/bad", "7")
 	details, err := f.as("alice").Budget(context.Background(), "regie-main")
 	assert.NilError(t, err)
 	assert.Equal(t, details.Free, int64(50))
--- a/pkg/admin/bundles_test.go
+++ b/pkg/admin/bundles_test.go
@@ -98,7 +98,7 @@
 	f.put(t, lease.HolderKey("a"), lease.HolderRecord{Incarnation: "a", Host: "h2", BundleVersion: 1})
 	f.put(t, lease.HolderKey("b"), lease.HolderRecord{Incarnation: "b", Host: "h1", BundleVersion: 0})
 	f.put(t, lease.HolderKey("c"), lease.HolderRecord{Incarnation: "c", Host: "h3", Fenced: true})
-	f.table.set(lease.HolderKey("d"), "[]")
+	f.table.Set(lease.HolderKey("d"), "[]")
 	f.backend.live = []string{"a"}
 	status, err := f.as("alice").Status(ctx)
 	assert.NilError(t, err)
--- a/pkg/admin/fixtures_test.go
+++ b/pkg/admin/fixtures_test.go
@@ -20,6 +20,7 @@
 	"github.com/peppertrail/peppertrail/pkg/bundle"
 	"github.com/peppertrail/peppertrail/pkg/bundle/resubmit"
 	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -77,7 +78,7 @@
 
 // fleet is a server over a fake table, and its parts.
 type fleet struct {
-	table   *fakeTable
+	table   *faketable.Table
 	store   *bundle.Store
 	watcher *bundle.Watcher
 	backend *fakeBackend
@@ -88,7 +89,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{table: newFakeTable(), backend: &fakeBackend{}}
+	f := &fleet{table: faketable.New(), backend: &fakeBackend{}}
 	bootstrap := operatorsOf("alice", "bob")
 	f.store = bundle.NewStore(f.table, bootstrap)
 	f.watcher = bundle.NewWatcher(bundle.WatcherConfig{Store: f.store, Bootstrap: bootstrap})
@@ -150,7 +151,7 @@
 	t.Helper()
 	raw, err := json.Marshal(value)
 	assert.NilError(t, err)
-	f.table.set(key, string(raw))
+	f.table.Set(key, string(raw))
 }
 
 func (f *fleet) budget(t *testing.T, id string) budget.Record {
@@ -173,6 +174,6 @@
 }
 
 var (
-	_ platform.Table = (*fakeTable)(nil)
+	_ platform.Table = (*faketable.Table)(nil)
 	_ Backend        = (*fakeBackend)(nil)
 )
--- a/pkg/admin/fleet_test.go
+++ b/pkg/admin/fleet_test.go
@@ -20,7 +20,7 @@
 	f.put(t, budget.LineKey("regie", "r1"), budget.Line{Customer: "regie", Request: "r1", Tokens: 5})
 	f.put(t, budget.LineKey("regie", "r2"), budget.Line{Customer: "regie", Request: "r2", Tokens: 7, ExtraTokens: 3})
 	f.put(t, budget.LineKey("regie2", "r3"), budget.Line{Customer: "regie2", Request: "r3", Tokens: 90})
-	f.table.set(budget.LineKey("regie", "bad"), "1")
+	f.table.Set(budget.LineKey("regie", "bad"), "1")
 	bill, err := f.as("alice").Bill(context.Background(), "regie", "", 0)
 	assert.NilError(t, err)
 	assert.Equal(t, bill.SumTokens, int64(12))
@@ -80,7 +80,7 @@
 // Guards against repairs of this daemon or of others not being shown.
 func TestRepairs(t *testing.T) {
 	f := newServing(t)
-	f.table.set("repair/2026-01-01T00:00:00Z-x", `{"text":"closed a grant"}`)
+	f.table.Set("repair/2026-01-01T00:00:00Z-x", `{"text":"closed a grant"}`)
 	f.backend.journal = []JournalEntry{{At: testNow, Subject: "holder a", Text: "fenced"}}
 	reply, err := f.as("alice").Repairs(context.Background(), "", 0)
 	assert.NilError(t, err)
--- a/pkg/admin/server_test.go
+++ b/pkg/admin/server_test.go
@@ -69,13 +69,13 @@
 func TestOutage(t *testing.T) {
 	ctx := context.Background()
 	f := newFleet(t)
-	f.table.setDown(true)
+	f.table.SetDown(true)
 	_, err := f.as("alice").Hosts(ctx)
 	e := mustFail(t, err, Unavailable, "repeat")
 	assert.Equal(t, e.RetryAfter, 2*time.Second)
 
 	serving := newServing(t)
-	serving.table.setDown(true)
+	serving.table.SetDown(true)
 	_, err = serving.as("alice").Hosts(ctx)
 	mustFail(t, err, Unavailable)
 	_, err = serving.as("alice").TopUp(ctx, "regie-main", TopUp{ID: "a", Tokens: 1})
--- a/cmd/peppertrail/fake_table_test.go
+++ b/pkg/standin/faketable/table.go
@@ -1,4 +1,7 @@
-package main
+// Package faketable is a table in memory with injected faults, for tests that
+// need one commit to fail in a given way. Package standin/platform is the table
+// for tests over HTTP.
+package faketable
 
 import (
 	"context"
@@ -11,63 +14,51 @@
 	"github.com/peppertrail/peppertrail/pkg/platform"
 )
 
-// fault is what the fake table does with one commit.
-type fault int
+// Fault is what the fake table does with one commit.
+type Fault int
 
+// Faults of a commit.
 const (
-	noFault   fault = iota
-	lostReply       // applied, then ErrUnavailable
-	lostCall        // not applied, ErrUnavailable
+	NoFault   Fault = iota // applied and answered
+	LostReply              // applied, then ErrUnavailable
+	LostCall               // not applied, ErrUnavailable
 )
 
-// fakeTable is a table in memory with injected faults.
-type fakeTable struct {
+// Table is a table in memory with injected faults.
+type Table struct {
 	mu       sync.Mutex
 	revision uint64
 	rows     map[string]platform.Row
 	decided  map[string]platform.Outcome
 	down     bool
-	fault    func() fault
-	// beforeCommit runs without the lock before a commit is applied.
-	beforeCommit func()
-	commits      int
+	Fault    func() Fault // called under the table's lock for each commit
 }
 
-func newFakeTable() *fakeTable {
-	return &fakeTable{
+// New returns an empty table without faults.
+func New() *Table {
+	return &Table{
 		rows:    make(map[string]platform.Row),
 		decided: make(map[string]platform.Outcome),
-		fault:   func() fault { return noFault },
+		Fault:   func() Fault { return NoFault },
 	}
 }
 
-func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
-	if hook := t.takeHook(); hook != nil {
-		hook()
-	}
+// Commit implements platform.Table.
+func (t *Table) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.commits++
-	f := t.fault()
-	if t.down || f == lostCall {
+	f := t.Fault()
+	if t.down || f == LostCall {
 		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
 	}
 	outcome := t.apply(txn)
-	if f == lostReply {
+	if f == LostReply {
 		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
 	}
 	return outcome, nil
 }
 
-func (t *fakeTable) takeHook() func() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	hook := t.beforeCommit
-	t.beforeCommit = nil
-	return hook
-}
-
-func (t *fakeTable) apply(txn platform.Txn) platform.Outcome {
+func (t *Table) apply(txn platform.Txn) platform.Outcome {
 	if outcome, ok := t.decided[txn.ID]; ok {
 		return outcome
 	}
@@ -91,14 +82,15 @@
 	return outcome
 }
 
-func (t *fakeTable) row(key string) platform.Row {
+func (t *Table) row(key string) platform.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
 	return platform.Row{Key: key}
 }
 
-func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements platform.Table.
+func (t *Table) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
@@ -111,7 +103,8 @@
 	return rows, nil
 }
 
-func (t *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements platform.Table.
+func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
@@ -126,15 +119,16 @@
 	return rows, nil
 }
 
-// set writes a row directly, as a faulty or foreign writer would.
-func (t *fakeTable) set(key, value string) {
+// Set writes a row directly, as a faulty or foreign writer would.
+func (t *Table) Set(key, value string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revision++
 	t.rows[key] = platform.Row{Key: key, Value: []byte(value), Version: t.revision}
 }
 
-func (t *fakeTable) setDown(down bool) {
+// SetDown makes every call fail until it is called with false.
+func (t *Table) SetDown(down bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.down = down
