--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -5,7 +5,7 @@
 const (
 	// minStreamWindow is the least number of streams ahead. Each one is looked
 	// up at every target when the holder dies, so that it should not be large.
-	minStreamWindow = 128
+	minStreamWindow = 512
 	// windowReserve allows for a rate that doubles during an outage.
 	windowReserve = 2
 )
--- a/pkg/daemon/observer.go
+++ b/pkg/daemon/observer.go
@@ -41,6 +41,11 @@
 	o.repairs.add(telemetry.RepairAttemptExpired, stream, fmt.Sprintf("No daemon settled the stream. Its bound of %d tokens was charged.", bound))
 }
 
+// LateLine implements home.Observer.
+func (o *homeObserver) LateLine(grant string, tokens int64) {
+	o.repairs.add(telemetry.RepairLateLine, grant, fmt.Sprintf("A line of %d tokens came after the grant was closed. It was moved out of the written-off part.", tokens))
+}
+
 // Overrun implements home.Observer.
 func (o *homeObserver) Overrun(stream string, bound, reported int64) {
 	o.log.Error().Str("stream", stream).Int64("bound", bound).Int64("reported", reported).Msg("Target reported more than the bound. The bound was charged.")
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
+	"github.com/peppertrail/peppertrail/pkg/route"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
-// maxAttempts bounds the targets that one request is tried at.
-const maxAttempts = 3
-
 // next returns the target of the next attempt, or the refusal that ends the
 // request.
 func (x *exchange) next(a *attempt, f *failure) (target.Target, *verdict.Error) {
@@ -32,18 +30,18 @@
 		return x.refusal(verdict.MayHaveRun, verdict.TargetFailed, "target %s stopped answering during the answer", a.target.ID)
 	case x.timedOut():
 		return x.refusal(f.verdict, verdict.Deadline, "the request took longer than %v", x.server.opts.RequestTimeout)
-	case a.attached && (x.req.nonIdempotent || a.number >= maxAttempts):
+	case a.attached && (x.req.nonIdempotent || a.number >= route.MaxAttempts):
 		return x.refusal(verdict.MayHaveRun, verdict.ClaimHeld, "the request was dispatched before and its stream cannot be read")
 	case f.reason == verdict.Deadline:
 		return x.refusal(f.verdict, f.reason, "the deadline passed before the request could be dispatched")
 	case f.permanent:
 		return x.refusal(f.verdict, f.reason, "target %s refused the request: %v", a.target.ID, f.err)
-	case x.req.nonIdempotent && f.verdict != verdict.NotRun:
-		return x.refusal(f.verdict, f.reason, "target %s failed; a non-idempotent request is not repeated", a.target.ID)
-	case a.number >= maxAttempts:
+	case route.MayRetry(f.verdict, !x.req.nonIdempotent, x.sink.started(), a.number):
+		return nil
+	case a.number >= route.MaxAttempts:
 		return x.refusal(f.verdict, f.reason, "%d targets failed, the last one was %s", a.number, a.target.ID)
 	}
-	return nil
+	return x.refusal(f.verdict, f.reason, "target %s failed; a non-idempotent request is not repeated", a.target.ID)
 }
 
 // refusal returns a refusal after an attempt. It asks the caller to come back
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -38,7 +38,7 @@
 		amendLine(committer, m, rows[1])
 		return
 	}
-	submitForeign(committer, m, grant, rows)
+	l.submitForeign(committer, m, grant, rows)
 }
 
 // lineCovers reports whether the row already bills the stream.
@@ -54,7 +54,7 @@
 }
 
 // submitForeign moves tokens from the written-off part of the grant to the line.
-func submitForeign(committer Committer, m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
+func (l *Local) submitForeign(committer Committer, m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
 	tokens := min(m.req.Tokens, grant.WrittenOff)
 	line := newLine(m.req, tokens, time.Now())
 	if rows[1].Version > 0 {
@@ -75,6 +75,11 @@
 			{Key: rows[0].Key, Value: encode(grant)},
 			{Key: rows[1].Key, Value: encode(line)},
 		},
-		Done: func(r commit.Result) { m.answer(r.Err == nil) },
+		Done: func(r commit.Result) {
+			if r.Err == nil {
+				l.opts.Observer.LateLine(grant.ID, tokens)
+			}
+			m.answer(r.Err == nil)
+		},
 	})
 }
--- a/pkg/home/options.go
+++ b/pkg/home/options.go
@@ -29,6 +29,7 @@
 	RequestStopped(fingerprint string, targets []string)
 	Overrun(stream string, bound, reported int64)
 	AttemptExpired(stream string, bound int64)
+	LateLine(grant string, tokens int64)
 }
 
 // Options sets up a Local authority. Zero durations take the defaults.
@@ -96,3 +97,4 @@
 func (noObserver) RequestStopped(string, []string) {}
 func (noObserver) Overrun(string, int64, int64)    {}
 func (noObserver) AttemptExpired(string, int64)    {}
+func (noObserver) LateLine(string, int64)          {}
--- a/pkg/repair/recovery.go
+++ b/pkg/repair/recovery.go
@@ -137,7 +137,7 @@
 			{Key: row.Key, Version: row.Version},
 		},
 	}
-	if txn.Puts, err = puts(key, record, row.Key, grant); err != nil {
+	if txn.Puts, err = puts(write{key, record}, write{row.Key, grant}); err != nil {
 		return err
 	}
 	done, err := r.submit(ctx, txn)
