Show operators what a daemon decided about a request

Cause: the daemon kept the steps of each request (target, reservation, attempts, refusal), but nothing read them; requests show knew the table's rows only. Weighed: a separate endpoint against a part of requests show; one command answers the question what happened and why. Conclusion: a refused request can be explained at the host that received it.

--- a/cmd/peppertrail/fixtures_test.go
+++ b/cmd/peppertrail/fixtures_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"gotest.tools/v3/assert"
@@ -18,6 +19,7 @@
 	"github.com/peppertrail/peppertrail/pkg/bundle"
 	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
 // fakeBackend is a daemon with one target.
@@ -39,6 +41,10 @@
 
 func (b *fakeBackend) Journal() []admin.JournalEntry { return nil }
 
+func (b *fakeBackend) Explain(string, string) []telemetry.Step {
+	return []telemetry.Step{{At: time.Unix(0, 0), Kind: telemetry.StepTarget, Attempt: 1, Target: "t1"}}
+}
+
 // fixture is a daemon's admin API, operator key files and an environment.
 type fixture struct {
 	t       *testing.T
--- a/cmd/peppertrail/operator_test.go
+++ b/cmd/peppertrail/operator_test.go
@@ -107,7 +107,7 @@
 	assert.Equal(t, f.backend.drained, "t1")
 	f.fails(exitFailed, []string{"t2"}, "targets", "drain", "t2")
 	assertContains(t, f.ok("hosts", "list"), "h1", "live")
-	assertContains(t, f.ok("requests", "show", "regie", "r1"), "billed once", "12 tokens")
+	assertContains(t, f.ok("requests", "show", "regie", "r1"), "billed once", "12 tokens", "decisions of this daemon", "target")
 	assertContains(t, f.ok("repairs", "list"), "2026-x", "closed")
 	var reply admin.HostsReply
 	assert.NilError(t, json.Unmarshal([]byte(f.ok("--json", "hosts", "list")), &reply))
--- a/pkg/admin/backend.go
+++ b/pkg/admin/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
 // ErrUnknownTarget means that the daemon does not know a target.
@@ -26,6 +27,9 @@
 	// Journal returns the repairs that this daemon made, oldest first,
 	// including those whose row is not yet in the table.
 	Journal() []JournalEntry
+	// Explain returns what this daemon decided about a request that it received,
+	// oldest first; nothing if the request came to another daemon or long ago.
+	Explain(customer, request string) []telemetry.Step
 }
 
 // JournalEntry is one repair by this daemon.
--- a/pkg/admin/fixtures_test.go
+++ b/pkg/admin/fixtures_test.go
@@ -22,6 +22,7 @@
 	"github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
 var testNow = time.Unix(1_800_000_000, 0)
@@ -76,6 +77,10 @@
 
 func (b *fakeBackend) Journal() []JournalEntry { return b.journal }
 
+func (b *fakeBackend) Explain(_, request string) []telemetry.Step {
+	return []telemetry.Step{{Kind: telemetry.StepRefused, Detail: "steps of " + request}}
+}
+
 // fleet is a server over a fake table, and its parts.
 type fleet struct {
 	table   *faketable.Table
--- a/pkg/admin/requests.go
+++ b/pkg/admin/requests.go
@@ -6,9 +6,10 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/claim"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
-// RequestReply is what the table knows of one request.
+// RequestReply is what the table and the answering daemon know of one request.
 type RequestReply struct {
 	Customer    string             `json:"customer"`
 	Request     string             `json:"request"`
@@ -16,6 +17,7 @@
 	Claim       *claim.Record      `json:"claim,omitempty"`
 	Crash       *claim.CrashRecord `json:"crash,omitempty"` // found through the claim's fingerprint
 	Explanation string             `json:"explanation"`
+	Steps       []telemetry.Step   `json:"steps,omitempty"` // by the answering daemon, if it received the request
 }
 
 func (s *Server) showRequest(ctx context.Context, _ string, r *http.Request) (any, error) {
@@ -36,5 +38,6 @@
 		}
 	}
 	reply.Explanation = explain(reply)
+	reply.Steps = s.config.Backend.Explain(customer, reply.Request)
 	return reply, nil
 }
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -7,6 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/admin"
 	"github.com/peppertrail/peppertrail/pkg/target"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
 
 // adminHeaderTimeout bounds the reading of an operator's request header.
@@ -44,6 +45,12 @@
 	return b.daemon.repairs.list()
 }
 
+// Explain implements admin.Backend.
+func (b backend) Explain(customer, request string) []telemetry.Step {
+	steps, _ := b.daemon.journal.Explain(customer, request)
+	return steps
+}
+
 // adminHandler joins the operators' API with metrics and health checks.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
