--- a/pkg/gateway/rig_test.go
+++ b/pkg/gateway/rig_test.go
@@ -190,6 +190,14 @@
 	return r.do(newRequest(http.MethodPost, chatPath, body, set...))
 }
 
+// Drain waits as the daemon does when it stops, under one limit.
+func (s *Server) Drain(ctx context.Context) error {
+	if err := s.AwaitRequests(ctx); err != nil {
+		return err
+	}
+	return s.AwaitSettlements(ctx)
+}
+
 // drain shuts the server down and waits until all settlements are durable.
 func (r *rig) drain(t assert.TestingT) {
 	r.server.BeginShutdown()
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -78,15 +78,6 @@
 // BeginShutdown refuses new requests with ShuttingDown from now on.
 func (s *Server) BeginShutdown() { s.inflight.close() }
 
-// Drain waits until all requests have ended and their settlements are durable.
-// BeginShutdown must come first. It returns the error of ctx if that ends earlier.
-func (s *Server) Drain(ctx context.Context) error {
-	if err := s.AwaitRequests(ctx); err != nil {
-		return err
-	}
-	return s.AwaitSettlements(ctx)
-}
-
 // AwaitRequests waits until all requests have ended. BeginShutdown must come
 // first. It returns the error of ctx if that ends earlier.
 func (s *Server) AwaitRequests(ctx context.Context) error { return s.inflight.wait(ctx) }
--- a/pkg/home/amend.go
+++ b/pkg/home/amend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
@@ -17,18 +16,22 @@
 		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 		defer cancel()
 		rows, err := l.opts.Table.Get(ctx, budget.LineKey(m.req.Customer, m.req.Request))
-		if err != nil || !lineCovers(rows[0], m.req.Stream) {
+		if err != nil {
+			m.answer(false)
+			return
+		}
+		line, ok := decodeLine(rows[0])
+		if !ok || !line.Covers(m.req.Stream) {
 			m.answer(false) // the line is not durable yet; the entry daemon asks again
 			return
 		}
-		amendLine(committer, m, rows[0])
+		amendLine(committer, m, rows[0], line)
 	})
 }
 
 // amendLine rewrites a line that covers the stream. The grant does not change.
-func amendLine(committer Committer, m *settleMessage, row platform.Row) {
-	var line budget.Line
-	if m.req.Outcome != Completed || json.Unmarshal(row.Value, &line) != nil || line.Completed {
+func amendLine(committer Committer, m *settleMessage, row platform.Row, line budget.Line) {
+	if m.req.Outcome != Completed || line.Completed {
 		m.answer(true)
 		return
 	}
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -34,34 +34,30 @@
 		m.answer(false)
 		return
 	}
-	if lineCovers(rows[1], m.req.Stream) {
-		amendLine(committer, m, rows[1])
+	line, ok := decodeLine(rows[1])
+	if ok && line.Covers(m.req.Stream) {
+		amendLine(committer, m, rows[1], line)
 		return
 	}
 	l.submitForeign(committer, m, grant, rows)
 }
 
-// lineCovers reports whether the row already bills the stream.
-func lineCovers(row platform.Row, stream string) bool {
-	if row.Version == 0 {
-		return false
-	}
+// decodeLine returns the bill line of a row, false if the row is absent or
+// cannot be decoded. An undecodable line is replaced by the next one.
+func decodeLine(row platform.Row) (budget.Line, bool) {
 	var line budget.Line
-	if json.Unmarshal(row.Value, &line) != nil {
-		return false
+	if row.Version == 0 || json.Unmarshal(row.Value, &line) != nil {
+		return budget.Line{}, false
 	}
-	return line.Covers(stream)
+	return line, true
 }
 
 // submitForeign moves tokens from the written-off part of the grant to the line.
 func (l *Local) submitForeign(committer Committer, m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
 	tokens := min(m.req.Tokens, grant.WrittenOff)
 	line := newLine(m.req, tokens, time.Now())
-	if rows[1].Version > 0 {
-		var earlier budget.Line
-		if json.Unmarshal(rows[1].Value, &earlier) == nil {
-			line = earlier.Merge(line)
-		}
+	if earlier, ok := decodeLine(rows[1]); ok {
+		line = earlier.Merge(line)
 	}
 	grant.WrittenOff -= tokens
 	grant.Used += tokens
--- a/pkg/home/lines.go
+++ b/pkg/home/lines.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -152,13 +151,8 @@
 		if row.Key == budget.GrantKey(l.opts.Holder, id) {
 			return
 		}
-		state := lineState{version: row.Version}
-		if row.Version > 0 {
-			if err := json.Unmarshal(row.Value, &state.line); err != nil {
-				state.line = budget.Line{} // an undecodable line is replaced by the new one
-			}
-		}
-		l.lines[row.Key] = state
+		line, _ := decodeLine(row)
+		l.lines[row.Key] = lineState{version: row.Version, line: line}
 	}
 	l.submitLines(now, id, g)
 }
