--- a/pkg/admin/budget_table.go
+++ b/pkg/admin/budget_table.go
@@ -7,7 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/bundle/resubmit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // maxRounds bounds how often a budget write is tried again after another
@@ -16,7 +16,7 @@
 
 // budgetTable writes budget rows by compare-and-set.
 type budgetTable struct {
-	table  platform.Table
+	table  storage.Table
 	policy resubmit.Policy
 }
 
@@ -53,10 +53,10 @@
 	return budget.Record{}, false, fail(Conflict, "budget %q is being changed by others: repeat the call", id)
 }
 
-func (t *budgetTable) read(ctx context.Context, id string) (platform.Row, *budget.Record, error) {
+func (t *budgetTable) read(ctx context.Context, id string) (storage.Row, *budget.Record, error) {
 	rows, err := t.table.Get(ctx, budget.BudgetKey(id))
 	if err != nil {
-		return platform.Row{}, nil, fmt.Errorf("read budget %q: %w", id, err)
+		return storage.Row{}, nil, fmt.Errorf("read budget %q: %w", id, err)
 	}
 	if rows[0].Version == 0 {
 		return rows[0], nil, nil
@@ -70,15 +70,15 @@
 
 // write commits one row under the condition that it did not change. A lost
 // reply is resolved by the same transaction id.
-func (t *budgetTable) write(ctx context.Context, row platform.Row, next budget.Record) (committed bool, err error) {
+func (t *budgetTable) write(ctx context.Context, row storage.Row, next budget.Record) (committed bool, err error) {
 	raw, err := json.Marshal(next)
 	if err != nil {
 		return false, fmt.Errorf("encode budget %q: %w", next.ID, err)
 	}
-	outcome, err := t.policy.Commit(ctx, t.table, platform.Txn{
+	outcome, err := t.policy.Commit(ctx, t.table, storage.Txn{
 		ID:         resubmit.NewID(),
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-		Puts:       []platform.Put{{Key: row.Key, Value: raw}},
+		Conditions: []storage.Condition{{Key: row.Key, Version: row.Version}},
+		Puts:       []storage.Put{{Key: row.Key, Value: raw}},
 	})
 	if err != nil {
 		return false, fmt.Errorf("write budget %q: %w", next.ID, err)
--- a/pkg/admin/bundle_budgets.go
+++ b/pkg/admin/bundle_budgets.go
@@ -7,7 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/bundle"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // budgetsPerRead is how many budget rows one read asks for.
@@ -65,7 +65,7 @@
 	return keys
 }
 
-func compareBudget(n namedBudget, row platform.Row) (warnings []string, problems []bundle.Problem) {
+func compareBudget(n namedBudget, row storage.Row) (warnings []string, problems []bundle.Problem) {
 	if row.Version == 0 {
 		return []string{fmt.Sprintf("%s: budget %q does not exist: create it once this bundle is in force", n.path, n.id)}, nil
 	}
--- a/pkg/admin/config.go
+++ b/pkg/admin/config.go
@@ -5,7 +5,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/bundle"
 	"github.com/peppertrail/peppertrail/pkg/bundle/resubmit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // CallTimeout bounds the platform calls of one operator call.
@@ -13,7 +13,7 @@
 
 // Config is what a Server needs.
 type Config struct {
-	Table   platform.Table
+	Table   storage.Table
 	Store   *bundle.Store
 	Watcher *bundle.Watcher
 	Backend Backend
--- a/pkg/admin/error_mapping.go
+++ b/pkg/admin/error_mapping.go
@@ -7,7 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/access"
 	"github.com/peppertrail/peppertrail/pkg/bundle"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // retryAfter is how soon an operator may repeat a call in an outage.
@@ -28,7 +28,7 @@
 		return fail(Unauthorized, "%s", auth.Message)
 	case errors.Is(err, ErrUnknownTarget):
 		return fail(NotFound, "%v", err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, storage.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
 		return unavailable(err)
 	default:
 		return fail(Internal, "%v", err)
--- a/pkg/admin/fixtures_test.go
+++ b/pkg/admin/fixtures_test.go
@@ -19,8 +19,8 @@
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/bundle"
 	"github.com/peppertrail/peppertrail/pkg/bundle/resubmit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
@@ -179,6 +179,6 @@
 }
 
 var (
-	_ platform.Table = (*faketable.Table)(nil)
-	_ Backend        = (*fakeBackend)(nil)
+	_ storage.Table = (*faketable.Table)(nil)
+	_ Backend       = (*fakeBackend)(nil)
 )
--- a/pkg/admin/page.go
+++ b/pkg/admin/page.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -44,7 +44,7 @@
 }
 
 // scanRows reads one page of rows with a key prefix.
-func scanRows[T any](ctx context.Context, table platform.Table, prefix string, p page) (rowPage[T], error) {
+func scanRows[T any](ctx context.Context, table storage.Table, prefix string, p page) (rowPage[T], error) {
 	result := rowPage[T]{values: []T{}}
 	rows, err := table.Scan(ctx, prefix, p.after, p.limit)
 	if err != nil {
@@ -66,7 +66,7 @@
 
 // scanAll calls each with every row that has a key prefix and can be decoded,
 // and returns the keys of the others.
-func scanAll[T any](ctx context.Context, table platform.Table, prefix string, each func(T)) (unreadable []string, err error) {
+func scanAll[T any](ctx context.Context, table storage.Table, prefix string, each func(T)) (unreadable []string, err error) {
 	p := page{limit: scanPage}
 	for {
 		rows, err := scanRows[T](ctx, table, prefix, p)
@@ -85,7 +85,7 @@
 }
 
 // readRow reads one row. It returns nil if the row is absent.
-func readRow[T any](ctx context.Context, table platform.Table, key string) (*T, error) {
+func readRow[T any](ctx context.Context, table storage.Table, key string) (*T, error) {
 	rows, err := table.Get(ctx, key)
 	if err != nil {
 		return nil, err
--- a/pkg/bundle/fake_table_test.go
+++ b/pkg/bundle/fake_table_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // versionPrefix is the key prefix of accepted versions.
@@ -27,8 +27,8 @@
 type fakeTable struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
-	decided  map[string]platform.Outcome
+	rows     map[string]storage.Row
+	decided  map[string]storage.Outcome
 	down     bool
 	fault    func() fault
 	// beforeCommit runs without the lock before a commit is applied.
@@ -41,13 +41,13 @@
 
 func newFakeTable() *fakeTable {
 	return &fakeTable{
-		rows:    make(map[string]platform.Row),
-		decided: make(map[string]platform.Outcome),
+		rows:    make(map[string]storage.Row),
+		decided: make(map[string]storage.Outcome),
 		fault:   func() fault { return noFault },
 	}
 }
 
-func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
+func (t *fakeTable) Commit(_ context.Context, txn storage.Txn) (storage.Outcome, error) {
 	if hook := t.takeHook(); hook != nil {
 		hook()
 	}
@@ -56,11 +56,11 @@
 	t.commits++
 	f := t.fault()
 	if t.down || f == lostCall {
-		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
 	outcome := t.apply(txn)
 	if f == lostReply {
-		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
 	return outcome, nil
 }
@@ -73,11 +73,11 @@
 	return hook
 }
 
-func (t *fakeTable) apply(txn platform.Txn) platform.Outcome {
+func (t *fakeTable) apply(txn storage.Txn) storage.Outcome {
 	if outcome, ok := t.decided[txn.ID]; ok {
 		return outcome
 	}
-	var outcome platform.Outcome
+	var outcome storage.Outcome
 	for _, c := range txn.Conditions {
 		if row := t.row(c.Key); row.Version != c.Version {
 			outcome.Conflicts = append(outcome.Conflicts, row)
@@ -85,10 +85,10 @@
 	}
 	if len(outcome.Conflicts) == 0 {
 		t.revision++
-		outcome = platform.Outcome{Committed: true, Revision: t.revision}
+		outcome = storage.Outcome{Committed: true, Revision: t.revision}
 		for _, p := range txn.Puts {
 			t.checkPut(p)
-			t.rows[p.Key] = platform.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.revision}
+			t.rows[p.Key] = storage.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.revision}
 		}
 		for _, key := range txn.Deletes {
 			delete(t.rows, key)
@@ -99,43 +99,43 @@
 }
 
 // checkPut records a put that gives a version a second text.
-func (t *fakeTable) checkPut(p platform.Put) {
+func (t *fakeTable) checkPut(p storage.Put) {
 	old, exists := t.rows[p.Key]
 	if exists && strings.HasPrefix(p.Key, versionPrefix) && string(old.Value) != string(p.Value) {
 		t.violations = append(t.violations, p.Key)
 	}
 }
 
-func (t *fakeTable) row(key string) platform.Row {
+func (t *fakeTable) row(key string) storage.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
-	return platform.Row{Key: key}
+	return storage.Row{Key: key}
 }
 
-func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t *fakeTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
 	if t.beforeGet != nil {
 		t.beforeGet(keys)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return nil, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]storage.Row, 0, len(keys))
 	for _, key := range keys {
 		rows = append(rows, t.row(key))
 	}
 	return rows, nil
 }
 
-func (t *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return nil, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
 			rows = append(rows, t.rows[key])
@@ -149,7 +149,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revision++
-	t.rows[key] = platform.Row{Key: key, Value: []byte(value), Version: t.revision}
+	t.rows[key] = storage.Row{Key: key, Value: []byte(value), Version: t.revision}
 }
 
 func (t *fakeTable) setDown(down bool) {
--- a/pkg/bundle/fixtures_test.go
+++ b/pkg/bundle/fixtures_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/bundle/resubmit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -75,7 +75,7 @@
 
 // testStore is a store whose resubmissions do not wait and whose transaction
 // ids are predictable.
-func testStore(table platform.Table, name string) *Store {
+func testStore(table storage.Table, name string) *Store {
 	s := NewStore(table, operatorsOf("alice", "bob"))
 	s.policy = resubmit.Policy{Attempts: 4}
 	n := 0
--- a/pkg/bundle/race_rapid_test.go
+++ b/pkg/bundle/race_rapid_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // raceAction is one step of an operator or a watcher in the race test.
@@ -206,4 +206,4 @@
 	assert.Equal(t, len(table.violations), 0, "written twice: %v", table.violations)
 }
 
-var _ platform.Table = (*fakeTable)(nil)
+var _ storage.Table = (*fakeTable)(nil)
--- a/pkg/bundle/resubmit/policy.go
+++ b/pkg/bundle/resubmit/policy.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Policy says how often a transaction is submitted again under the same id.
@@ -30,20 +30,20 @@
 }
 
 // Commit submits txn until its outcome is known. It returns
-// platform.ErrUnavailable (wrapped) when the outcome is still unknown after
+// storage.ErrUnavailable (wrapped) when the outcome is still unknown after
 // the last attempt or when ctx ends.
-func (p Policy) Commit(ctx context.Context, table platform.Table, txn platform.Txn) (platform.Outcome, error) {
+func (p Policy) Commit(ctx context.Context, table storage.Table, txn storage.Txn) (storage.Outcome, error) {
 	wait := p.FirstWait
 	for attempt := 1; ; attempt++ {
 		outcome, err := table.Commit(ctx, txn)
-		if err == nil || !errors.Is(err, platform.ErrUnavailable) {
+		if err == nil || !errors.Is(err, storage.ErrUnavailable) {
 			return outcome, err
 		}
 		if attempt >= p.Attempts {
-			return platform.Outcome{}, fmt.Errorf("outcome of transaction %s is unknown after %d attempts: %w", txn.ID, attempt, err)
+			return storage.Outcome{}, fmt.Errorf("outcome of transaction %s is unknown after %d attempts: %w", txn.ID, attempt, err)
 		}
 		if !sleep(ctx, wait) {
-			return platform.Outcome{}, fmt.Errorf("outcome of transaction %s is unknown: %w", txn.ID, err)
+			return storage.Outcome{}, fmt.Errorf("outcome of transaction %s is unknown: %w", txn.ID, err)
 		}
 		wait *= 2
 	}
--- a/pkg/bundle/resubmit/policy_test.go
+++ b/pkg/bundle/resubmit/policy_test.go
@@ -8,26 +8,26 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // scriptedTable answers commits with a list of errors.
 type scriptedTable struct {
-	platform.Table
+	storage.Table
 	errs []error
 	ids  []string
 }
 
-func (t *scriptedTable) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
+func (t *scriptedTable) Commit(_ context.Context, txn storage.Txn) (storage.Outcome, error) {
 	err := t.errs[len(t.ids)]
 	t.ids = append(t.ids, txn.ID)
-	return platform.Outcome{Committed: err == nil}, err
+	return storage.Outcome{Committed: err == nil}, err
 }
 
 // Guards against a resubmission under a new id, which could apply twice.
 func TestCommitKeepsID(t *testing.T) {
-	table := &scriptedTable{errs: []error{platform.ErrUnavailable, platform.ErrUnavailable, nil}}
-	outcome, err := Policy{Attempts: 3}.Commit(context.Background(), table, platform.Txn{ID: "a"})
+	table := &scriptedTable{errs: []error{storage.ErrUnavailable, storage.ErrUnavailable, nil}}
+	outcome, err := Policy{Attempts: 3}.Commit(context.Background(), table, storage.Txn{ID: "a"})
 	assert.NilError(t, err)
 	assert.Assert(t, outcome.Committed)
 	assert.DeepEqual(t, table.ids, []string{"a", "a", "a"})
@@ -36,16 +36,16 @@
 // Guards against endless resubmission in an outage, and against an unknown
 // outcome being reported as a decided one.
 func TestCommitGivesUp(t *testing.T) {
-	table := &scriptedTable{errs: []error{platform.ErrUnavailable, platform.ErrUnavailable}}
-	_, err := Policy{Attempts: 2}.Commit(context.Background(), table, platform.Txn{ID: "a"})
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	table := &scriptedTable{errs: []error{storage.ErrUnavailable, storage.ErrUnavailable}}
+	_, err := Policy{Attempts: 2}.Commit(context.Background(), table, storage.Txn{ID: "a"})
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 	assert.Equal(t, len(table.ids), 2)
 }
 
 // Guards against an error that the table decided being submitted again.
 func TestCommitReturnsOtherErrors(t *testing.T) {
 	table := &scriptedTable{errs: []error{errors.New("bad transaction")}}
-	_, err := Policy{Attempts: 5}.Commit(context.Background(), table, platform.Txn{ID: "a"})
+	_, err := Policy{Attempts: 5}.Commit(context.Background(), table, storage.Txn{ID: "a"})
 	assert.ErrorContains(t, err, "bad transaction")
 }
 
@@ -53,8 +53,8 @@
 func TestCommitStopsWithContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	table := &scriptedTable{errs: []error{platform.ErrUnavailable, nil}}
-	_, err := Policy{Attempts: 2, FirstWait: time.Hour}.Commit(ctx, table, platform.Txn{ID: "a"})
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	table := &scriptedTable{errs: []error{storage.ErrUnavailable, nil}}
+	_, err := Policy{Attempts: 2, FirstWait: time.Hour}.Commit(ctx, table, storage.Txn{ID: "a"})
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 	assert.Equal(t, len(table.ids), 1)
 }
--- a/pkg/bundle/store.go
+++ b/pkg/bundle/store.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/peppertrail/peppertrail/pkg/bundle/resubmit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // proposalPage is how many proposals one scan reads.
@@ -15,14 +15,14 @@
 // Store keeps bundles and proposals in the table. It has no state of its own,
 // so any number of daemons may use one table at the same time.
 type Store struct {
-	table     platform.Table
+	table     storage.Table
 	bootstrap []Operator
 	policy    resubmit.Policy
 	newID     func() string
 }
 
 // NewStore returns a store. The bootstrap operators sign the first bundle.
-func NewStore(table platform.Table, bootstrap []Operator) *Store {
+func NewStore(table storage.Table, bootstrap []Operator) *Store {
 	return &Store{
 		table:     table,
 		bootstrap: bootstrap,
@@ -137,7 +137,7 @@
 	return decodeProposal(rows[0])
 }
 
-func (s *Store) addProposal(list *ProposalList, row platform.Row, current *Bundle) {
+func (s *Store) addProposal(list *ProposalList, row storage.Row, current *Bundle) {
 	p, err := decodeProposal(row)
 	if err != nil {
 		list.Unreadable = append(list.Unreadable, row.Key)
@@ -166,7 +166,7 @@
 	return s.at(ctx, head)
 }
 
-func decodeHead(row platform.Row) (Head, error) {
+func decodeHead(row storage.Row) (Head, error) {
 	var head Head
 	if row.Version == 0 {
 		return head, nil
@@ -180,7 +180,7 @@
 	return head, nil
 }
 
-func decodeProposal(row platform.Row) (Proposal, error) {
+func decodeProposal(row storage.Row) (Proposal, error) {
 	var p Proposal
 	if err := decodeStrict(row.Value, &p); err != nil {
 		return p, fmt.Errorf("%w: row %s: %w", ErrCorrupt, row.Key, err)
--- a/pkg/bundle/store_sign.go
+++ b/pkg/bundle/store_sign.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -21,8 +21,8 @@
 // signState is what one round of a submission has read.
 type signState struct {
 	digest   string
-	headRow  platform.Row
-	row      platform.Row // proposal row
+	headRow  storage.Row
+	row      storage.Row // proposal row
 	head     Head
 	current  *Accepted // nil: none in force
 	proposal *Proposal // nil: none stored
@@ -30,7 +30,7 @@
 
 // Submit stores a proposal with the signature of its author and accepts it if
 // that is enough. Submitting the same bundle again is harmless. Errors:
-// *CheckError, *ConflictError, ErrSignature, ErrBusy, platform.ErrUnavailable
+// *CheckError, *ConflictError, ErrSignature, ErrBusy, storage.ErrUnavailable
 // (repeat the call: it does not apply twice).
 func (s *Store) Submit(ctx context.Context, p Proposal) (Progress, error) {
 	if err := Check(p.Bundle); err != nil {
@@ -130,18 +130,18 @@
 
 // transaction writes the proposal and, if it is accepted, the version text and
 // the head, all under the condition that neither row changed since it was read.
-func (s *Store) transaction(ctx context.Context, state signState, p Proposal, accepted *Accepted) (platform.Txn, error) {
+func (s *Store) transaction(ctx context.Context, state signState, p Proposal, accepted *Accepted) (storage.Txn, error) {
 	raw, err := json.Marshal(p)
 	if err != nil {
-		return platform.Txn{}, fmt.Errorf("encode proposal: %w", err)
+		return storage.Txn{}, fmt.Errorf("encode proposal: %w", err)
 	}
-	txn := platform.Txn{
+	txn := storage.Txn{
 		ID: s.newID(),
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: HeadKey, Version: state.headRow.Version},
 			{Key: state.row.Key, Version: state.row.Version},
 		},
-		Puts: []platform.Put{{Key: state.row.Key, Value: raw}},
+		Puts: []storage.Put{{Key: state.row.Key, Value: raw}},
 	}
 	if accepted == nil {
 		return txn, nil
@@ -151,7 +151,7 @@
 
 // withAcceptance adds the compare-and-set of the head. The version text must be
 // absent, so that a head that was reset by hand cannot replace a version.
-func (s *Store) withAcceptance(ctx context.Context, txn platform.Txn, state signState, accepted *Accepted) (platform.Txn, error) {
+func (s *Store) withAcceptance(ctx context.Context, txn storage.Txn, state signState, accepted *Accepted) (storage.Txn, error) {
 	text, err := accepted.Encode()
 	if err != nil {
 		return txn, err
@@ -161,10 +161,10 @@
 	if err != nil {
 		return txn, fmt.Errorf("encode bundle head: %w", err)
 	}
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: VersionKey(version)})
+	txn.Conditions = append(txn.Conditions, storage.Condition{Key: VersionKey(version)})
 	txn.Puts = append(txn.Puts,
-		platform.Put{Key: VersionKey(version), Value: text},
-		platform.Put{Key: HeadKey, Value: head},
+		storage.Put{Key: VersionKey(version), Value: text},
+		storage.Put{Key: HeadKey, Value: head},
 	)
 	txn.Deletes, err = s.superseded(ctx, state)
 	return txn, err
@@ -188,13 +188,13 @@
 }
 
 // conflictAt returns nil if another round can succeed.
-func conflictAt(outcome platform.Outcome, accepted *Accepted) error {
+func conflictAt(outcome storage.Outcome, accepted *Accepted) error {
 	if accepted == nil {
 		return nil
 	}
 	key := VersionKey(accepted.Bundle.Version)
-	taken := func(row platform.Row) bool { return row.Key == key }
-	raced := func(row platform.Row) bool { return row.Key == HeadKey }
+	taken := func(row storage.Row) bool { return row.Key == key }
+	raced := func(row storage.Row) bool { return row.Key == HeadKey }
 	if slices.ContainsFunc(outcome.Conflicts, taken) && !slices.ContainsFunc(outcome.Conflicts, raced) {
 		return fmt.Errorf("%w: %s exists although the head is older", ErrCorrupt, key)
 	}
--- a/pkg/bundle/store_test.go
+++ b/pkg/bundle/store_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Guards against a bundle coming into force with the author's signature alone,
@@ -126,10 +126,10 @@
 	s := testStore(table, "s")
 	table.fault = func() fault { return lostCall }
 	_, err := s.Submit(ctx, proposalBy(t, sample(0), "alice"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 	table.down = true
 	_, err = s.Current(ctx)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Guards against one bad row hiding every proposal, and against superseded
--- a/pkg/bundle/watcher_test.go
+++ b/pkg/bundle/watcher_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // testClock is a clock that tests move by hand.
@@ -67,7 +67,7 @@
 	assert.NilError(t, w.Poll(ctx))
 	table.setDown(true)
 	clock.now = clock.now.Add(30 * time.Second)
-	assert.ErrorIs(t, w.Poll(ctx), platform.ErrUnavailable)
+	assert.ErrorIs(t, w.Poll(ctx), storage.ErrUnavailable)
 	assert.Equal(t, w.Unconfirmed(), 30*time.Second)
 	assert.Assert(t, !w.Stale())
 	clock.now = clock.now.Add(time.Second)
--- a/pkg/cluster/options.go
+++ b/pkg/cluster/options.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Defaults of Options.
@@ -18,7 +18,7 @@
 
 // Options configure a View. Zero durations select the defaults.
 type Options struct {
-	Table    platform.Table
+	Table    storage.Table
 	Self     lease.HolderRecord          // this daemon, always part of the view; without an incarnation the view only observes
 	Interval time.Duration               // time between scans
 	TTL      time.Duration               // time without a renewal after which a daemon is not live
--- a/pkg/cluster/view.go
+++ b/pkg/cluster/view.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // homesKey is the key whose rendezvous order decides which daemons are homes,
@@ -172,8 +172,8 @@
 	return rank(homesKey, peers)[:v.opt.Homes]
 }
 
-func (v *View) scanAll(ctx context.Context) ([]platform.Row, error) {
-	var all []platform.Row
+func (v *View) scanAll(ctx context.Context) ([]storage.Row, error) {
+	var all []storage.Row
 	after := ""
 	for {
 		rows, err := v.opt.Table.Scan(ctx, lease.HolderPrefix, after, scanPage)
@@ -188,7 +188,7 @@
 	}
 }
 
-func (v *View) decode(rows []platform.Row) []holderRow {
+func (v *View) decode(rows []storage.Row) []holderRow {
 	decoded := make([]holderRow, 0, len(rows))
 	for _, row := range rows {
 		var record lease.HolderRecord
--- a/pkg/cluster/view_test.go
+++ b/pkg/cluster/view_test.go
@@ -11,15 +11,15 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 func record(i int, region string) lease.HolderRecord {
 	return lease.HolderRecord{Incarnation: fmt.Sprintf("d%04d", i), PeerAddr: fmt.Sprintf("addr-%04d", i), Region: region}
 }
 
-func register(t *testing.T, table platform.Table, r lease.HolderRecord) {
+func register(t *testing.T, table storage.Table, r lease.HolderRecord) {
 	t.Helper()
 	_, err := lease.Register(t.Context(), table, r)
 	assert.NilError(t, err)
@@ -153,7 +153,7 @@
 func TestBadRowIsSkipped(t *testing.T) {
 	table := standin.New().Local()
 	register(t, table, record(1, "east"))
-	_, err := table.Commit(t.Context(), platform.Txn{ID: "bad", Puts: []platform.Put{
+	_, err := table.Commit(t.Context(), storage.Txn{ID: "bad", Puts: []storage.Put{
 		{Key: lease.HolderKey("x"), Value: json.RawMessage(`"x"`)},
 		{Key: lease.HolderKey("y"), Value: json.RawMessage(`{"incarnation":"z"}`)},
 	}})
--- a/pkg/commit/batch.go
+++ b/pkg/commit/batch.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // batch is one transaction: its ops and the holder row that it writes.
@@ -16,16 +16,16 @@
 
 // txn builds the transaction under a new id. holderVersion is the version that
 // the holder row must have.
-func (b batch) txn(holderVersion uint64) platform.Txn {
+func (b batch) txn(holderVersion uint64) storage.Txn {
 	key := lease.HolderKey(b.holder.Incarnation)
 	value, err := json.Marshal(b.holder)
 	if err != nil {
 		panic(err) // a struct of strings, integers and booleans always encodes
 	}
-	txn := platform.Txn{
+	txn := storage.Txn{
 		ID:         rand.Text(),
-		Conditions: []platform.Condition{{Key: key, Version: holderVersion}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Conditions: []storage.Condition{{Key: key, Version: holderVersion}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	}
 	for _, op := range b.ops {
 		txn.Conditions = append(txn.Conditions, op.Conditions...)
--- a/pkg/commit/committer.go
+++ b/pkg/commit/committer.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/retry"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/retry"
 )
 
 // errUnexplained means that the table reported a conflict in no condition of the transaction.
@@ -216,7 +216,7 @@
 //
 // A rejection after a lost reply does not tell whether the earlier submission
 // took effect, so txn is then submitted again like after any lost reply.
-func (c *Committer) decide(ctx context.Context, txn platform.Txn) (outcome platform.Outcome, rejected, err error) {
+func (c *Committer) decide(ctx context.Context, txn storage.Txn) (outcome storage.Outcome, rejected, err error) {
 	var delay retry.Backoff
 	inDoubt := false
 	for {
@@ -227,7 +227,7 @@
 		if ctx.Err() != nil {
 			return outcome, nil, stopped(ctx)
 		}
-		if !inDoubt && !errors.Is(err, platform.ErrUnavailable) {
+		if !inDoubt && !errors.Is(err, storage.ErrUnavailable) {
 			return outcome, err, nil
 		}
 		inDoubt = true
--- a/pkg/commit/committer_test.go
+++ b/pkg/commit/committer_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/retry"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/retry"
 )
 
 const testHolderKey = lease.HolderPrefix + "d1"
@@ -72,12 +72,12 @@
 }
 
 func putOp(key string) Op {
-	return Op{Puts: []platform.Put{{Key: key, Value: json.RawMessage(`1`)}}}
+	return Op{Puts: []storage.Put{{Key: key, Value: json.RawMessage(`1`)}}}
 }
 
 func insertOp(key string) Op {
 	op := putOp(key)
-	op.Conditions = []platform.Condition{{Key: key}}
+	op.Conditions = []storage.Condition{{Key: key}}
 	return op
 }
 
@@ -120,7 +120,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		calls := 0
-		table.before = func(platform.Txn) callFault {
+		table.before = func(storage.Txn) callFault {
 			calls++
 			return []callFault{replyLost, notReceived, replyLost, noFault}[calls-1]
 		}
@@ -142,7 +142,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		var times []time.Time
-		table.before = func(platform.Txn) callFault {
+		table.before = func(storage.Txn) callFault {
 			times = append(times, time.Now())
 			if len(times) < 20 {
 				return notReceived
@@ -174,7 +174,7 @@
 		f.start()
 		r := <-conflicting
 		assert.ErrorIs(t, r.Err, ErrConflict)
-		assert.DeepEqual(t, r.Conflicts, []platform.Row{{Key: "taken", Value: json.RawMessage(`"other"`), Version: version}})
+		assert.DeepEqual(t, r.Conflicts, []storage.Row{{Key: "taken", Value: json.RawMessage(`"other"`), Version: version}})
 		assert.NilError(t, (<-first).Err)
 		assert.NilError(t, (<-last).Err)
 		assert.Equal(t, table.calls(), 2)
@@ -230,7 +230,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		calls := 0
-		table.before = func(platform.Txn) callFault {
+		table.before = func(storage.Txn) callFault {
 			calls++
 			if calls == 1 {
 				return replyLost
@@ -302,7 +302,7 @@
 func TestRejectedOpIsIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
-		table.before = func(txn platform.Txn) callFault {
+		table.before = func(txn storage.Txn) callFault {
 			for _, put := range txn.Puts {
 				if put.Key == "k13" {
 					return refused
@@ -330,7 +330,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		calls := 0
-		table.before = func(platform.Txn) callFault {
+		table.before = func(storage.Txn) callFault {
 			calls++
 			return []callFault{replyLost, refused, noFault}[calls-1]
 		}
@@ -362,7 +362,7 @@
 func TestStopDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
-		table.before = func(platform.Txn) callFault { return notReceived }
+		table.before = func(storage.Txn) callFault { return notReceived }
 		f := newFixture(t, table, Options{MaxOps: 1})
 		inFlight := f.submit(putOp("a"))
 		queued := f.submit(putOp("b"))
@@ -398,7 +398,7 @@
 func TestFinishDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
-		table.before = func(platform.Txn) callFault { return notReceived }
+		table.before = func(storage.Txn) callFault { return notReceived }
 		f := newFixture(t, table, Options{})
 		f.start()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/pkg/commit/conflicts.go
+++ b/pkg/commit/conflicts.go
@@ -1,11 +1,11 @@
 package commit
 
-import "github.com/peppertrail/peppertrail/pkg/platform"
+import "github.com/peppertrail/peppertrail/pkg/storage"
 
 // conflicts are the current rows behind the failed conditions of a transaction, by key.
-type conflicts map[string]platform.Row
+type conflicts map[string]storage.Row
 
-func newConflicts(rows []platform.Row) conflicts {
+func newConflicts(rows []storage.Row) conflicts {
 	c := make(conflicts, len(rows))
 	for _, row := range rows {
 		c[row.Key] = row
@@ -14,8 +14,8 @@
 }
 
 // of returns the rows behind the conditions of op.
-func (c conflicts) of(op Op) []platform.Row {
-	var rows []platform.Row
+func (c conflicts) of(op Op) []storage.Row {
+	var rows []storage.Row
 	for _, cond := range op.Conditions {
 		if row, ok := c[cond.Key]; ok {
 			rows = append(rows, row)
--- a/pkg/commit/fake_table_test.go
+++ b/pkg/commit/fake_table_test.go
@@ -7,8 +7,8 @@
 	"sync"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // callFault is what happens to one Commit call.
@@ -18,16 +18,16 @@
 	noFault     callFault = iota
 	notReceived           // unavailable before it takes effect
 	replyLost             // unavailable after it took effect
-	refused               // an error that does not wrap platform.ErrUnavailable, without effect
+	refused               // an error that does not wrap storage.ErrUnavailable, without effect
 )
 
 // fakeTable scripts the faults of Commit calls and records what was applied.
 type fakeTable struct {
-	platform.Table
-	before func(txn platform.Txn) callFault // may change rows through Table; nil means noFault
+	storage.Table
+	before func(txn storage.Txn) callFault // may change rows through Table; nil means noFault
 
 	mu      sync.Mutex
-	txns    []platform.Txn // one per call
+	txns    []storage.Txn  // one per call
 	applied map[string]int // key to the number of committed transactions that put it
 	decided map[string]bool
 }
@@ -40,7 +40,7 @@
 	}
 }
 
-func (f *fakeTable) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+func (f *fakeTable) Commit(ctx context.Context, txn storage.Txn) (storage.Outcome, error) {
 	fault := noFault
 	if f.before != nil {
 		fault = f.before(txn)
@@ -50,9 +50,9 @@
 	f.txns = append(f.txns, txn)
 	switch fault {
 	case notReceived:
-		return platform.Outcome{}, fmt.Errorf("%w: not received", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("%w: not received", storage.ErrUnavailable)
 	case refused:
-		return platform.Outcome{}, fmt.Errorf("refused")
+		return storage.Outcome{}, fmt.Errorf("refused")
 	}
 	outcome, err := f.Table.Commit(ctx, txn)
 	if err != nil {
@@ -65,16 +65,16 @@
 	}
 	f.decided[txn.ID] = true
 	if fault == replyLost {
-		return platform.Outcome{}, fmt.Errorf("%w: reply lost", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("%w: reply lost", storage.ErrUnavailable)
 	}
 	return outcome, nil
 }
 
 // write changes a row as another daemon would.
 func (f *fakeTable) write(key, value string) uint64 {
-	outcome, err := f.Table.Commit(context.Background(), platform.Txn{
+	outcome, err := f.Table.Commit(context.Background(), storage.Txn{
 		ID:   fmt.Sprintf("other-%s-%s", key, value),
-		Puts: []platform.Put{{Key: key, Value: json.RawMessage(value)}},
+		Puts: []storage.Put{{Key: key, Value: json.RawMessage(value)}},
 	})
 	if err != nil {
 		panic(err)
@@ -82,7 +82,7 @@
 	return outcome.Revision
 }
 
-func (f *fakeTable) row(key string) platform.Row {
+func (f *fakeTable) row(key string) storage.Row {
 	rows, err := f.Get(context.Background(), key)
 	if err != nil {
 		panic(err)
--- a/pkg/commit/op.go
+++ b/pkg/commit/op.go
@@ -7,7 +7,7 @@
 import (
 	"errors"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Errors in a Result.
@@ -23,8 +23,8 @@
 // Op is one atomic set of writes. Ops of one transaction are independent: a
 // conflict in one does not affect the others.
 type Op struct {
-	Conditions []platform.Condition
-	Puts       []platform.Put
+	Conditions []storage.Condition
+	Puts       []storage.Put
 	Deletes    []string
 	// Done is called once, from the committer's goroutine, and must not block.
 	Done func(Result)
@@ -33,6 +33,6 @@
 // Result is the outcome of an Op.
 type Result struct {
 	Err       error
-	Revision  uint64         // version of the rows written
-	Conflicts []platform.Row // current rows behind the failed conditions, with ErrConflict
+	Revision  uint64        // version of the rows written
+	Conflicts []storage.Row // current rows behind the failed conditions, with ErrConflict
 }
--- a/pkg/commit/options.go
+++ b/pkg/commit/options.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Defaults of Options.
@@ -17,7 +17,7 @@
 
 // Options configure a Committer. Zero values of the limits select the defaults.
 type Options struct {
-	Table         platform.Table
+	Table         storage.Table
 	Holder        lease.HolderRecord // the holder row as it was registered
 	HolderVersion uint64             // version of the holder row
 	BundleVersion func() uint64      // bundle version in force, written with each renewal; nil keeps the one in Holder
--- a/pkg/commit/property_test.go
+++ b/pkg/commit/property_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // plannedOp is one op of a generated run. It puts a marker row of its own and
@@ -26,7 +26,7 @@
 	op := putOp(marker)
 	op.Puts = append(op.Puts, putOp(shared).Puts...)
 	if p.insert {
-		op.Conditions = []platform.Condition{{Key: shared}}
+		op.Conditions = []storage.Condition{{Key: shared}}
 	}
 	op.Done = func(r Result) { p.results = append(p.results, r) }
 	return op
@@ -62,7 +62,7 @@
 	table := newFakeTable()
 	calls := 0
 	fenced := false
-	table.before = func(platform.Txn) callFault {
+	table.before = func(storage.Txn) callFault {
 		calls++
 		if calls == fenceAt {
 			table.write(testHolderKey, `{"incarnation":"d1","fenced":true}`)
--- a/pkg/commit/remote_test.go
+++ b/pkg/commit/remote_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 )
 
 // Guards against a row that two daemons both claim, or none, over HTTP with lost replies and an outage.
--- a/pkg/daemon/claims.go
+++ b/pkg/daemon/claims.go
@@ -4,12 +4,12 @@
 	"context"
 
 	"github.com/peppertrail/peppertrail/pkg/claim"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // claims looks up claims in the table for the gateway.
 type claims struct {
-	table platform.Table
+	table storage.Table
 }
 
 // Claimed implements gateway.Claims.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,8 +18,8 @@
 	"github.com/peppertrail/peppertrail/pkg/gateway"
 	"github.com/peppertrail/peppertrail/pkg/home"
 	"github.com/peppertrail/peppertrail/pkg/peer"
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	"github.com/peppertrail/peppertrail/pkg/route"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"github.com/peppertrail/peppertrail/pkg/telemetry"
 )
--- a/pkg/daemon/drains.go
+++ b/pkg/daemon/drains.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/admin"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -35,7 +35,7 @@
 	if err != nil {
 		return fmt.Errorf("encode drain order: %w", err)
 	}
-	txn := platform.Txn{ID: newIncarnation("drain"), Puts: []platform.Put{{Key: drainPrefix + id, Value: value}}}
+	txn := storage.Txn{ID: newIncarnation("drain"), Puts: []storage.Put{{Key: drainPrefix + id, Value: value}}}
 	if _, err := d.platform.Commit(ctx, txn); err != nil {
 		return fmt.Errorf("store drain order: %w", err)
 	}
--- a/pkg/daemon/members.go
+++ b/pkg/daemon/members.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/bundle"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -18,7 +18,7 @@
 // targetList joins the membership list with the services of the bundle.
 type targetList struct {
 	mu       sync.Mutex
-	members  []platform.Member
+	members  []storage.Member
 	services map[string]target.ServiceInfo
 }
 
@@ -46,7 +46,7 @@
 	}
 	targets := members[:0]
 	for _, m := range members {
-		if m.Kind == platform.TargetMember {
+		if m.Kind == storage.TargetMember {
 			targets = append(targets, m)
 		}
 	}
--- a/pkg/daemon/option.go
+++ b/pkg/daemon/option.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/peppertrail/peppertrail/pkg/gateway"
 	"github.com/peppertrail/peppertrail/pkg/home"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Option changes how a daemon is built. No setting of peppertraild sets one.
@@ -11,7 +11,7 @@
 
 // Parts are what other authorities over budgets can be built from.
 type Parts struct {
-	Table       platform.Table
+	Table       storage.Table
 	Local       home.Authority
 	Incarnation func() string // of this daemon; it changes after a fencing
 }
--- a/pkg/daemon/rig_test.go
+++ b/pkg/daemon/rig_test.go
@@ -18,10 +18,10 @@
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/bundle"
 	"github.com/peppertrail/peppertrail/pkg/config"
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	"github.com/peppertrail/peppertrail/pkg/standin/engine"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -56,9 +56,9 @@
 	assert.NilError(t, err)
 	replica := httptest.NewServer(model.Handler())
 	t.Cleanup(replica.Close)
-	r.platform.Local().PutMember(platform.Member{
-		ID: "chef-0", Kind: platform.TargetMember, Addr: strings.TrimPrefix(replica.URL, "http://"),
-		Region: "m", FailureDomain: "k", Service: "chef-llm", State: platform.MemberLive,
+	r.platform.Local().PutMember(storage.Member{
+		ID: "chef-0", Kind: storage.TargetMember, Addr: strings.TrimPrefix(replica.URL, "http://"),
+		Region: "m", FailureDomain: "k", Service: "chef-llm", State: storage.MemberLive,
 	})
 	return r
 }
@@ -86,7 +86,7 @@
 	_, err = store.Submit(t.Context(), bundle.Proposal{Author: "ana", Bundle: b, Signatures: []bundle.Signature{signature}})
 	assert.NilError(t, err)
 	record := budget.Record{ID: testBudget, Customer: "regie", Limit: testTokens}
-	_, err = r.table.Commit(t.Context(), platform.Txn{ID: "budget", Puts: []platform.Put{{Key: budget.BudgetKey(testBudget), Value: encode(t, record)}}})
+	_, err = r.table.Commit(t.Context(), storage.Txn{ID: "budget", Puts: []storage.Put{{Key: budget.BudgetKey(testBudget), Value: encode(t, record)}}})
 	assert.NilError(t, err)
 }
 
--- a/pkg/daemon/tls_test.go
+++ b/pkg/daemon/tls_test.go
@@ -20,13 +20,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/peer"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // put writes one row without conditions.
 func (r *rig) put(t *testing.T, key string, v any) {
 	t.Helper()
-	_, err := r.table.Commit(t.Context(), platform.Txn{ID: rand.Text(), Puts: []platform.Put{{Key: key, Value: encode(t, v)}}})
+	_, err := r.table.Commit(t.Context(), storage.Txn{ID: rand.Text(), Puts: []storage.Put{{Key: key, Value: encode(t, v)}}})
 	assert.NilError(t, err)
 }
 
--- a/pkg/home/amend.go
+++ b/pkg/home/amend.go
@@ -5,7 +5,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // amend bills a stream as answered that was settled as failed before: its first
@@ -30,14 +30,14 @@
 }
 
 // amendLine rewrites a line that covers the stream. The grant does not change.
-func amendLine(committer Committer, m *settleMessage, row platform.Row, line budget.Line) {
+func amendLine(committer Committer, m *settleMessage, row storage.Row, line budget.Line) {
 	if m.req.Outcome != Completed || line.Completed {
 		m.answer(true)
 		return
 	}
 	committer.Submit(commit.Op{
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-		Puts:       []platform.Put{{Key: row.Key, Value: encode(line.Answered(m.req.Stream, m.req.Tokens))}},
+		Conditions: []storage.Condition{{Key: row.Key, Version: row.Version}},
+		Puts:       []storage.Put{{Key: row.Key, Value: encode(line.Answered(m.req.Stream, m.req.Tokens))}},
 		Done:       func(r commit.Result) { m.answer(r.Err == nil) },
 	})
 }
--- a/pkg/home/budgets.go
+++ b/pkg/home/budgets.go
@@ -8,7 +8,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
@@ -101,7 +101,7 @@
 	id     string
 	policy budget.Policy // zero: the row is read to close a grant
 	need   int64
-	row    platform.Row
+	row    storage.Row
 	err    error
 }
 
@@ -124,7 +124,7 @@
 }
 
 // load takes over a row of the table.
-func (b *budgetState) load(row platform.Row) error {
+func (b *budgetState) load(row storage.Row) error {
 	b.version = row.Version
 	b.record = budget.Record{}
 	if row.Version == 0 {
@@ -168,11 +168,11 @@
 	next := b.record
 	next.Granted += amount
 	op := commit.Op{
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: budget.BudgetKey(b.id), Version: b.version},
 			{Key: budget.GrantKey(record.Holder, record.ID)},
 		},
-		Puts: []platform.Put{
+		Puts: []storage.Put{
 			{Key: budget.BudgetKey(b.id), Value: encode(next)},
 			{Key: budget.GrantKey(record.Holder, record.ID), Value: encode(record)},
 		},
--- a/pkg/home/claims.go
+++ b/pkg/home/claims.go
@@ -9,7 +9,7 @@
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/claim"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
@@ -41,8 +41,8 @@
 	key := claim.Key(record.Customer, record.Request)
 	holder := l.opts.Holder
 	l.opts.Committer.Submit(commit.Op{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: encode(record)}},
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: encode(record)}},
 		Done: func(res commit.Result) {
 			l.post(&claimWritten{holder: holder, record: record, result: res})
 		},
@@ -145,7 +145,7 @@
 func (l *Local) deleteClaim(record claim.Record, version uint64) {
 	key := claim.Key(record.Customer, record.Request)
 	l.opts.Committer.Submit(commit.Op{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
+		Conditions: []storage.Condition{{Key: key, Version: version}},
 		Deletes:    []string{key},
 		Done:       func(commit.Result) {},
 	})
--- a/pkg/home/closing.go
+++ b/pkg/home/closing.go
@@ -5,7 +5,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // closeGrants closes grants that are used up or were not used for a while.
@@ -67,11 +67,11 @@
 	next.Settled += record.Used
 	record.State = budget.GrantClosed
 	op := commit.Op{
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: budget.BudgetKey(b.id), Version: b.version},
 			{Key: budget.GrantKey(record.Holder, record.ID), Version: g.version},
 		},
-		Puts: []platform.Put{
+		Puts: []storage.Put{
 			{Key: budget.BudgetKey(b.id), Value: encode(next)},
 			{Key: budget.GrantKey(record.Holder, record.ID), Value: encode(record)},
 		},
--- a/pkg/home/crashes.go
+++ b/pkg/home/crashes.go
@@ -7,7 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/claim"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -36,7 +36,7 @@
 }
 
 // adoptCrash adds the targets of a crash row to the registry.
-func (l *Local) adoptCrash(row platform.Row) {
+func (l *Local) adoptCrash(row storage.Row) {
 	var record claim.CrashRecord
 	if json.Unmarshal(row.Value, &record) != nil {
 		return
@@ -64,8 +64,8 @@
 	record := claim.CrashRecord{Fingerprint: fingerprint, Targets: targets, LastSeen: now.UnixMilli()}
 	holder := l.opts.Holder
 	l.opts.Committer.Submit(commit.Op{
-		Conditions: []platform.Condition{{Key: key, Version: l.crashRows[fingerprint]}},
-		Puts:       []platform.Put{{Key: key, Value: encode(record)}},
+		Conditions: []storage.Condition{{Key: key, Version: l.crashRows[fingerprint]}},
+		Puts:       []storage.Put{{Key: key, Value: encode(record)}},
 		Done: func(r commit.Result) {
 			l.post(&crashWritten{holder: holder, record: record, result: r})
 		},
--- a/pkg/home/foreign.go
+++ b/pkg/home/foreign.go
@@ -7,7 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // settleForeign writes the line of an attempt that ran on another holder's
@@ -44,7 +44,7 @@
 
 // decodeLine returns the bill line of a row, false if the row is absent or
 // cannot be decoded. An undecodable line is replaced by the next one.
-func decodeLine(row platform.Row) (budget.Line, bool) {
+func decodeLine(row storage.Row) (budget.Line, bool) {
 	var line budget.Line
 	if row.Version == 0 || json.Unmarshal(row.Value, &line) != nil {
 		return budget.Line{}, false
@@ -53,7 +53,7 @@
 }
 
 // submitForeign moves tokens from the written-off part of the grant to the line.
-func (l *Local) submitForeign(committer Committer, m *settleMessage, grant budget.GrantRecord, rows []platform.Row) {
+func (l *Local) submitForeign(committer Committer, m *settleMessage, grant budget.GrantRecord, rows []storage.Row) {
 	tokens := min(m.req.Tokens, grant.WrittenOff)
 	line := newLine(m.req, tokens, time.Now())
 	if earlier, ok := decodeLine(rows[1]); ok {
@@ -63,11 +63,11 @@
 	grant.Used += tokens
 	grant.Settled = grant.Settled.Add(budget.StreamNumber(m.req.Stream))
 	committer.Submit(commit.Op{
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: rows[0].Key, Version: rows[0].Version},
 			{Key: rows[1].Key, Version: rows[1].Version},
 		},
-		Puts: []platform.Put{
+		Puts: []storage.Put{
 			{Key: rows[0].Key, Value: encode(grant)},
 			{Key: rows[1].Key, Value: encode(line)},
 		},
--- a/pkg/home/idle_test.go
+++ b/pkg/home/idle_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // promptCommitter commits every operation at once.
@@ -28,7 +28,7 @@
 		table := standin.New().Local()
 		raw, err := json.Marshal(budget.Record{ID: "b", Customer: "c", Limit: 1_000_000})
 		assert.NilError(t, err)
-		_, err = table.Commit(t.Context(), platform.Txn{ID: "t", Puts: []platform.Put{{Key: budget.BudgetKey("b"), Value: raw}}})
+		_, err = table.Commit(t.Context(), storage.Txn{ID: "t", Puts: []storage.Put{{Key: budget.BudgetKey("b"), Value: raw}}})
 		assert.NilError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
 		l := NewLocal(Options{
--- a/pkg/home/lines.go
+++ b/pkg/home/lines.go
@@ -7,7 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // maxLinesPerOp bounds the size of one operation.
@@ -69,12 +69,12 @@
 	if policy, ok := l.opts.Policies(g.inFlight[0].Customer); ok {
 		record.Streams = l.ledger.Ahead(now, id, policy)
 	}
-	op.Conditions = append(op.Conditions, platform.Condition{Key: budget.GrantKey(record.Holder, id), Version: g.version})
-	op.Puts = append(op.Puts, platform.Put{Key: budget.GrantKey(record.Holder, id), Value: encode(record)})
+	op.Conditions = append(op.Conditions, storage.Condition{Key: budget.GrantKey(record.Holder, id), Version: g.version})
+	op.Puts = append(op.Puts, storage.Put{Key: budget.GrantKey(record.Holder, id), Value: encode(record)})
 	for _, key := range slices.Sorted(maps.Keys(rows)) {
 		row := rows[key]
-		op.Conditions = append(op.Conditions, platform.Condition{Key: key, Version: row.version})
-		op.Puts = append(op.Puts, platform.Put{Key: key, Value: encode(row.line)})
+		op.Conditions = append(op.Conditions, storage.Condition{Key: key, Version: row.version})
+		op.Puts = append(op.Puts, storage.Put{Key: key, Value: encode(row.line)})
 	}
 	holder := l.opts.Holder
 	op.Done = func(r commit.Result) {
@@ -146,7 +146,7 @@
 // reloadLines takes over the rows that another home wrote and submits again.
 // A changed grant row means that the grant was closed by the repair role; the
 // holder row is fenced too, and the next commit finds out.
-func (l *Local) reloadLines(now time.Time, id string, g *grantState, conflicts []platform.Row) {
+func (l *Local) reloadLines(now time.Time, id string, g *grantState, conflicts []storage.Row) {
 	for _, row := range conflicts {
 		if row.Key == budget.GrantKey(l.opts.Holder, id) {
 			return
--- a/pkg/home/options.go
+++ b/pkg/home/options.go
@@ -5,7 +5,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Committer accepts durable effects. *commit.Committer implements it.
@@ -35,7 +35,7 @@
 // Options sets up a Local authority. Zero durations take the defaults.
 type Options struct {
 	Holder        string // incarnation of this daemon
-	Table         platform.Table
+	Table         storage.Table
 	Committer     Committer
 	Policies      Policies
 	Observer      Observer         // nil: none
--- a/pkg/home/table_test.go
+++ b/pkg/home/table_test.go
@@ -7,23 +7,23 @@
 	"strings"
 
 	"github.com/peppertrail/peppertrail/pkg/commit"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // memoryTable is a table without faults of its own.
 type memoryTable struct {
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	revision uint64
 	down     bool
 }
 
 func newMemoryTable() *memoryTable {
-	return &memoryTable{rows: make(map[string]platform.Row)}
+	return &memoryTable{rows: make(map[string]storage.Row)}
 }
 
 func (t *memoryTable) put(key string, v any) {
 	t.revision++
-	t.rows[key] = platform.Row{Key: key, Value: mustJSON(v), Version: t.revision}
+	t.rows[key] = storage.Row{Key: key, Value: mustJSON(v), Version: t.revision}
 }
 
 func (t *memoryTable) decode(key string, v any) {
@@ -49,7 +49,7 @@
 
 // apply decides one operation.
 func (t *memoryTable) apply(op commit.Op) commit.Result {
-	var conflicts []platform.Row
+	var conflicts []storage.Row
 	for _, c := range op.Conditions {
 		if row := t.rows[c.Key]; row.Version != c.Version {
 			row.Key = c.Key
@@ -61,7 +61,7 @@
 	}
 	t.revision++
 	for _, p := range op.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.revision}
+		t.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: t.revision}
 	}
 	for _, key := range op.Deletes {
 		delete(t.rows, key)
@@ -69,15 +69,15 @@
 	return commit.Result{Revision: t.revision}
 }
 
-func (t *memoryTable) Commit(context.Context, platform.Txn) (platform.Outcome, error) {
+func (t *memoryTable) Commit(context.Context, storage.Txn) (storage.Outcome, error) {
 	panic("the home writes through its committer")
 }
 
-func (t *memoryTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t *memoryTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]storage.Row, 0, len(keys))
 	for _, key := range keys {
 		row := t.rows[key]
 		row.Key = key
@@ -86,8 +86,8 @@
 	return rows, nil
 }
 
-func (t *memoryTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *memoryTable) Scan(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
+	var rows []storage.Row
 	for _, key := range t.keys(prefix) {
 		if key > after && len(rows) < limit {
 			rows = append(rows, t.rows[key])
--- a/pkg/home/world_test.go
+++ b/pkg/home/world_test.go
@@ -8,8 +8,8 @@
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/commit"
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/repair"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // queueCommitter keeps operations until the test applies them, so that a test
@@ -247,4 +247,4 @@
 	return data
 }
 
-var _ platform.Table = (*memoryTable)(nil)
+var _ storage.Table = (*memoryTable)(nil)
--- a/pkg/lease/hold_test.go
+++ b/pkg/lease/hold_test.go
@@ -11,8 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const testInterval = 3 * time.Second
@@ -48,20 +48,20 @@
 
 // partitionedTable is a table that one daemon can be cut off from.
 type partitionedTable struct {
-	platform.Table
+	storage.Table
 	cut atomic.Bool
 }
 
-func (p *partitionedTable) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+func (p *partitionedTable) Commit(ctx context.Context, txn storage.Txn) (storage.Outcome, error) {
 	if p.cut.Load() {
-		return platform.Outcome{}, platform.ErrUnavailable
+		return storage.Outcome{}, storage.ErrUnavailable
 	}
 	return p.Table.Commit(ctx, txn)
 }
 
-func (p *partitionedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (p *partitionedTable) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	if p.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return p.Table.Get(ctx, keys...)
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Lease is a role held by this daemon.
@@ -17,8 +17,8 @@
 // Condition is the condition that each transaction of the role must contain.
 // It fails after a take-over, and also after a renewal: then the holder
 // submits again with the condition of its current lease.
-func (l Lease) Condition() platform.Condition {
-	return platform.Condition{Key: RoleKey(l.Role), Version: l.Version}
+func (l Lease) Condition() storage.Condition {
+	return storage.Condition{Key: RoleKey(l.Role), Version: l.Version}
 }
 
 // valid reports whether the holder may act at the time now.
--- a/pkg/lease/register.go
+++ b/pkg/lease/register.go
@@ -7,8 +7,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/retry"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/retry"
 )
 
 // ErrRegistered means that a holder row of the incarnation exists already.
@@ -18,16 +18,16 @@
 // table is unavailable it submits the row again until ctx ends; the row may
 // then exist, and the incarnation must not be used. It returns ErrRegistered
 // (wrapped) if the row exists.
-func Register(ctx context.Context, table platform.Table, record HolderRecord) (version uint64, err error) {
+func Register(ctx context.Context, table storage.Table, record HolderRecord) (version uint64, err error) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return 0, fmt.Errorf("encode holder row: %w", err)
 	}
 	key := HolderKey(record.Incarnation)
-	outcome, err := retry.Commit(ctx, table, platform.Txn{
+	outcome, err := retry.Commit(ctx, table, storage.Txn{
 		ID:         rand.Text(),
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Conditions: []storage.Condition{{Key: key}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return 0, fmt.Errorf("register %s: %w", record.Incarnation, err)
--- a/pkg/lease/register_test.go
+++ b/pkg/lease/register_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Guards against a second daemon that writes under the same incarnation.
@@ -50,6 +50,6 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := Register(ctx, server.Local(), HolderRecord{Incarnation: "d1"})
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, storage.ErrUnavailable)
 	})
 }
--- a/pkg/lease/rewrite.go
+++ b/pkg/lease/rewrite.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // rewriteAttempts allows for one earlier write of this daemon whose reply was lost.
@@ -44,16 +44,16 @@
 		}
 		record, version = *current, row.Version
 	}
-	return writtenRole{}, fmt.Errorf("%w: %s keeps changing", platform.ErrUnavailable, record.Role)
+	return writtenRole{}, fmt.Errorf("%w: %s keeps changing", storage.ErrUnavailable, record.Role)
 }
 
 func isLost(err error) bool {
 	return errors.Is(err, ErrLost) || errors.Is(err, ErrBadRow)
 }
 
-func conflictingRole(outcome platform.Outcome) (*RoleRecord, platform.Row, error) {
+func conflictingRole(outcome storage.Outcome) (*RoleRecord, storage.Row, error) {
 	if len(outcome.Conflicts) == 0 {
-		return nil, platform.Row{}, fmt.Errorf("%w: conflict without a row", platform.ErrUnavailable)
+		return nil, storage.Row{}, fmt.Errorf("%w: conflict without a row", storage.ErrUnavailable)
 	}
 	row := outcome.Conflicts[0]
 	record, err := decodeRole(row)
@@ -61,7 +61,7 @@
 }
 
 // decodeRole returns nil for an absent row and ErrBadRow (wrapped) for one that cannot be decoded.
-func decodeRole(row platform.Row) (*RoleRecord, error) {
+func decodeRole(row storage.Row) (*RoleRecord, error) {
 	if row.Version == 0 {
 		return nil, nil
 	}
--- a/pkg/lease/table_lessor.go
+++ b/pkg/lease/table_lessor.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Defaults of roles.
@@ -22,7 +22,7 @@
 // TableLessor implements Lessor with one table row per role. It is safe for
 // concurrent use; calls for the same role wait for each other.
 type TableLessor struct {
-	table platform.Table
+	table storage.Table
 	self  string
 	ttl   time.Duration
 
@@ -45,7 +45,7 @@
 
 // NewTableLessor returns a lessor for the incarnation self. A ttl of 0 selects
 // DefaultRoleTTL; all daemons must use the same.
-func NewTableLessor(table platform.Table, self string, ttl time.Duration) *TableLessor {
+func NewTableLessor(table storage.Table, self string, ttl time.Duration) *TableLessor {
 	if ttl <= 0 {
 		ttl = DefaultRoleTTL
 	}
@@ -162,16 +162,16 @@
 	}
 }
 
-func (l *TableLessor) put(ctx context.Context, record RoleRecord, version uint64) (platform.Outcome, error) {
+func (l *TableLessor) put(ctx context.Context, record RoleRecord, version uint64) (storage.Outcome, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
-		return platform.Outcome{}, fmt.Errorf("encode role row: %w", err)
+		return storage.Outcome{}, fmt.Errorf("encode role row: %w", err)
 	}
 	key := RoleKey(record.Role)
-	return l.table.Commit(ctx, platform.Txn{
+	return l.table.Commit(ctx, storage.Txn{
 		ID:         rand.Text(),
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 }
 
--- a/pkg/lease/table_lessor_test.go
+++ b/pkg/lease/table_lessor_test.go
@@ -10,20 +10,20 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const testRole = "repair"
 
 // faultyTable loses or delays single commits.
 type faultyTable struct {
-	platform.Table
+	storage.Table
 	loseReply bool            // the next commit takes effect without a reply
 	delay     <-chan struct{} // the next commit waits for it before it takes effect
 }
 
-func (f *faultyTable) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+func (f *faultyTable) Commit(ctx context.Context, txn storage.Txn) (storage.Outcome, error) {
 	if delay := f.delay; delay != nil {
 		f.delay = nil
 		<-delay
@@ -31,18 +31,18 @@
 	outcome, err := f.Table.Commit(ctx, txn)
 	if f.loseReply {
 		f.loseReply = false
-		return platform.Outcome{}, fmt.Errorf("%w: reply lost", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("%w: reply lost", storage.ErrUnavailable)
 	}
 	return outcome, err
 }
 
 // write commits a row under the condition of the lease, as a role does.
-func write(t *testing.T, table platform.Table, lease Lease) bool {
+func write(t *testing.T, table storage.Table, lease Lease) bool {
 	t.Helper()
-	outcome, err := table.Commit(t.Context(), platform.Txn{
+	outcome, err := table.Commit(t.Context(), storage.Txn{
 		ID:         fmt.Sprintf("w-%d-%d", lease.Fencing, lease.Version),
-		Conditions: []platform.Condition{lease.Condition()},
-		Puts:       []platform.Put{{Key: "x", Value: json.RawMessage(`1`)}},
+		Conditions: []storage.Condition{lease.Condition()},
+		Puts:       []storage.Put{{Key: "x", Value: json.RawMessage(`1`)}},
 	})
 	assert.NilError(t, err)
 	return outcome.Committed
@@ -158,7 +158,7 @@
 		assert.NilError(t, err)
 		table.loseReply = true
 		_, err = a.Renew(t.Context(), testRole)
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, storage.ErrUnavailable)
 		_, held := a.Held(testRole)
 		assert.Assert(t, held)
 		second, err := a.Renew(t.Context(), testRole)
@@ -174,7 +174,7 @@
 		table := &faultyTable{Table: standin.New().Local(), loseReply: true}
 		a := NewTableLessor(table, "a", testTTL)
 		_, err := a.Acquire(t.Context(), testRole)
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, storage.ErrUnavailable)
 		_, held := a.Held(testRole)
 		assert.Assert(t, !held)
 		lease, err := a.Acquire(t.Context(), testRole)
@@ -213,7 +213,7 @@
 		assert.NilError(t, server.SetFaults(standin.Faults{TableDown: true}))
 		time.Sleep(2 * testTTL)
 		_, err = a.Renew(t.Context(), testRole)
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, storage.ErrUnavailable)
 		_, held := a.Held(testRole)
 		assert.Assert(t, !held)
 		assert.NilError(t, server.SetFaults(standin.Faults{}))
@@ -228,7 +228,7 @@
 // Guards against a role whose fencing number starts again because its row is damaged.
 func TestBadRowIsNotTaken(t *testing.T) {
 	table := standin.New().Local()
-	_, err := table.Commit(t.Context(), platform.Txn{ID: "bad", Puts: []platform.Put{{Key: RoleKey(testRole), Value: json.RawMessage(`"x"`)}}})
+	_, err := table.Commit(t.Context(), storage.Txn{ID: "bad", Puts: []storage.Put{{Key: RoleKey(testRole), Value: json.RawMessage(`"x"`)}}})
 	assert.NilError(t, err)
 	_, err = NewTableLessor(table, "a", testTTL).Acquire(t.Context(), testRole)
 	assert.ErrorIs(t, err, ErrBadRow)
--- a/pkg/load/baseline/transactions.go
+++ b/pkg/load/baseline/transactions.go
@@ -11,8 +11,8 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/home"
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/retry"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/retry"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
 
@@ -23,7 +23,7 @@
 // transactions authorises spending with one transaction on the budget row for
 // each reservation and each settlement.
 type transactions struct {
-	table platform.Table
+	table storage.Table
 	self  func() string
 	next  atomic.Uint64
 
@@ -46,7 +46,7 @@
 	durable bool // valid after done is closed
 }
 
-func newTransactions(table platform.Table, self func() string) *transactions {
+func newTransactions(table storage.Table, self func() string) *transactions {
 	return &transactions{table: table, self: self, rows: make(map[string]*budgetRow), settles: make(map[string]*settling)}
 }
 
@@ -182,7 +182,7 @@
 
 // billLine returns the line of a settlement, nil if nothing ran. The key has
 // the stream, so that attempts of one request do not conflict.
-func billLine(req home.SettleRequest, tokens int64) *platform.Put {
+func billLine(req home.SettleRequest, tokens int64) *storage.Put {
 	if req.Outcome == home.NotDispatched {
 		return nil
 	}
@@ -190,7 +190,7 @@
 		Customer: req.Customer, Budget: req.Budget, Request: req.Request, Streams: []string{req.Stream}, Target: req.Target,
 		Tokens: tokens, Attempts: 1, Completed: req.Outcome == home.Completed, Estimated: !req.UsageKnown, BilledAt: time.Now().UnixMilli(),
 	}
-	return &platform.Put{Key: budget.LineKey(req.Customer, req.Request+"."+req.Stream), Value: encode(line)}
+	return &storage.Put{Key: budget.LineKey(req.Customer, req.Request+"."+req.Stream), Value: encode(line)}
 }
 
 func (t *transactions) row(id string) *budgetRow {
@@ -212,7 +212,7 @@
 	return row.load(rows[0])
 }
 
-func (b *budgetRow) load(row platform.Row) error {
+func (b *budgetRow) load(row storage.Row) error {
 	b.version = 0
 	b.record = budget.Record{}
 	if row.Version == 0 {
@@ -227,12 +227,12 @@
 
 // write replaces the budget row. It returns false after a conflict, with the
 // present row loaded. An unknown outcome is resolved under the same id.
-func (t *transactions) write(ctx context.Context, row *budgetRow, next budget.Record, line *platform.Put) (bool, error) {
+func (t *transactions) write(ctx context.Context, row *budgetRow, next budget.Record, line *storage.Put) (bool, error) {
 	key := budget.BudgetKey(next.ID)
-	txn := platform.Txn{
+	txn := storage.Txn{
 		ID:         rand.Text(),
-		Conditions: []platform.Condition{{Key: key, Version: row.version}},
-		Puts:       []platform.Put{{Key: key, Value: encode(next)}},
+		Conditions: []storage.Condition{{Key: key, Version: row.version}},
+		Puts:       []storage.Put{{Key: key, Value: encode(next)}},
 	}
 	if line != nil {
 		txn.Puts = append(txn.Puts, *line)
@@ -256,7 +256,7 @@
 // submit submits a transaction until it is decided. The pauses grow: with 20 ms
 // throughout, the rows of nine daemons used up the free ports of the machine in
 // an outage of 60 s.
-func (t *transactions) submit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+func (t *transactions) submit(ctx context.Context, txn storage.Txn) (storage.Outcome, error) {
 	var delay retry.Backoff
 	deadline := time.Now().Add(submitLimit)
 	for {
--- a/pkg/load/baseline/transactions_test.go
+++ b/pkg/load/baseline/transactions_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/home"
-	platformapi "github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/standin/platform"
+	platformapi "github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Guards against a baseline that loses a settlement or overspends when several
--- a/pkg/load/fleet/measure.go
+++ b/pkg/load/fleet/measure.go
@@ -13,9 +13,9 @@
 	"github.com/prometheus/common/model"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	engineapi "github.com/peppertrail/peppertrail/pkg/standin/engine"
 	"github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 )
 
 func (f *Fleet) faults(down bool) platform.Faults {
--- a/pkg/load/fleet/platform.go
+++ b/pkg/load/fleet/platform.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"strings"
 
-	platformapi "github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/standin/platform"
+	platformapi "github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // platformClient calls the parts of the stand-in that daemons do not use.
--- a/pkg/repair/prune.go
+++ b/pkg/repair/prune.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // rowRetention is how long the row of a holder that ended stays for operators.
@@ -16,7 +16,7 @@
 // same for rowRetention. A paused holder that resumes later still finds out
 // that it was fenced, since its commits require the row. Its closed grants stay
 // for bill lines that are submitted late.
-func (r *Repairer) prune(ctx context.Context, now time.Time, row platform.Row, incarnation string) error {
+func (r *Repairer) prune(ctx context.Context, now time.Time, row storage.Row, incarnation string) error {
 	last, ok := r.seen[incarnation]
 	if !ok || last.version != row.Version {
 		r.seen[incarnation] = sighting{version: row.Version, since: now}
@@ -25,9 +25,9 @@
 	if now.Sub(last.since) < rowRetention {
 		return nil
 	}
-	done, err := r.submit(ctx, platform.Txn{
+	done, err := r.submit(ctx, storage.Txn{
 		ID:         r.opts.TxnID(),
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+		Conditions: []storage.Condition{{Key: row.Key, Version: row.Version}},
 		Deletes:    []string{row.Key},
 	})
 	if done {
--- a/pkg/repair/prune_test.go
+++ b/pkg/repair/prune_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const testTTL = 15 * time.Second
 
 // testRepairer returns a repairer that holds its role.
-func testRepairer(t *testing.T, table platform.Table) *Repairer {
+func testRepairer(t *testing.T, table storage.Table) *Repairer {
 	t.Helper()
 	lessor := lease.NewTableLessor(table, "self", time.Hour)
 	_, err := lessor.Acquire(t.Context(), Role)
@@ -25,19 +25,19 @@
 	return New(Options{Table: table, Lessor: lessor, Self: "self", TTL: testTTL, Report: func(Report) {}, TxnID: rand.Text})
 }
 
-func put(t *testing.T, table platform.Table, key string, value any) {
+func put(t *testing.T, table storage.Table, key string, value any) {
 	t.Helper()
 	raw, err := json.Marshal(value)
 	assert.NilError(t, err)
-	_, err = table.Commit(t.Context(), platform.Txn{ID: rand.Text(), Puts: []platform.Put{{Key: key, Value: raw}}})
+	_, err = table.Commit(t.Context(), storage.Txn{ID: rand.Text(), Puts: []storage.Put{{Key: key, Value: raw}}})
 	assert.NilError(t, err)
 }
 
-func holderRows(t *testing.T, table platform.Table) map[string]platform.Row {
+func holderRows(t *testing.T, table storage.Table) map[string]storage.Row {
 	t.Helper()
 	rows, err := table.Scan(t.Context(), lease.HolderPrefix, "", page)
 	assert.NilError(t, err)
-	byKey := make(map[string]platform.Row)
+	byKey := make(map[string]storage.Row)
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
--- a/pkg/repair/recovery.go
+++ b/pkg/repair/recovery.go
@@ -10,7 +10,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -73,7 +73,7 @@
 	if !ok {
 		return errTargetLost
 	}
-	return r.scan(ctx, budget.GrantPrefix(holder.Incarnation), func(row platform.Row) error {
+	return r.scan(ctx, budget.GrantPrefix(holder.Incarnation), func(row storage.Row) error {
 		var grant budget.GrantRecord
 		if err := json.Unmarshal(row.Value, &grant); err != nil {
 			return nil // reported when the grants were closed
@@ -110,7 +110,7 @@
 }
 
 // recoverGrant keeps what the targets ran without a line and returns the rest.
-func (r *Repairer) recoverGrant(ctx context.Context, row platform.Row, grant budget.GrantRecord, targets []target.Target) error {
+func (r *Repairer) recoverGrant(ctx context.Context, row storage.Row, grant budget.GrantRecord, targets []target.Target) error {
 	missing := grant.Settled.Missing(grant.Streams)
 	if len(missing)*len(targets) > maxProbes {
 		return errManyStreams
@@ -130,9 +130,9 @@
 	}
 	before := grant.WrittenOff
 	record, grant = Return(record, grant, ran)
-	txn := platform.Txn{
+	txn := storage.Txn{
 		ID: r.opts.TxnID(),
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: key, Version: rows[0].Version},
 			{Key: row.Key, Version: row.Version},
 		},
--- a/pkg/repair/repairer.go
+++ b/pkg/repair/repairer.go
@@ -8,7 +8,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Role is the name of the role that repairs.
@@ -42,7 +42,7 @@
 
 // Options set up a Repairer.
 type Options struct {
-	Table    platform.Table
+	Table    storage.Table
 	Lessor   lease.Lessor  // holds Role
 	Self     string        // incarnation of this daemon
 	TTL      time.Duration // a holder row unchanged for this long is fenced
@@ -93,7 +93,7 @@
 // error of the table; what was not done is done by a later pass.
 func (r *Repairer) Pass(ctx context.Context, now time.Time) error {
 	var daemons []lease.HolderRecord
-	err := r.scan(ctx, lease.HolderPrefix, func(row platform.Row) error {
+	err := r.scan(ctx, lease.HolderPrefix, func(row storage.Row) error {
 		var holder lease.HolderRecord
 		if err := json.Unmarshal(row.Value, &holder); err != nil {
 			r.badRow(row.Key, err)
@@ -110,7 +110,7 @@
 }
 
 // inspect decides about one holder.
-func (r *Repairer) inspect(ctx context.Context, now time.Time, row platform.Row, holder lease.HolderRecord) error {
+func (r *Repairer) inspect(ctx context.Context, now time.Time, row storage.Row, holder lease.HolderRecord) error {
 	if holder.Stopped || r.closed[holder.Incarnation] {
 		return r.prune(ctx, now, row, holder.Incarnation)
 	}
@@ -130,9 +130,9 @@
 }
 
 // fence forbids the holder further writes.
-func (r *Repairer) fence(ctx context.Context, row platform.Row, holder lease.HolderRecord, silent time.Duration) error {
+func (r *Repairer) fence(ctx context.Context, row storage.Row, holder lease.HolderRecord, silent time.Duration) error {
 	holder.Fenced = true
-	done, err := r.commit(ctx, []platform.Condition{{Key: row.Key, Version: row.Version}}, row.Key, holder)
+	done, err := r.commit(ctx, []storage.Condition{{Key: row.Key, Version: row.Version}}, row.Key, holder)
 	if err != nil || !done {
 		return err
 	}
@@ -144,7 +144,7 @@
 // closeGrants writes off the open grants of a fenced holder.
 func (r *Repairer) closeGrants(ctx context.Context, holder lease.HolderRecord) error {
 	open := 0
-	err := r.scan(ctx, budget.GrantPrefix(holder.Incarnation), func(row platform.Row) error {
+	err := r.scan(ctx, budget.GrantPrefix(holder.Incarnation), func(row storage.Row) error {
 		var grant budget.GrantRecord
 		if err := json.Unmarshal(row.Value, &grant); err != nil {
 			r.badRow(row.Key, err)
@@ -170,7 +170,7 @@
 }
 
 // closeGrant writes off one grant. It returns false if another write came first.
-func (r *Repairer) closeGrant(ctx context.Context, row platform.Row, grant budget.GrantRecord) (bool, error) {
+func (r *Repairer) closeGrant(ctx context.Context, row storage.Row, grant budget.GrantRecord) (bool, error) {
 	key := budget.BudgetKey(grant.Budget)
 	rows, err := r.opts.Table.Get(ctx, key)
 	if err != nil {
@@ -182,9 +182,9 @@
 		return true, nil
 	}
 	record, grant = WriteOff(record, grant)
-	txn := platform.Txn{
+	txn := storage.Txn{
 		ID: r.opts.TxnID(),
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: key, Version: rows[0].Version},
 			{Key: row.Key, Version: row.Version},
 		},
@@ -201,7 +201,7 @@
 }
 
 // scan calls visit for each row with the prefix.
-func (r *Repairer) scan(ctx context.Context, prefix string, visit func(platform.Row) error) error {
+func (r *Repairer) scan(ctx context.Context, prefix string, visit func(storage.Row) error) error {
 	after := ""
 	for {
 		rows, err := r.opts.Table.Scan(ctx, prefix, after, page)
@@ -221,8 +221,8 @@
 }
 
 // commit writes one row under conditions.
-func (r *Repairer) commit(ctx context.Context, conditions []platform.Condition, key string, value any) (bool, error) {
-	txn := platform.Txn{ID: r.opts.TxnID(), Conditions: conditions}
+func (r *Repairer) commit(ctx context.Context, conditions []storage.Condition, key string, value any) (bool, error) {
+	txn := storage.Txn{ID: r.opts.TxnID(), Conditions: conditions}
 	var err error
 	if txn.Puts, err = puts(write{key, value}); err != nil {
 		return false, err
@@ -232,7 +232,7 @@
 
 // submit commits a transaction if this daemon still holds the role. A lost
 // reply leaves the outcome to the next pass, which reads the rows again.
-func (r *Repairer) submit(ctx context.Context, txn platform.Txn) (bool, error) {
+func (r *Repairer) submit(ctx context.Context, txn storage.Txn) (bool, error) {
 	held, ok := r.opts.Lessor.Held(Role)
 	if !ok {
 		return false, lease.ErrNotHeld
@@ -252,14 +252,14 @@
 }
 
 // puts encodes writes.
-func puts(writes ...write) ([]platform.Put, error) {
-	all := make([]platform.Put, 0, len(writes))
+func puts(writes ...write) ([]storage.Put, error) {
+	all := make([]storage.Put, 0, len(writes))
 	for _, w := range writes {
 		value, err := json.Marshal(w.record)
 		if err != nil {
 			return nil, fmt.Errorf("encode %s: %w", w.key, err)
 		}
-		all = append(all, platform.Put{Key: w.key, Value: value})
+		all = append(all, storage.Put{Key: w.key, Value: value})
 	}
 	return all, nil
 }
--- a/pkg/route/sim_test.go
+++ b/pkg/route/sim_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"gotest.tools/v3/assert"
 )
@@ -44,11 +44,11 @@
 
 // setUp starts targets, views and reports.
 func (s *sim) setUp(newPolicy func(view int) Policy) {
-	var members []platform.Member
+	var members []storage.Member
 	for i, capacity := range s.config.capacities {
 		t := &simTarget{id: fmt.Sprintf("chef-%02d", i), capacity: capacity}
 		s.targets = append(s.targets, t)
-		members = append(members, platform.Member{ID: t.id, Kind: platform.TargetMember, Service: chef, State: platform.MemberLive})
+		members = append(members, storage.Member{ID: t.id, Kind: storage.TargetMember, Service: chef, State: storage.MemberLive})
 	}
 	for i := range s.config.views {
 		s.picks = append(s.picks, newPolicy(i))
--- a/pkg/slopes/measure_holders.go
+++ b/pkg/slopes/measure_holders.go
@@ -7,7 +7,7 @@
 	"io"
 
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -56,7 +56,7 @@
 // addStopped writes the rows of stopped daemons with the numbers first to last-1.
 func (f *fleet) addStopped(ctx context.Context, first, last int) error {
 	for ; first < last; first += putsPerTxn {
-		txn := platform.Txn{ID: fmt.Sprintf("slopes-holders-%d", first)}
+		txn := storage.Txn{ID: fmt.Sprintf("slopes-holders-%d", first)}
 		for i := first; i < min(first+putsPerTxn, last); i++ {
 			record := lease.HolderRecord{
 				Incarnation: fmt.Sprintf("host%d~0123456789ab", i), Host: fmt.Sprintf("host%d", i), PeerAddr: "127.0.0.1:1",
@@ -66,7 +66,7 @@
 			if err != nil {
 				return err
 			}
-			txn.Puts = append(txn.Puts, platform.Put{Key: lease.HolderKey(record.Incarnation), Value: value})
+			txn.Puts = append(txn.Puts, storage.Put{Key: lease.HolderKey(record.Incarnation), Value: value})
 		}
 		if _, err := f.platform.client.Commit(ctx, txn); err != nil {
 			return fmt.Errorf("write holder rows: %w", err)
--- a/pkg/slopes/operator.go
+++ b/pkg/slopes/operator.go
@@ -9,7 +9,7 @@
 	"github.com/peppertrail/peppertrail/pkg/access"
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/bundle"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -27,10 +27,10 @@
 	key    ed25519.PrivateKey
 	apiKey string
 	store  *bundle.Store
-	table  platform.Table
+	table  storage.Table
 }
 
-func newOperator(table platform.Table) (*operator, error) {
+func newOperator(table storage.Table) (*operator, error) {
 	key, err := access.NewOperatorKey()
 	if err != nil {
 		return nil, err
@@ -99,14 +99,14 @@
 func (o *operator) createBudgets(ctx context.Context, first, last int) error {
 	for first < last {
 		n := min(putsPerTxn, last-first)
-		txn := platform.Txn{ID: fmt.Sprintf("slopes-budgets-%d", first)}
+		txn := storage.Txn{ID: fmt.Sprintf("slopes-budgets-%d", first)}
 		for i := first; i < first+n; i++ {
 			record := budget.Record{ID: budgetName(i), Customer: customerID, Limit: budgetTokens, TopUps: map[string]int64{"initial": budgetTokens}}
 			value, err := json.Marshal(record)
 			if err != nil {
 				return err
 			}
-			txn.Puts = append(txn.Puts, platform.Put{Key: budget.BudgetKey(record.ID), Value: value})
+			txn.Puts = append(txn.Puts, storage.Put{Key: budget.BudgetKey(record.ID), Value: value})
 		}
 		if _, err := o.table.Commit(ctx, txn); err != nil {
 			return fmt.Errorf("create budgets: %w", err)
--- a/pkg/slopes/platform_server.go
+++ b/pkg/slopes/platform_server.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 )
 
 // platformServer is the stand-in of the platform with two listeners: one for
--- a/pkg/slopes/target_farm.go
+++ b/pkg/slopes/target_farm.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/standin/engine"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 )
 
@@ -58,9 +58,9 @@
 	server := &http.Server{Handler: answerInFull(e.Handler()), ReadHeaderTimeout: toolTimeout}
 	f.servers = append(f.servers, server)
 	go func() { _ = server.Serve(countedListener{Listener: ln, bytes: &f.bytes}) }()
-	member, err := json.Marshal(platform.Member{
-		ID: id, Kind: platform.TargetMember, Addr: ln.Addr().String(), Region: region(0),
-		FailureDomain: failureDomain(0), Service: farmService, State: platform.MemberLive,
+	member, err := json.Marshal(storage.Member{
+		ID: id, Kind: storage.TargetMember, Addr: ln.Addr().String(), Region: region(0),
+		FailureDomain: failureDomain(0), Service: farmService, State: storage.MemberLive,
 	})
 	if err != nil {
 		return err
--- a/pkg/standin/faketable/table.go
+++ b/pkg/standin/faketable/table.go
@@ -11,7 +11,7 @@
 	"strings"
 	"sync"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Fault is what the fake table does with one commit.
@@ -28,8 +28,8 @@
 type Table struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
-	decided  map[string]platform.Outcome
+	rows     map[string]storage.Row
+	decided  map[string]storage.Outcome
 	down     bool
 	Fault    func() Fault // called under the table's lock for each commit
 }
@@ -37,32 +37,32 @@
 // New returns an empty table without faults.
 func New() *Table {
 	return &Table{
-		rows:    make(map[string]platform.Row),
-		decided: make(map[string]platform.Outcome),
+		rows:    make(map[string]storage.Row),
+		decided: make(map[string]storage.Outcome),
 		Fault:   func() Fault { return NoFault },
 	}
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(_ context.Context, txn platform.Txn) (platform.Outcome, error) {
+// Commit implements storage.Table.
+func (t *Table) Commit(_ context.Context, txn storage.Txn) (storage.Outcome, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := t.Fault()
 	if t.down || f == LostCall {
-		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
 	outcome := t.apply(txn)
 	if f == LostReply {
-		return platform.Outcome{}, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
 	return outcome, nil
 }
 
-func (t *Table) apply(txn platform.Txn) platform.Outcome {
+func (t *Table) apply(txn storage.Txn) storage.Outcome {
 	if outcome, ok := t.decided[txn.ID]; ok {
 		return outcome
 	}
-	var outcome platform.Outcome
+	var outcome storage.Outcome
 	for _, c := range txn.Conditions {
 		if row := t.row(c.Key); row.Version != c.Version {
 			outcome.Conflicts = append(outcome.Conflicts, row)
@@ -70,9 +70,9 @@
 	}
 	if len(outcome.Conflicts) == 0 {
 		t.revision++
-		outcome = platform.Outcome{Committed: true, Revision: t.revision}
+		outcome = storage.Outcome{Committed: true, Revision: t.revision}
 		for _, p := range txn.Puts {
-			t.rows[p.Key] = platform.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.revision}
+			t.rows[p.Key] = storage.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.revision}
 		}
 		for _, key := range txn.Deletes {
 			delete(t.rows, key)
@@ -82,35 +82,35 @@
 	return outcome
 }
 
-func (t *Table) row(key string) platform.Row {
+func (t *Table) row(key string) storage.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
-	return platform.Row{Key: key}
+	return storage.Row{Key: key}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements storage.Table.
+func (t *Table) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return nil, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]storage.Row, 0, len(keys))
 	for _, key := range keys {
 		rows = append(rows, t.row(key))
 	}
 	return rows, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, fmt.Errorf("fake: %w", platform.ErrUnavailable)
+		return nil, fmt.Errorf("fake: %w", storage.ErrUnavailable)
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
 			rows = append(rows, t.rows[key])
@@ -124,7 +124,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revision++
-	t.rows[key] = platform.Row{Key: key, Value: []byte(value), Version: t.revision}
+	t.rows[key] = storage.Row{Key: key, Value: []byte(value), Version: t.revision}
 }
 
 // SetDown makes every call fail until it is called with false.
--- a/pkg/standin/platform/handlers.go
+++ b/pkg/standin/platform/handlers.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // maxBodyBytes bounds the body of a call.
@@ -19,7 +19,7 @@
 	if refuseIf(w, faults.TableDown) {
 		return
 	}
-	var txn platform.Txn
+	var txn storage.Txn
 	if !decode(w, r, &txn) {
 		return
 	}
@@ -93,7 +93,7 @@
 	}
 	data, found := s.objects.get(key)
 	if !found {
-		http.Error(w, platform.ErrNoObject.Error(), http.StatusNotFound)
+		http.Error(w, storage.ErrNoObject.Error(), http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -109,7 +109,7 @@
 }
 
 func (s *Server) putMember(w http.ResponseWriter, r *http.Request) {
-	var m platform.Member
+	var m storage.Member
 	if !decode(w, r, &m) {
 		return
 	}
--- a/pkg/standin/platform/local.go
+++ b/pkg/standin/platform/local.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Local is the table and the membership list of a Server without HTTP, with
@@ -16,8 +16,8 @@
 }
 
 var (
-	_ platform.Table   = (*Local)(nil)
-	_ platform.Members = (*Local)(nil)
+	_ storage.Table   = (*Local)(nil)
+	_ storage.Members = (*Local)(nil)
 )
 
 // Local returns the table and the membership list for calls in the same process.
@@ -25,29 +25,29 @@
 	return &Local{server: s}
 }
 
-// Commit implements platform.Table.
-func (l *Local) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
+// Commit implements storage.Table.
+func (l *Local) Commit(ctx context.Context, txn storage.Txn) (storage.Outcome, error) {
 	faults, err := l.enter(ctx)
 	if err != nil {
-		return platform.Outcome{}, err
+		return storage.Outcome{}, err
 	}
 	if faults.TableDown {
-		return platform.Outcome{}, errDown()
+		return storage.Outcome{}, errDown()
 	}
 	if !l.server.writes.allow(faults.MaxWritesPerSecond, time.Now()) {
 		l.server.table.countRateLimited()
-		return platform.Outcome{}, fmt.Errorf("%w: too many writes", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("%w: too many writes", storage.ErrUnavailable)
 	}
 	outcome, err := l.server.table.commit(txn)
 	if err == nil && rand.Float64() < faults.LostReplyProbability {
 		l.server.table.countLostReply()
-		return platform.Outcome{}, fmt.Errorf("%w: reply lost", platform.ErrUnavailable)
+		return storage.Outcome{}, fmt.Errorf("%w: reply lost", storage.ErrUnavailable)
 	}
 	return outcome, err
 }
 
-// Get implements platform.Table.
-func (l *Local) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements storage.Table.
+func (l *Local) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	faults, err := l.enter(ctx)
 	if err != nil {
 		return nil, err
@@ -58,8 +58,8 @@
 	return l.server.table.get(keys), nil
 }
 
-// Scan implements platform.Table.
-func (l *Local) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (l *Local) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	faults, err := l.enter(ctx)
 	if err != nil {
 		return nil, err
@@ -70,8 +70,8 @@
 	return l.server.table.scan(prefix, after, limit)
 }
 
-// Members implements platform.Members.
-func (l *Local) Members(ctx context.Context) ([]platform.Member, error) {
+// Members implements storage.Members.
+func (l *Local) Members(ctx context.Context) ([]storage.Member, error) {
 	faults, err := l.enter(ctx)
 	if err != nil {
 		return nil, err
@@ -83,7 +83,7 @@
 }
 
 // PutMember adds or replaces a member.
-func (l *Local) PutMember(m platform.Member) { l.server.members.put(m) }
+func (l *Local) PutMember(m storage.Member) { l.server.members.put(m) }
 
 // RemoveMember removes a member.
 func (l *Local) RemoveMember(id string) { l.server.members.remove(id) }
@@ -91,11 +91,11 @@
 // enter applies the injected latency and returns the faults in force after it.
 func (l *Local) enter(ctx context.Context) (Faults, error) {
 	if err := sleep(ctx, l.server.Faults().delay()); err != nil {
-		return Faults{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return Faults{}, fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	return l.server.Faults(), nil
 }
 
 func errDown() error {
-	return fmt.Errorf("%w: service down", platform.ErrUnavailable)
+	return fmt.Errorf("%w: service down", storage.ErrUnavailable)
 }
--- a/pkg/standin/platform/member_list.go
+++ b/pkg/standin/platform/member_list.go
@@ -6,29 +6,29 @@
 	"sync"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // memberChange is a change of the list that may not be visible yet.
 type memberChange struct {
 	at     time.Time
 	id     string
-	member *platform.Member // nil removes the member
+	member *storage.Member // nil removes the member
 }
 
 // memberList is the membership list. A change becomes visible when it is
 // older than the lag.
 type memberList struct {
 	mu      sync.Mutex
-	visible map[string]platform.Member
+	visible map[string]storage.Member
 	pending []memberChange
 }
 
 func newMemberList() *memberList {
-	return &memberList{visible: map[string]platform.Member{}}
+	return &memberList{visible: map[string]storage.Member{}}
 }
 
-func (l *memberList) put(m platform.Member) {
+func (l *memberList) put(m storage.Member) {
 	l.change(memberChange{at: time.Now(), id: m.ID, member: &m})
 }
 
@@ -43,15 +43,15 @@
 }
 
 // list returns the members in order of their ids.
-func (l *memberList) list(lag time.Duration) []platform.Member {
+func (l *memberList) list(lag time.Duration) []storage.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.apply(time.Now().Add(-lag))
-	members := make([]platform.Member, 0, len(l.visible))
+	members := make([]storage.Member, 0, len(l.visible))
 	for _, m := range l.visible {
 		members = append(members, m)
 	}
-	slices.SortFunc(members, func(a, b platform.Member) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(members, func(a, b storage.Member) int { return strings.Compare(a.ID, b.ID) })
 	return members
 }
 
--- a/pkg/standin/platform/member_list_test.go
+++ b/pkg/standin/platform/member_list_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Guards against changes that become visible before the lag has passed.
@@ -15,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := newMemberList()
 		lag := 2 * time.Second
-		l.put(platform.Member{ID: "a"})
+		l.put(storage.Member{ID: "a"})
 		assert.Equal(t, len(l.list(lag)), 0)
 		time.Sleep(lag)
 		assert.Equal(t, len(l.list(lag)), 1)
--- a/pkg/standin/platform/table.go
+++ b/pkg/standin/platform/table.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sync"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // maxDecided bounds the remembered outcomes. It is far above the number of
@@ -22,25 +22,25 @@
 type table struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	index    *keyIndex
-	decided  map[string]platform.Outcome
+	decided  map[string]storage.Outcome
 	order    []string // ids of decided in order of decision, for eviction
 	stats    Stats
 }
 
 func newTable() *table {
 	return &table{
-		rows:    map[string]platform.Row{},
+		rows:    map[string]storage.Row{},
 		index:   newKeyIndex(),
-		decided: map[string]platform.Outcome{},
+		decided: map[string]storage.Outcome{},
 	}
 }
 
 // commit decides txn, or returns the first outcome of its id.
-func (t *table) commit(txn platform.Txn) (platform.Outcome, error) {
+func (t *table) commit(txn storage.Txn) (storage.Outcome, error) {
 	if err := validate(txn); err != nil {
-		return platform.Outcome{}, err
+		return storage.Outcome{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -53,10 +53,10 @@
 	return outcome, nil
 }
 
-func (t *table) decide(txn platform.Txn) platform.Outcome {
+func (t *table) decide(txn storage.Txn) storage.Outcome {
 	if conflicts := t.conflicts(txn.Conditions); len(conflicts) > 0 {
 		t.stats.Conflicts++
-		return platform.Outcome{Revision: t.revision, Conflicts: conflicts}
+		return storage.Outcome{Revision: t.revision, Conflicts: conflicts}
 	}
 	t.revision++
 	for _, put := range txn.Puts {
@@ -67,11 +67,11 @@
 	}
 	t.stats.Commits++
 	t.stats.RowsWritten += uint64(len(txn.Puts) + len(txn.Deletes))
-	return platform.Outcome{Committed: true, Revision: t.revision}
+	return storage.Outcome{Committed: true, Revision: t.revision}
 }
 
-func (t *table) conflicts(conditions []platform.Condition) []platform.Row {
-	var rows []platform.Row
+func (t *table) conflicts(conditions []storage.Condition) []storage.Row {
+	var rows []storage.Row
 	for _, c := range conditions {
 		if row := t.row(c.Key); row.Version != c.Version {
 			rows = append(rows, row)
@@ -80,14 +80,14 @@
 	return rows
 }
 
-func (t *table) put(put platform.Put) {
+func (t *table) put(put storage.Put) {
 	if _, exists := t.rows[put.Key]; !exists {
 		t.index.add(put.Key)
 	}
-	t.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: t.revision}
+	t.rows[put.Key] = storage.Row{Key: put.Key, Value: put.Value, Version: t.revision}
 }
 
-func (t *table) remember(id string, outcome platform.Outcome) {
+func (t *table) remember(id string, outcome storage.Outcome) {
 	if len(t.order) >= maxDecided {
 		delete(t.decided, t.order[0])
 		t.order = t.order[1:]
@@ -97,32 +97,32 @@
 }
 
 // row returns the row of key, with Version 0 if it is absent.
-func (t *table) row(key string) platform.Row {
+func (t *table) row(key string) storage.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
-	return platform.Row{Key: key}
+	return storage.Row{Key: key}
 }
 
-func (t *table) get(keys []string) []platform.Row {
+func (t *table) get(keys []string) []storage.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]storage.Row, 0, len(keys))
 	for _, key := range keys {
 		rows = append(rows, t.row(key))
 	}
 	return rows
 }
 
-func (t *table) scan(prefix, after string, limit int) ([]platform.Row, error) {
+func (t *table) scan(prefix, after string, limit int) ([]storage.Row, error) {
 	if limit <= 0 {
 		return nil, errZeroLimit
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
-	rows := []platform.Row{}
+	rows := []storage.Row{}
 	t.index.visit(prefix, after, func(key string) bool {
 		if row, ok := t.rows[key]; ok {
 			rows = append(rows, row)
@@ -150,7 +150,7 @@
 	return t.stats
 }
 
-func validate(txn platform.Txn) error {
+func validate(txn storage.Txn) error {
 	if txn.ID == "" {
 		return errNoID
 	}
--- a/pkg/standin/platform/table_test.go
+++ b/pkg/standin/platform/table_test.go
@@ -10,14 +10,14 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
-func put(key string) platform.Put {
-	return platform.Put{Key: key, Value: json.RawMessage(`1`)}
+func put(key string) storage.Put {
+	return storage.Put{Key: key, Value: json.RawMessage(`1`)}
 }
 
-func mustCommit(t *testing.T, tab *table, txn platform.Txn) platform.Outcome {
+func mustCommit(t *testing.T, tab *table, txn storage.Txn) storage.Outcome {
 	t.Helper()
 	outcome, err := tab.commit(txn)
 	assert.NilError(t, err)
@@ -27,7 +27,7 @@
 // Guards against a resubmitted id being applied twice or decided differently.
 func TestCommitSameIDReturnsFirstOutcome(t *testing.T) {
 	tab := newTable()
-	insert := platform.Txn{ID: "a", Conditions: []platform.Condition{{Key: "k"}}, Puts: []platform.Put{put("k")}}
+	insert := storage.Txn{ID: "a", Conditions: []storage.Condition{{Key: "k"}}, Puts: []storage.Put{put("k")}}
 	first := mustCommit(t, tab, insert)
 	assert.DeepEqual(t, mustCommit(t, tab, insert), first)
 	assert.Assert(t, first.Committed)
@@ -36,7 +36,7 @@
 	conflict := mustCommit(t, tab, insert)
 	assert.Assert(t, !conflict.Committed)
 	assert.Equal(t, conflict.Conflicts[0].Version, first.Revision)
-	mustCommit(t, tab, platform.Txn{ID: "c", Deletes: []string{"k"}})
+	mustCommit(t, tab, storage.Txn{ID: "c", Deletes: []string{"k"}})
 	assert.DeepEqual(t, mustCommit(t, tab, insert), conflict)
 	assert.Equal(t, tab.snapshot().Commits, uint64(2))
 }
@@ -44,10 +44,10 @@
 // Guards against a conflicting transaction writing a part of its rows.
 func TestConflictWritesNothing(t *testing.T) {
 	tab := newTable()
-	outcome := mustCommit(t, tab, platform.Txn{
+	outcome := mustCommit(t, tab, storage.Txn{
 		ID:         "a",
-		Conditions: []platform.Condition{{Key: "x", Version: 7}},
-		Puts:       []platform.Put{put("y")},
+		Conditions: []storage.Condition{{Key: "x", Version: 7}},
+		Puts:       []storage.Put{put("y")},
 	})
 	assert.Assert(t, !outcome.Committed)
 	assert.Equal(t, tab.get([]string{"y"})[0].Version, uint64(0))
@@ -55,7 +55,7 @@
 
 // Guards against a transaction whose result would depend on the order of its writes.
 func TestKeyWrittenTwiceIsRefused(t *testing.T) {
-	_, err := newTable().commit(platform.Txn{ID: "a", Puts: []platform.Put{put("k")}, Deletes: []string{"k"}})
+	_, err := newTable().commit(storage.Txn{ID: "a", Puts: []storage.Put{put("k")}, Deletes: []string{"k"}})
 	assert.ErrorIs(t, err, errKeyTwice)
 }
 
@@ -66,9 +66,9 @@
 		keyGen := rapid.StringMatching(`[ab](/|-|)[ab]?(/[a-c])?`)
 		for i := range rapid.IntRange(1, 30).Draw(t, "txns") {
 			key := keyGen.Draw(t, "key")
-			txn := platform.Txn{ID: fmt.Sprint(i), Puts: []platform.Put{put(key)}}
+			txn := storage.Txn{ID: fmt.Sprint(i), Puts: []storage.Put{put(key)}}
 			if rapid.Bool().Draw(t, "delete") {
-				txn = platform.Txn{ID: fmt.Sprint(i), Deletes: []string{key}}
+				txn = storage.Txn{ID: fmt.Sprint(i), Deletes: []string{key}}
 			}
 			if _, err := tab.commit(txn); err != nil {
 				t.Fatal(err)
--- a/pkg/platform/objects.go
+++ b/pkg/storage/objects.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/pkg/platform/remote/call.go
+++ b/pkg/storage/remote/call.go
@@ -8,7 +8,7 @@
 	"io"
 	"net/http"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -94,5 +94,5 @@
 }
 
 func unavailable(method, path string, err error) error {
-	return fmt.Errorf("%w: %s %s: %w", platform.ErrUnavailable, method, path, err)
+	return fmt.Errorf("%w: %s %s: %w", storage.ErrUnavailable, method, path, err)
 }
--- a/pkg/platform/remote/client.go
+++ b/pkg/storage/remote/client.go
@@ -8,12 +8,12 @@
 	"strings"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Client calls the platform at one base URL. It is safe for concurrent use.
 //
-// Every transport failure, timeout, 429 and 5xx wraps platform.ErrUnavailable.
+// Every transport failure, timeout, 429 and 5xx wraps storage.ErrUnavailable.
 type Client struct {
 	base    string
 	timeout time.Duration
@@ -22,8 +22,8 @@
 }
 
 var (
-	_ platform.Table   = (*Client)(nil)
-	_ platform.Members = (*Client)(nil)
+	_ storage.Table   = (*Client)(nil)
+	_ storage.Members = (*Client)(nil)
 )
 
 // New returns a client of the platform at baseURL, such as
@@ -42,35 +42,35 @@
 	c.http.CloseIdleConnections()
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.Outcome, error) {
-	var outcome platform.Outcome
+// Commit implements storage.Table.
+func (c *Client) Commit(ctx context.Context, txn storage.Txn) (storage.Outcome, error) {
+	var outcome storage.Outcome
 	err := c.callJSON(ctx, http.MethodPost, "/table/commit", txn, &outcome)
 	return outcome, err
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	var rows []platform.Row
+// Get implements storage.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
+	var rows []storage.Row
 	if err := c.callJSON(ctx, http.MethodPost, "/table/get", getRequest{Keys: keys}, &rows); err != nil {
 		return nil, err
 	}
 	if len(rows) != len(keys) {
-		return nil, fmt.Errorf("%w: get of %d keys returned %d rows", platform.ErrUnavailable, len(keys), len(rows))
+		return nil, fmt.Errorf("%w: get of %d keys returned %d rows", storage.ErrUnavailable, len(keys), len(rows))
 	}
 	return rows, nil
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+// Scan implements storage.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
+	var rows []storage.Row
 	req := scanRequest{Prefix: prefix, After: after, Limit: limit}
 	err := c.callJSON(ctx, http.MethodPost, "/table/scan", req, &rows)
 	return rows, err
 }
 
 // Objects returns the object store of the same platform. It is a type of its
-// own because Get of platform.Objects and of platform.Table differ.
+// own because Get of storage.Objects and of storage.Table differ.
 func (c *Client) Objects() *ObjectClient {
 	return &ObjectClient{client: c}
 }
--- a/pkg/platform/remote/client_test.go
+++ b/pkg/storage/remote/client_test.go
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const testTimeout = 5 * time.Second
@@ -30,11 +30,11 @@
 	return server, client
 }
 
-func insert(id, key string) platform.Txn {
-	return platform.Txn{
+func insert(id, key string) storage.Txn {
+	return storage.Txn{
 		ID:         id,
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: json.RawMessage(`{"n":1}`)}},
+		Conditions: []storage.Condition{{Key: key}},
+		Puts:       []storage.Put{{Key: key, Value: json.RawMessage(`{"n":1}`)}},
 	}
 }
 
@@ -47,11 +47,11 @@
 	assert.Assert(t, outcome.Committed)
 	rows, err := client.Get(ctx, "a/2", "a/1")
 	assert.NilError(t, err)
-	want := platform.Row{Key: "a/1", Value: json.RawMessage(`{"n":1}`), Version: outcome.Revision}
-	assert.DeepEqual(t, rows, []platform.Row{{Key: "a/2"}, want})
+	want := storage.Row{Key: "a/1", Value: json.RawMessage(`{"n":1}`), Version: outcome.Revision}
+	assert.DeepEqual(t, rows, []storage.Row{{Key: "a/2"}, want})
 	rows, err = client.Scan(ctx, "a/", "", 10)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, rows, []platform.Row{want})
+	assert.DeepEqual(t, rows, []storage.Row{want})
 }
 
 // Guards against a lost reply being reported as a decision, or applied again on resubmission.
@@ -60,7 +60,7 @@
 	ctx := context.Background()
 	assert.NilError(t, server.SetFaults(standin.Faults{LostReplyProbability: 1}))
 	_, err := client.Commit(ctx, insert("t1", "k"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 	assert.NilError(t, server.SetFaults(standin.Faults{}))
 	outcome, err := client.Commit(ctx, insert("t1", "k"))
 	assert.NilError(t, err)
@@ -85,24 +85,24 @@
 				assert.NilError(t, first)
 				first = commit(client)
 			}
-			assert.ErrorIs(t, first, platform.ErrUnavailable)
+			assert.ErrorIs(t, first, storage.ErrUnavailable)
 		})
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	addr := l.Addr().String()
 	l.Close()
-	assert.ErrorIs(t, commit(New("http://"+addr, testTimeout)), platform.ErrUnavailable)
+	assert.ErrorIs(t, commit(New("http://"+addr, testTimeout)), storage.ErrUnavailable)
 }
 
 // Guards against a rejected call being retried for ever as if the platform were down.
 func TestBadRequestIsNotUnavailable(t *testing.T) {
 	_, client := start(t, testTimeout)
-	_, err := client.Commit(context.Background(), platform.Txn{})
+	_, err := client.Commit(context.Background(), storage.Txn{})
 	var status *StatusError
 	assert.Assert(t, errors.As(err, &status))
 	assert.Equal(t, status.Code, http.StatusBadRequest)
-	assert.Assert(t, !errors.Is(err, platform.ErrUnavailable))
+	assert.Assert(t, !errors.Is(err, storage.ErrUnavailable))
 }
 
 // Guards against a truncated reply being taken for a decision.
@@ -112,7 +112,7 @@
 	}))
 	defer ts.Close()
 	_, err := New(ts.URL, testTimeout).Commit(context.Background(), insert("x", "x"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Guards against object keys with reserved characters being mixed up, and a missing object's error.
@@ -125,28 +125,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), "data")
 	_, err = objects.Get(ctx, "bills/none")
-	assert.ErrorIs(t, err, platform.ErrNoObject)
+	assert.ErrorIs(t, err, storage.ErrNoObject)
 	assert.NilError(t, server.SetFaults(standin.Faults{ObjectsDown: true}))
 	_, err = objects.Get(ctx, "bills/none")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
-	assert.Assert(t, !errors.Is(err, platform.ErrNoObject))
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, storage.ErrNoObject))
 }
 
 // Guards against members that are lost or not reported during an outage as unavailable.
 func TestMembers(t *testing.T) {
 	server, client := start(t, testTimeout)
 	ctx := context.Background()
-	m := platform.Member{ID: "d1", Kind: platform.DaemonMember, Addr: "127.0.0.1:1", State: platform.MemberLive}
+	m := storage.Member{ID: "d1", Kind: storage.DaemonMember, Addr: "127.0.0.1:1", State: storage.MemberLive}
 	body, err := json.Marshal(m)
 	assert.NilError(t, err)
 	_, err = client.call(ctx, http.MethodPut, "/members/d1", body)
 	assert.NilError(t, err)
 	members, err := client.Members(ctx)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, members, []platform.Member{m})
+	assert.DeepEqual(t, members, []storage.Member{m})
 	assert.NilError(t, server.SetFaults(standin.Faults{MembersDown: true}))
 	_, err = client.Members(ctx)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Guards against a changed list that is not noticed, an unchanged one that is
@@ -170,7 +170,7 @@
 	ctx := context.Background()
 	for n := 1; n <= 3; n++ {
 		id := fmt.Sprintf("d%d", n)
-		body, err := json.Marshal(platform.Member{ID: id, Kind: platform.DaemonMember, State: platform.MemberLive})
+		body, err := json.Marshal(storage.Member{ID: id, Kind: storage.DaemonMember, State: storage.MemberLive})
 		assert.NilError(t, err)
 		_, err = client.call(ctx, http.MethodPut, "/members/"+id, body)
 		assert.NilError(t, err)
--- a/pkg/platform/remote/member_cache.go
+++ b/pkg/storage/remote/member_cache.go
@@ -8,7 +8,7 @@
 	"slices"
 	"sync"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // membersPath is the path of the membership list.
@@ -20,11 +20,11 @@
 type memberCache struct {
 	mu      sync.Mutex
 	tag     string
-	members []platform.Member
+	members []storage.Member
 }
 
-// Members implements platform.Members.
-func (c *Client) Members(ctx context.Context) ([]platform.Member, error) {
+// Members implements storage.Members.
+func (c *Client) Members(ctx context.Context) ([]storage.Member, error) {
 	known, held := c.members.get()
 	header := http.Header{}
 	if known != "" {
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var members []platform.Member
+	var members []storage.Member
 	if err := json.Unmarshal(reply.body, &members); err != nil {
 		return nil, unavailable(http.MethodGet, membersPath, err)
 	}
@@ -47,14 +47,14 @@
 }
 
 // get returns the tag, empty if none is known, and a copy of its list.
-func (m *memberCache) get() (string, []platform.Member) {
+func (m *memberCache) get() (string, []storage.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.tag, slices.Clone(m.members)
 }
 
 // put keeps a copy of a list, since the caller may change its own.
-func (m *memberCache) put(tag string, members []platform.Member) {
+func (m *memberCache) put(tag string, members []storage.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.tag, m.members = tag, slices.Clone(members)
--- a/pkg/platform/remote/objects.go
+++ b/pkg/storage/remote/objects.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // ObjectClient is the object store of a Client.
@@ -16,20 +16,20 @@
 	client *Client
 }
 
-var _ platform.Objects = (*ObjectClient)(nil)
+var _ storage.Objects = (*ObjectClient)(nil)
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (o *ObjectClient) Put(ctx context.Context, key string, data []byte) error {
 	_, err := o.client.call(ctx, http.MethodPut, objectPath(key), data)
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements storage.Objects.
 func (o *ObjectClient) Get(ctx context.Context, key string) ([]byte, error) {
 	data, err := o.client.call(ctx, http.MethodGet, objectPath(key), nil)
 	var status *StatusError
 	if errors.As(err, &status) && status.Code == http.StatusNotFound {
-		return nil, fmt.Errorf("%w: %s", platform.ErrNoObject, key)
+		return nil, fmt.Errorf("%w: %s", storage.ErrNoObject, key)
 	}
 	return data, err
 }
--- a/pkg/platform/remote/status_error.go
+++ b/pkg/storage/remote/status_error.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"net/http"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // StatusError is a reply with a status other than 2xx. It wraps
-// platform.ErrUnavailable for 429 and 5xx.
+// storage.ErrUnavailable for 429 and 5xx.
 type StatusError struct {
 	Code int    // HTTP status
 	Body string // start of the reply
@@ -19,10 +19,10 @@
 	return fmt.Sprintf("platform answered %d: %s", e.Code, e.Body)
 }
 
-// Unwrap returns platform.ErrUnavailable for 429 and 5xx, else nil.
+// Unwrap returns storage.ErrUnavailable for 429 and 5xx, else nil.
 func (e *StatusError) Unwrap() error {
 	if e.Code == http.StatusTooManyRequests || e.Code >= http.StatusInternalServerError {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
--- a/pkg/platform/table.go
+++ b/pkg/storage/table.go
@@ -1,6 +1,6 @@
-// Package platform declares the narrow interfaces through which daemons use
+// Package storage declares the narrow interfaces through which daemons use
 // the platform: a transactional table, an object store and a membership list.
-package platform
+package storage
 
 import (
 	"context"
--- a/pkg/target/bench_test.go
+++ b/pkg/target/bench_test.go
@@ -7,22 +7,22 @@
 	"testing"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // designTargets is the number of targets at design size.
 const designTargets = 600
 
 // fleet returns a membership list of n targets.
-func fleet(n int) []platform.Member {
-	members := make([]platform.Member, 0, n)
+func fleet(n int) []storage.Member {
+	members := make([]storage.Member, 0, n)
 	for i := range n {
-		members = append(members, platform.Member{
+		members = append(members, storage.Member{
 			ID:      fmt.Sprintf("chef-%03d", i),
-			Kind:    platform.TargetMember,
+			Kind:    storage.TargetMember,
 			Addr:    "10.0.0.1:80",
 			Service: "chef-llm",
-			State:   platform.MemberLive,
+			State:   storage.MemberLive,
 		})
 	}
 	return members
--- a/pkg/target/observation.go
+++ b/pkg/target/observation.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // observation is a message to the goroutine that owns a tracker.
@@ -14,7 +14,7 @@
 
 // observedList is a new membership list or bundle.
 type observedList struct {
-	members  []platform.Member
+	members  []storage.Member
 	services map[string]ServiceInfo
 	at       time.Time
 }
--- a/pkg/target/poller.go
+++ b/pkg/target/poller.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Poller reads the targets' reports and feeds a Tracker, which belongs to the
@@ -133,7 +133,7 @@
 
 // Apply passes on a new membership list and the services of the bundle in
 // force. The caller must not change them afterwards.
-func (p *Poller) Apply(members []platform.Member, services map[string]ServiceInfo) {
+func (p *Poller) Apply(members []storage.Member, services map[string]ServiceInfo) {
 	p.mailbox.put(observedList{members: members, services: services, at: time.Now()})
 }
 
--- a/pkg/target/poller_test.go
+++ b/pkg/target/poller_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -49,8 +49,8 @@
 }
 
 // cantine returns a list of one plain service.
-func cantine(addr string) []platform.Member {
-	return []platform.Member{{ID: "a", Kind: platform.TargetMember, Addr: addr, Service: "cantine-app", State: platform.MemberLive}}
+func cantine(addr string) []storage.Member {
+	return []storage.Member{{ID: "a", Kind: storage.TargetMember, Addr: addr, Service: "cantine-app", State: storage.MemberLive}}
 }
 
 // Guards against reports, leaving and death of a real HTTP target not reaching the view.
--- a/pkg/target/record.go
+++ b/pkg/target/record.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // record is what a tracker keeps of one target.
@@ -23,7 +23,7 @@
 }
 
 // describe returns the target that the list and the service's configuration describe.
-func describe(m platform.Member, s ServiceInfo) Target {
+func describe(m storage.Member, s ServiceInfo) Target {
 	return Target{
 		ID:            m.ID,
 		Addr:          m.Addr,
--- a/pkg/target/statemachine_test.go
+++ b/pkg/target/statemachine_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
 	"github.com/peppertrail/peppertrail/pkg/route"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"pgregory.net/rapid"
 )
@@ -78,7 +78,7 @@
 // List delivers a list that omits some targets, calls some leaving and may
 // give the address of a previous instance.
 func (m *machine) List(t *rapid.T) {
-	var members []platform.Member
+	var members []storage.Member
 	for _, id := range ids {
 		entry := rapid.SampledFrom([]string{"live", "live", "live", "lagging", "leaving", "omitted"}).Draw(t, id)
 		o := m.oracles[id]
@@ -90,13 +90,13 @@
 		if entry == "lagging" && o.addr != "" {
 			addr = o.addr
 		}
-		state := platform.MemberLive
+		state := storage.MemberLive
 		if entry == "leaving" {
-			state = platform.MemberLeaving
+			state = storage.MemberLeaving
 		}
 		m.list(id, addr, state)
-		members = append(members, platform.Member{
-			ID: id, Kind: platform.TargetMember, Addr: addr, Service: service, State: state,
+		members = append(members, storage.Member{
+			ID: id, Kind: storage.TargetMember, Addr: addr, Service: service, State: state,
 		})
 	}
 	m.tracker.Apply(members, services, m.now)
@@ -116,18 +116,18 @@
 }
 
 // list tells the oracle that the list names a target.
-func (m *machine) list(id, addr string, state platform.MemberState) {
+func (m *machine) list(id, addr string, state storage.MemberState) {
 	o := m.oracles[id]
 	if o.addr != addr {
 		o.renew()
 	}
 	joins := o.absent || (o.gone(m.now) && !o.listed)
-	if joins && state == platform.MemberLive {
+	if joins && state == storage.MemberLive {
 		o.renew()
 	}
 	o.listed = true
 	o.addr = addr
-	o.listLeaving = state == platform.MemberLeaving
+	o.listLeaving = state == storage.MemberLeaving
 	if o.listLeaving {
 		o.sign(m.now)
 	}
--- a/pkg/target/tracker.go
+++ b/pkg/target/tracker.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Tracker decides the state of every target from the membership list, the
@@ -33,11 +33,11 @@
 
 // Apply takes a new membership list and the services of the bundle in force.
 // Members that are not targets or belong to no known service are ignored.
-func (t *Tracker) Apply(members []platform.Member, services map[string]ServiceInfo, now time.Time) {
+func (t *Tracker) Apply(members []storage.Member, services map[string]ServiceInfo, now time.Time) {
 	seen := make(map[string]bool, len(members))
 	for _, m := range members {
 		info, known := services[m.Service]
-		if m.Kind != platform.TargetMember || !known || seen[m.ID] {
+		if m.Kind != storage.TargetMember || !known || seen[m.ID] {
 			continue
 		}
 		seen[m.ID] = true
@@ -52,7 +52,7 @@
 }
 
 // applyMember takes one entry of the list.
-func (t *Tracker) applyMember(m platform.Member, info ServiceInfo, now time.Time) {
+func (t *Tracker) applyMember(m storage.Member, info ServiceInfo, now time.Time) {
 	described := describe(m, info)
 	r, known := t.records[m.ID]
 	switch {
@@ -60,7 +60,7 @@
 		r = t.add(described, now)
 	case r.moved(described):
 		t.rejoin(r, now)
-	case r.dropped && m.State == platform.MemberLive:
+	case r.dropped && m.State == storage.MemberLive:
 		t.rejoin(r, now)
 	}
 	if r.status.Target != described {
@@ -69,7 +69,7 @@
 	}
 	r.slowStart = info.SlowStart
 	r.listed = true
-	r.listLeaving = m.State == platform.MemberLeaving
+	r.listLeaving = m.State == storage.MemberLeaving
 	r.missingSince = time.Time{}
 	if r.listLeaving {
 		t.fire(r, triggerLeave, now)
--- a/pkg/target/tracker_test.go
+++ b/pkg/target/tracker_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"gotest.tools/v3/assert"
 )
 
@@ -25,11 +25,11 @@
 	return &fixture{Tracker: NewTracker(DefaultLimits()), now: received}
 }
 
-func (f *fixture) list(state platform.MemberState) { f.listAt(state, "10.0.0.1:80") }
+func (f *fixture) list(state storage.MemberState) { f.listAt(state, "10.0.0.1:80") }
 
-func (f *fixture) listAt(state platform.MemberState, addr string) {
-	m := platform.Member{ID: "a", Kind: platform.TargetMember, Addr: addr, Service: "chef-llm", State: state}
-	f.Apply([]platform.Member{m}, services, f.now)
+func (f *fixture) listAt(state storage.MemberState, addr string) {
+	m := storage.Member{ID: "a", Kind: storage.TargetMember, Addr: addr, Service: "chef-llm", State: state}
+	f.Apply([]storage.Member{m}, services, f.now)
 }
 
 func (f *fixture) unlist() { f.Apply(nil, services, f.now) }
@@ -48,7 +48,7 @@
 
 // ready brings the target to ready.
 func (f *fixture) ready() {
-	f.list(platform.MemberLive)
+	f.list(storage.MemberLive)
 	f.good()
 	f.wait(slowStart)
 }
@@ -78,28 +78,28 @@
 		run  func(f *fixture)
 		want State
 	}{
-		{"listed", func(f *fixture) { f.list(platform.MemberLive) }, Joining},
-		{"first report", func(f *fixture) { f.list(platform.MemberLive); f.good() }, Joining},
+		{"listed", func(f *fixture) { f.list(storage.MemberLive) }, Joining},
+		{"first report", func(f *fixture) { f.list(storage.MemberLive); f.good() }, Joining},
 		{"slow start over", func(f *fixture) { f.ready() }, Ready},
 		{"slow start counts from the first report", func(f *fixture) {
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 			f.wait(slowStart)
 			f.good()
 		}, Joining},
 		{"report of an unlisted target", func(f *fixture) { f.good() }, ""},
-		{"listed as leaving at first sight", func(f *fixture) { f.list(platform.MemberLeaving) }, Draining},
+		{"listed as leaving at first sight", func(f *fixture) { f.list(storage.MemberLeaving) }, Draining},
 
-		{"list says leaving", func(f *fixture) { f.ready(); f.list(platform.MemberLeaving) }, Draining},
+		{"list says leaving", func(f *fixture) { f.ready(); f.list(storage.MemberLeaving) }, Draining},
 		{"report says leaving", func(f *fixture) { f.ready(); f.leaving() }, Draining},
 		{"operator drains", func(f *fixture) { f.ready(); f.drain() }, Draining},
-		{"joining target drains", func(f *fixture) { f.list(platform.MemberLive); f.good(); f.drain() }, Draining},
-		{"suspect target drains", func(f *fixture) { f.ready(); f.refused(); f.list(platform.MemberLeaving) }, Draining},
+		{"joining target drains", func(f *fixture) { f.list(storage.MemberLive); f.good(); f.drain() }, Draining},
+		{"suspect target drains", func(f *fixture) { f.ready(); f.refused(); f.list(storage.MemberLeaving) }, Draining},
 
 		{"good report does not end draining", func(f *fixture) { f.ready(); f.leaving(); f.good(); f.wait(slowStart); f.good() }, Draining},
 		{"live list does not end draining", func(f *fixture) {
 			f.ready()
-			f.list(platform.MemberLeaving)
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLeaving)
+			f.list(storage.MemberLive)
 			f.good()
 		}, Draining},
 		{"refused connection does not end draining", func(f *fixture) { f.ready(); f.drain(); f.refused(); f.good() }, Draining},
@@ -107,25 +107,25 @@
 			f.ready()
 			f.drain()
 			f.unlist()
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 		}, Joining},
 		{"draining target leaves the list and comes back as leaving", func(f *fixture) {
 			f.ready()
 			f.drain()
 			f.unlist()
-			f.list(platform.MemberLeaving)
+			f.list(storage.MemberLeaving)
 		}, Draining},
 		{"draining target comes back but still reports leaving", func(f *fixture) {
 			f.ready()
 			f.leaving()
 			f.unlist()
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 			f.leaving()
 		}, Draining},
 		{"draining target moves to a new address", func(f *fixture) {
 			f.ready()
 			f.drain()
-			f.listAt(platform.MemberLive, "10.0.0.2:80")
+			f.listAt(storage.MemberLive, "10.0.0.2:80")
 		}, Joining},
 		{"draining target dies", func(f *fixture) { f.ready(); f.drain(); f.die() }, Gone},
 		{"drained target dies and reports again", func(f *fixture) { f.ready(); f.drain(); f.die(); f.good() }, Joining},
@@ -134,7 +134,7 @@
 		{"dead target listed as leaving reports again", func(f *fixture) {
 			f.ready()
 			f.die()
-			f.list(platform.MemberLeaving)
+			f.list(storage.MemberLeaving)
 			f.good()
 		}, Draining},
 
@@ -163,11 +163,11 @@
 		{"two failed reports", func(f *fixture) { f.ready(); f.bad(); f.bad() }, Suspect},
 		{"failed reports with a good one between", func(f *fixture) { f.ready(); f.bad(); f.good(); f.bad() }, Ready},
 		{"failed reports for long", func(f *fixture) { f.ready(); f.die() }, Gone},
-		{"listed target never reports", func(f *fixture) { f.list(platform.MemberLive); f.die() }, Gone},
+		{"listed target never reports", func(f *fixture) { f.list(storage.MemberLive); f.die() }, Gone},
 		{"dead target stays gone while the list says live", func(f *fixture) {
 			f.ready()
 			f.die()
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 			f.wait(time.Minute)
 		}, Gone},
 		{"dead target is forgotten once unlisted", func(f *fixture) { f.ready(); f.die(); f.unlist(); f.wait(time.Second) }, ""},
@@ -177,7 +177,7 @@
 			f.ready()
 			f.unlist()
 			f.wait(DefaultMissingAfter - 1)
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 			f.wait(DefaultMissingAfter)
 		}, Ready},
 		{"target unlisted for long", func(f *fixture) { f.ready(); f.unlist(); f.wait(DefaultMissingAfter); f.good() }, Draining},
@@ -185,7 +185,7 @@
 			f.ready()
 			f.unlist()
 			f.wait(DefaultMissingAfter)
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 		}, Joining},
 		{"unlisted target fails", func(f *fixture) { f.ready(); f.unlist(); f.die() }, ""},
 		{"drained unlisted target is forgotten", func(f *fixture) {
@@ -199,23 +199,23 @@
 			f.ready()
 			f.die()
 			f.unlist()
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 		}, Joining},
 		{"dead target listed as leaving reports, then is listed as live", func(f *fixture) {
 			f.ready()
 			f.drain()
 			f.unlist()
-			f.list(platform.MemberLeaving)
+			f.list(storage.MemberLeaving)
 			f.die()
 			f.good()
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 		}, Joining},
 		{"target drained while unlisted is listed again", func(f *fixture) {
 			f.ready()
 			f.unlist()
 			f.wait(DefaultMissingAfter)
 			f.drain()
-			f.list(platform.MemberLive)
+			f.list(storage.MemberLive)
 		}, Draining},
 		{"drained unlisted target with a stream open is kept", func(f *fixture) {
 			f.ready()
@@ -240,7 +240,7 @@
 func TestMovedTargetNeedsReport(t *testing.T) {
 	f := newFixture()
 	f.ready()
-	f.listAt(platform.MemberLive, "10.0.0.2:80")
+	f.listAt(storage.MemberLive, "10.0.0.2:80")
 	assert.Assert(t, f.View()[0].Snapshot.ReportedAt.IsZero())
 }
 
@@ -277,11 +277,11 @@
 // Guards against daemons or members of unknown services being used as targets.
 func TestApplyIgnoresOthers(t *testing.T) {
 	tracker := NewTracker(DefaultLimits())
-	tracker.Apply([]platform.Member{
-		{ID: "d", Kind: platform.DaemonMember, Service: "chef-llm", State: platform.MemberLive},
-		{ID: "u", Kind: platform.TargetMember, Service: "unknown", State: platform.MemberLive},
-		{ID: "b", Kind: platform.TargetMember, Service: "cantine-app", State: platform.MemberLive},
-		{ID: "a", Kind: platform.TargetMember, Service: "chef-llm", State: platform.MemberLive},
+	tracker.Apply([]storage.Member{
+		{ID: "d", Kind: storage.DaemonMember, Service: "chef-llm", State: storage.MemberLive},
+		{ID: "u", Kind: storage.TargetMember, Service: "unknown", State: storage.MemberLive},
+		{ID: "b", Kind: storage.TargetMember, Service: "cantine-app", State: storage.MemberLive},
+		{ID: "a", Kind: storage.TargetMember, Service: "chef-llm", State: storage.MemberLive},
 	}, services, received)
 	view := tracker.View()
 	assert.Equal(t, len(view), 2)
--- a/test/harness/platform.go
+++ b/test/harness/platform.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 )
 
 const (
@@ -63,7 +63,7 @@
 }
 
 // Table returns a client of the table past all proxies.
-func (p *Platform) Table() platform.Table {
+func (p *Platform) Table() storage.Table {
 	return remote.New("http://"+p.Addr, controlTimeout)
 }
 
@@ -73,7 +73,7 @@
 }
 
 // PutMember adds or replaces a member of the membership list.
-func (p *Platform) PutMember(m platform.Member) error {
+func (p *Platform) PutMember(m storage.Member) error {
 	return put("http://"+p.Addr+"/members/"+m.ID, m)
 }
 
--- a/test/harness/target.go
+++ b/test/harness/target.go
@@ -5,7 +5,7 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/test/harness/proxy"
 )
 
@@ -54,15 +54,15 @@
 }
 
 // member returns the entry of the membership list.
-func (g *Target) member(service string) platform.Member {
-	return platform.Member{
+func (g *Target) member(service string) storage.Member {
+	return storage.Member{
 		ID:            g.ID,
-		Kind:          platform.TargetMember,
+		Kind:          storage.TargetMember,
 		Addr:          g.Link.Addr(),
 		Region:        region,
 		FailureDomain: failureDomain,
 		Service:       service,
-		State:         platform.MemberLive,
+		State:         storage.MemberLive,
 	}
 }
 
--- a/test/integration/graceful_grants_test.go
+++ b/test/integration/graceful_grants_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/test/harness"
 )
 
@@ -14,7 +14,7 @@
 const gracefulPage = 1000
 
 // tableRows decodes the rows under a key prefix.
-func tableRows[T any](ctx context.Context, table platform.Table, prefix string) ([]T, error) {
+func tableRows[T any](ctx context.Context, table storage.Table, prefix string) ([]T, error) {
 	rows, err := table.Scan(ctx, prefix, "", gracefulPage)
 	if err != nil {
 		return nil, fmt.Errorf("scan %s: %w", prefix, err)
@@ -30,7 +30,7 @@
 
 // checkGrantsClosed returns an error unless every grant that any process of a
 // daemon opened is closed and nothing of it was written off.
-func checkGrantsClosed(ctx context.Context, table platform.Table, daemon string) (int, error) {
+func checkGrantsClosed(ctx context.Context, table storage.Table, daemon string) (int, error) {
 	grants, err := tableRows[budget.GrantRecord](ctx, table, "grant/"+daemon+"~")
 	if err != nil {
 		return 0, err
--- a/test/integration/leaving_sign_test.go
+++ b/test/integration/leaving_sign_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/platform"
-	"github.com/peppertrail/peppertrail/pkg/platform/remote"
 	standin "github.com/peppertrail/peppertrail/pkg/standin/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/remote"
 	"github.com/peppertrail/peppertrail/test/harness"
 )
 
@@ -62,7 +62,7 @@
 	switch l.sign {
 	case signMembership:
 		m := memberOf(ctx, t, f, l.target.ID)
-		m.State = platform.MemberLeaving
+		m.State = storage.MemberLeaving
 		assert.NilError(t, f.Platform.PutMember(m))
 	case signReport, signReportOutage:
 		l.front.post(t, "/drain")
@@ -83,7 +83,7 @@
 }
 
 // memberOf returns an entry of the membership list.
-func memberOf(ctx context.Context, t *testing.T, f *harness.Fleet, id string) platform.Member {
+func memberOf(ctx context.Context, t *testing.T, f *harness.Fleet, id string) storage.Member {
 	t.Helper()
 	members, err := remote.New("http://"+f.Platform.Addr, leavingCall).Members(ctx)
 	assert.NilError(t, err)
@@ -93,5 +93,5 @@
 		}
 	}
 	t.Fatalf("%s is not in the membership list", id)
-	return platform.Member{}
+	return storage.Member{}
 }
--- a/test/integration/ledger_test.go
+++ b/test/integration/ledger_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/lease"
-	"github.com/peppertrail/peppertrail/pkg/platform"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
@@ -28,7 +28,7 @@
 }
 
 // readLedger reads the table past all proxies.
-func readLedger(table platform.Table) (ledger, error) {
+func readLedger(table storage.Table) (ledger, error) {
 	l := ledger{lines: make(map[string]budget.Line)}
 	var lines []budget.Line
 	if err := scanInto(table, "budget/", &l.budgets); err != nil {
@@ -50,7 +50,7 @@
 }
 
 // scanInto appends the decoded rows with a prefix.
-func scanInto[T any](table platform.Table, prefix string, into *[]T) error {
+func scanInto[T any](table storage.Table, prefix string, into *[]T) error {
 	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
 	defer cancel()
 	after := ""
