Finish a graceful stop under a new registration when the host is fenced

Cause: a daemon that another one took for dead (paused past its TTL) while it was leaving did not register again. Its committer had ended, so no grant could be closed: the wait for grants and the last commit ran into the drain timeout and the process ended with status 1. New test TestFencedDaemonStopsGracefully failed first: 'stop: grants: context deadline exceeded' after 10.25 s. Ruled out: the waits for open requests and attempts (both ended at once). Change: a fenced daemon registers again also while it leaves, the last commit goes to the session that replaces the fenced one, and an incomplete stop is logged with the waits that failed.

--- a/pkg/daemon/session.go
+++ b/pkg/daemon/session.go
@@ -18,6 +18,8 @@
 const (
 	// registerRetry is the pause between attempts to register while the table is down.
 	registerRetry = 500 * time.Millisecond
+	// sessionPoll is the pause between checks for a new session during a stop.
+	sessionPoll = 20 * time.Millisecond
 	// incarnationBytes makes incarnations of one host distinct.
 	incarnationBytes = 6
 )
@@ -91,9 +93,11 @@
 	}
 }
 
-// fenced registers again after another daemon took this one for dead.
+// fenced registers again after another daemon took this one for dead. A daemon
+// that is leaving needs the new registration too: open settlements and the
+// last commit go through it.
 func (d *Daemon) fenced(ctx context.Context, s *session) {
-	if d.session.Load() != s || d.life.leaving() {
+	if d.session.Load() != s {
 		return
 	}
 	d.log.Warn().Str("incarnation", s.record.Incarnation).Msg("Host was fenced. Registering again.")
@@ -104,6 +108,35 @@
 	}
 }
 
+// finishCommits waits until the table has taken the last commit. If the session
+// is fenced meanwhile, it goes on with the one that replaces it.
+func (d *Daemon) finishCommits(ctx context.Context) error {
+	for {
+		s := d.session.Load()
+		err := s.committer.Finish(ctx)
+		if !errors.Is(err, commit.ErrFenced) {
+			return err
+		}
+		if !d.awaitNextSession(ctx, s) {
+			return err
+		}
+	}
+}
+
+// awaitNextSession reports whether s was replaced before ctx ended.
+func (d *Daemon) awaitNextSession(ctx context.Context, s *session) bool {
+	ticker := time.NewTicker(sessionPoll)
+	defer ticker.Stop()
+	for d.session.Load() == s {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // Incarnation implements gateway.Identity.
 func (d *Daemon) Incarnation() string {
 	if s := d.session.Load(); s != nil {
--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -38,10 +38,11 @@
 		wrap("callers' connections", d.callers.Shutdown(final)),
 		wrap("settlements", d.gateway.AwaitSettlements(final)),
 		wrap("grants", d.local.Leave(final)),
-		wrap("last commit", d.session.Load().committer.Finish(final)),
+		wrap("last commit", d.finishCommits(final)),
 	)
 	d.life.fire(triggerStop)
 	if err != nil {
+		d.log.Error().Err(err).Str("incarnation", d.Incarnation()).Msg("Graceful stop incomplete.")
 		return fmt.Errorf("stop: %w", err)
 	}
 	d.log.Info().Msg("Daemon stopped.")
