Run as edge daemons on the users' platform: first whole path

Cause: the product spoke only its own interface; the platform's callers, targets, store and settings were out of its reach. Change: platform/ translates settings, headers, configuration, registrations and store calls. New in the product: routing (routes by host and longest prefix), upstream (HTTP/1.1 client that checks the echoed id and says whether a request may have been received), balance (choice of target), escrow (parts of budgets held on each host), retrylimit, watch (table copies by feed), forward (transparent forwarding, resume of streams) and edge (wiring, stop). Ruled out: the homes of the present budgets, since a call to another host on the way of a request fails when all hosts are cut off from each other; net/http's transport towards targets, as it accepts answers to earlier requests.

--- a/cmd/peppertraild/main.go
+++ b/cmd/peppertraild/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/config"
 	"github.com/peppertrail/peppertrail/pkg/daemon"
+	"github.com/peppertrail/peppertrail/platform"
 )
 
 // Exit codes.
@@ -26,6 +27,9 @@
 }
 
 func run() int {
+	if file := os.Getenv(platform.SettingsVariable); file != "" && len(os.Args) == 1 {
+		return runOnPlatform(file)
+	}
 	c, err := config.Parse(os.Args[1:], os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "peppertraild:", err)
--- /dev/null
+++ b/cmd/peppertraild/platform.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peppertrail/peppertrail/pkg/edge"
+	"github.com/peppertrail/peppertrail/platform"
+)
+
+// runOnPlatform runs an edge daemon with the settings file that the platform
+// has written.
+func runOnPlatform(settingsFile string) int {
+	settings, err := platform.ReadSettings(settingsFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		return exitBadInput
+	}
+	// The platform announces changes of the settings file; none of the settings
+	// can change while a process runs.
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, err := edge.New(context.Background(), settings, platform.Layout(), platform.Dialect(), platform.NewStore(settings.Store), os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		return exitBadInput
+	}
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/edge/configuration.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"context"
+
+	"github.com/peppertrail/peppertrail/pkg/watch"
+)
+
+// applyConfiguration takes over a newer configuration. One that cannot be read
+// is skipped; the last good one stays in force.
+func (d *Daemon) applyConfiguration(s watch.State) {
+	row, ok := s.Rows[d.layout.ConfigurationKey]
+	if !ok || row.Version == d.configRow {
+		return
+	}
+	d.configRow = row.Version
+	next, err := d.layout.DecodeConfiguration(row.Value)
+	if err != nil {
+		d.log.Error().Err(err).Uint64("row_version", row.Version).Msg("Configuration unreadable. The last one stays in force.")
+		return
+	}
+	current := d.configuration.Load()
+	if current != nil && next.Version <= current.Version {
+		d.log.Warn().Int64("version", next.Version).Int64("in_force", current.Version).Msg("Older configuration ignored.")
+		return
+	}
+	prepaid := make(map[string]int64)
+	for _, c := range next.Customers {
+		if c.Prepaid != nil {
+			prepaid[c.Name] = *c.Prepaid
+		}
+	}
+	d.budgets.SetBudgets(prepaid)
+	d.configuration.Store(next)
+	d.log.Info().Int64("version", next.Version).Int("customers", len(next.Customers)).Msg("Configuration in force.")
+}
+
+func (d *Daemon) watchConfiguration(ctx context.Context) {
+	watch.New(watch.Options{
+		Rows: d.rows, Table: d.layout.ConfigurationTable, Wait: configurationWait, Pause: configurationPause,
+		Apply: d.applyConfiguration, Log: d.logs.Logger("config"),
+	}).Run(ctx)
+}
--- /dev/null
+++ b/pkg/forward/call.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/routing"
+)
+
+// call is one request of a caller on its way through this host.
+type call struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context // ends with the caller's connection and at the deadline
+	arrived  time.Time
+	deadline time.Time // zero: none
+
+	config      *routing.Configuration
+	route       *routing.Route
+	service     *routing.Service
+	customer    *routing.Customer
+	id          string
+	body        []byte
+	cost        Cost
+	outputHint  int64
+	parts       []balance.Part
+	reservation *escrow.Reservation
+
+	attempts  int           // sent to a target
+	ran       int           // attempts that may have run
+	excluded  []string      // ids of targets that were tried
+	events    int64         // passed on to the caller
+	lastEvent string        // id of the last event passed on
+	started   bool          // the head of the answer is out
+	firstByte time.Duration // until the head was out
+	trail     []string      // targets and outcomes, for the log
+}
+
+// path returns the path as it stands in the request line.
+func path(r *http.Request) string {
+	p, _, _ := strings.Cut(r.RequestURI, "?")
+	return p
+}
+
+// left returns the time until the deadline.
+func (c *call) left(now time.Time) time.Duration {
+	if c.deadline.IsZero() {
+		return noDeadline
+	}
+	return c.deadline.Sub(now)
+}
+
+// noDeadline stands for requests without one.
+const noDeadline = time.Hour
+
+// priority returns the priority of the customer, or that of the route.
+func (c *call) priority() int {
+	if c.customer != nil && c.customer.Priority != nil {
+		return *c.customer.Priority
+	}
+	return c.route.Priority
+}
+
+// spent returns the tokens that the request has cost so far.
+func (c *call) spent() int64 {
+	if c.ran == 0 {
+		return 0
+	}
+	output := c.cost.MaxOutput
+	if c.service != nil && c.service.Engine != nil && c.service.Engine.TokensPerEvent > 0 {
+		output = min(output, c.events*int64(c.service.Engine.TokensPerEvent))
+	}
+	return c.cost.Prompt + output
+}
--- /dev/null
+++ b/pkg/forward/refusal.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Refusal is an answer of this host's own.
+type Refusal struct {
+	Status     int
+	Reason     Reason
+	RetryAfter time.Duration // 0: a retry does not help or may start at once
+}
+
+// Reason is the cause of a refusal or of a further attempt. Counters are labelled by it.
+type Reason string
+
+// Reasons.
+const (
+	NoConfiguration   Reason = "no_configuration"
+	NoRoute           Reason = "no_route"
+	UnknownKey        Reason = "unknown_key"
+	BadHeader         Reason = "bad_header"
+	BodyTooLarge      Reason = "body_too_large"
+	BodyUnread        Reason = "body_unread"
+	BudgetExhausted   Reason = "budget_exhausted"
+	BudgetUnreachable Reason = "budget_unreachable"
+	NoTarget          Reason = "no_target"
+	TargetFull        Reason = "target_full"
+	TargetReplaced    Reason = "target_replaced"
+	TargetUnreached   Reason = "target_unreached"
+	TargetFailed      Reason = "target_failed"
+	AnswerBroken      Reason = "answer_broken"
+	ConnectionLimit   Reason = "connection_limit"
+	DeadlinePassed    Reason = "deadline_passed"
+	CallerGone        Reason = "caller_gone"
+)
+
+// Reasons returns every reason, for registering one counter each.
+func Reasons() []Reason {
+	return []Reason{
+		NoConfiguration, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
+		BudgetExhausted, BudgetUnreachable, NoTarget, TargetFull, TargetReplaced,
+		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone,
+	}
+}
+
+// statusOfRefused gives the status of a request that has certainly not run.
+var statusOfRefused = map[Reason]int{
+	NoRoute:         http.StatusNotFound,
+	UnknownKey:      http.StatusUnauthorized,
+	BadHeader:       http.StatusBadRequest,
+	BodyTooLarge:    http.StatusRequestEntityTooLarge,
+	BodyUnread:      http.StatusBadRequest,
+	BudgetExhausted: http.StatusPaymentRequired,
+}
+
+// refuse returns the refusal of a request that has not run and never will.
+func refuse(r Reason, retryAfter time.Duration) *Refusal {
+	status, ok := statusOfRefused[r]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	return &Refusal{Status: status, Reason: r, RetryAfter: retryAfter}
+}
+
+// fail returns the answer to a request that may have run.
+func fail(r Reason) *Refusal {
+	if r == DeadlinePassed {
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: r}
+	}
+	return &Refusal{Status: http.StatusBadGateway, Reason: r}
+}
+
+// write sends the refusal.
+func (f *Refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	body := string(f.Reason) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.Status)
+	_, _ = w.Write([]byte(body)) // a caller that has left does not read it
+}
