--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -38,7 +38,6 @@
 	quarantined time.Time
 	fullUntil   time.Time
 	replaced    bool // another target has the address
-	goneAt      time.Time
 }
 
 func newState(t Target) *state {
--- a/pkg/escrow/holding.go
+++ b/pkg/escrow/holding.go
@@ -42,6 +42,3 @@
 func (h Holding) age(storeNow time.Duration) time.Duration {
 	return max(0, storeNow-time.Duration(h.StampMs)*time.Millisecond)
 }
-
-// rest returns the unspent tokens as of the report.
-func (h Holding) rest() int64 { return max(0, h.Amount-h.Spent) }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -216,4 +216,3 @@
 	}
 	e.abandon()
 }
-
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -49,14 +49,14 @@
 
 // Watcher follows one table.
 type Watcher struct {
-	options   Options
-	rows      map[string]storage.PartRow
-	version   uint64
-	known     bool // a scan has succeeded
-	scanned   bool // the feed can go on from version
-	failing   bool
-	loggedAt  time.Time
-	failures  int
+	options  Options
+	rows     map[string]storage.PartRow
+	version  uint64
+	known    bool // a scan has succeeded
+	scanned  bool // the feed can go on from version
+	failing  bool
+	loggedAt time.Time
+	failures int
 }
 
 // New returns a watcher that knows nothing yet.
