--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -75,3 +75,21 @@
 	}
 	return false
 }
+
+// peak returns the largest recent request of all hosts.
+func (a Account) peak() int64 {
+	peak := int64(0)
+	for _, h := range a.Holdings {
+		peak = max(peak, h.Peak)
+	}
+	return peak
+}
+
+// usualDemand returns the demand at all hosts, in tokens per second.
+func (a Account) usualDemand() float64 {
+	total := int64(0)
+	for _, h := range a.Holdings {
+		total += h.Usual
+	}
+	return float64(total)
+}
--- a/pkg/escrow/holding.go
+++ b/pkg/escrow/holding.go
@@ -22,8 +22,9 @@
 	Amount      int64  `json:"a"`           // tokens debited from the budget
 	Spent       int64  `json:"s"`           // of Amount, open reservations included
 	Ceiling     int64  `json:"c"`           // Spent stays below it during the short term
-	Rate        int64  `json:"r"`           // tokens per second above Ceiling after the short term
-	Demand      int64  `json:"d"`           // measured, tokens per second
+	Rate        int64  `json:"r"`           // tokens per second by which Ceiling rises after the short term
+	Usual       int64  `json:"d"`           // measured demand, tokens per second
+	Peak        int64  `json:"p,omitempty"` // largest recent request, in tokens
 	Lacking     int64  `json:"l,omitempty"` // tokens that a request waits for
 	StampMs     int64  `json:"t"`           // store clock when the report was sent, or a little before
 }
@@ -34,8 +35,8 @@
 	if elapsed < shortTerm {
 		return min(h.Amount, h.Ceiling)
 	}
-	elapsed = min(elapsed, leaseTerm)
-	return min(h.Amount, h.Ceiling+int64(float64(h.Rate)*elapsed.Seconds()))
+	beyond := min(elapsed, leaseTerm) - shortTerm
+	return min(h.Amount, h.Ceiling+int64(float64(h.Rate)*beyond.Seconds()))
 }
 
 // age returns the time since the report on the store's clock.
--- a/pkg/escrow/keeper.go
+++ b/pkg/escrow/keeper.go
@@ -16,6 +16,9 @@
 
 // NewKeeper returns a keeper without budgets. Its work ends with ctx.
 func NewKeeper(ctx context.Context, o Options) *Keeper {
+	if o.Clock == nil {
+		o.Clock = elapsedClock
+	}
 	return &Keeper{options: o, purses: make(map[string]*purse), ctx: ctx}
 }
 
--- a/pkg/escrow/ledger.go
+++ b/pkg/escrow/ledger.go
@@ -39,6 +39,7 @@
 
 // reserve takes tokens if they are within the limit.
 func (l *ledger) reserve(now time.Duration, tokens int64) bool {
+	l.meter.reserved(now, tokens)
 	if l.used()+tokens > l.limit(now) {
 		return false
 	}
@@ -46,6 +47,23 @@
 	return true
 }
 
+// available returns when the limit will allow for a reservation without a
+// further report, as a time from now, and whether it will at all.
+func (l *ledger) available(now time.Duration, tokens int64) (time.Duration, bool) {
+	if l.acked.holding.Incarnation == "" {
+		return 0, false
+	}
+	for wait := time.Duration(0); wait <= shortTerm; wait += availableStep {
+		if l.used()+tokens <= l.limit(now+wait) {
+			return wait, true
+		}
+	}
+	return 0, false
+}
+
+// availableStep is the precision of available.
+const availableStep = 100 * time.Millisecond
+
 // settle ends a reservation with what was spent of it.
 func (l *ledger) settle(now time.Duration, epoch int, tokens, spent int64) {
 	if epoch != l.epoch {
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -35,5 +35,10 @@
 	Host  string
 	// Incarnation is unique to this process.
 	Incarnation string
-	Log         *log.Logger
+	// Hosts returns how many hosts there are, as far as known.
+	Hosts func() int
+	// Clock is a steady clock that also counts while the machine is suspended;
+	// nil: the one of the system.
+	Clock func() time.Duration
+	Log   *log.Logger
 }
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -10,12 +10,25 @@
 	scarceCover = time.Second
 	// spendable is the part of the unspent budget that is shared out by demand.
 	// The rest stays in the account for hosts whose demand rises.
-	spendable = 0.9
+	spendable = 0.95
 	// A holding is filled up below lowMark and cut back above highMark of its target.
 	lowMark  = 0.75
 	highMark = 1.5
+	// standby is the part of the unspent budget that is held evenly by all hosts,
+	// since a customer may turn to another host at any time.
+	standby = 0.08
 	// minShares divides the prepaid total into the smallest holdings.
-	minShares = 400
+	minShares = 1000
+	// A ceiling allows for sliceTerm of demand above what is spent, and at least
+	// for leastSlice whatever is left of the budget.
+	sliceTerm  = 3 * time.Second
+	leastSlice = time.Second
+	// peaks is how many of the largest recent requests a ceiling allows for beside
+	// the mean demand.
+	peaks = 2
+	// strandable is the part of the unspent budget that the ceilings of all hosts
+	// together may lie above what is spent: it is lost if all processes are killed.
+	strandable = 0.12
 	// burst is the multiple of the measured demand that a host may spend when it
 	// is cut off.
 	burst = 4
@@ -25,12 +38,15 @@
 type position struct {
 	host        string
 	incarnation string
-	report      int64 // number of the next report
-	amount      int64 // confirmed holding of this incarnation
-	used        int64 // spent and reserved
-	demand      float64
-	need        int64 // largest reservation that waits; 0: none
+	report      int64   // number of the next report
+	amount      int64   // confirmed holding of this incarnation
+	used        int64   // spent and reserved
+	demand      float64 // of the last seconds, tokens per second
+	usual       float64 // of a longer time
+	peak        int64   // largest recent reservation
+	need        int64   // largest reservation that waits; 0: none
 	prepaid     int64
+	hosts       int           // that serve the customer, as far as known
 	storeNow    time.Duration // estimated, not ahead of the store's clock
 	leaving     bool          // give everything back
 }
@@ -69,7 +85,7 @@
 	case float64(rest) > highMark*float64(target):
 		amount -= rest - target
 	}
-	slice := max(p.need, int64(p.demand*shortTerm.Seconds()*highMark), p.prepaid/minShares)
+	slice := slice(a, p)
 	return Holding{
 		Incarnation: p.incarnation,
 		Report:      p.report,
@@ -77,12 +93,22 @@
 		Spent:       p.used,
 		Ceiling:     min(amount, p.used+slice),
 		Rate:        max(int64(burst*p.demand), p.prepaid/minShares),
-		Demand:      int64(p.demand),
+		Usual:       int64(p.usual),
+		Peak:        p.peak,
 		Lacking:     max(0, p.need-(amount-p.used)),
 		StampMs:     p.storeNow.Milliseconds(),
 	}
 }
 
+// slice returns how far the ceiling lies above what is spent. a has no holding
+// of the host.
+func slice(a Account, p position) int64 {
+	unspent := max(0, p.prepaid-a.Spent()-p.used)
+	share := int64(strandable * float64(unspent) / float64(max(p.hosts, len(a.Holdings)+1)))
+	wanted := int64(p.demand*sliceTerm.Seconds()) + peaks*max(p.peak, a.peak())
+	return max(min(wanted, share), int64(p.demand*leastSlice.Seconds()), p.need, p.prepaid/minShares)
+}
+
 // target returns the unspent tokens that the host should hold. a has no holding
 // of the host.
 func target(a Account, p position) int64 {
@@ -90,14 +116,13 @@
 	if a.othersLack(p.host) {
 		wanted = scarceCover
 	}
-	unspent := max(0, p.prepaid-a.Spent()-p.used)
-	demand := p.demand
-	for _, h := range a.Holdings {
-		demand += float64(h.Demand)
-	}
-	share := 1 / float64(len(a.Holdings)+1)
-	if demand > 0 {
-		share = p.demand / demand
+	unspent := float64(max(0, p.prepaid-a.Spent()-p.used))
+	even := 1 / float64(max(p.hosts, len(a.Holdings)+1))
+	byDemand := even
+	if total := a.usualDemand() + p.usual; total > 0 {
+		byDemand = p.usual / total
 	}
-	return max(min(int64(p.demand*wanted.Seconds()), int64(spendable*share*float64(unspent))), min(p.prepaid, unspent)/minShares, p.need)
+	share := int64(unspent * (standby*even + (spendable-standby)*byDemand))
+	covered := int64(p.demand*wanted.Seconds()) + peaks*max(p.peak, a.peak())
+	return max(min(covered, share), int64(standby*even*unspent), p.need)
 }
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -36,8 +37,10 @@
 	storeNow  time.Duration // at clockAt
 	clockAt   time.Duration
 	reports   int64
+	applied   int           // reports that the table has taken
 	reportAt  time.Duration // of the last one sent
 	reported  int64         // ledger.used() in it
+	undecided bool          // the last report is not in the table
 	reachable bool
 }
 
@@ -83,19 +86,24 @@
 func (p *purse) reserve(ctx context.Context, tokens int64) (*Reservation, error) {
 	timer := time.NewTimer(reserveWait)
 	defer timer.Stop()
-	for tries := 0; ; tries++ {
+	first := true
+	enough := 0 // number of applied reports after which waiting is of no use
+	for {
 		p.mu.Lock()
-		now := elapsedClock()
+		now := p.options.Clock()
 		if p.ledger.reserve(now, tokens) {
 			r := &Reservation{purse: p, epoch: p.ledger.epoch, tokens: tokens}
-			early := p.ledger.used() > (p.ledger.acked.holding.Spent+p.ledger.acked.holding.Ceiling)/2
+			early := p.isNearCeiling()
 			p.mu.Unlock()
 			if early {
 				p.kick()
 			}
 			return r, nil
 		}
-		if err := p.refusal(now, tokens, tries); err != nil {
+		if first {
+			first, enough = false, p.applied+waitReports
+		}
+		if err := p.refusal(now, tokens, p.applied >= enough); err != nil {
 			p.mu.Unlock()
 			return nil, err
 		}
@@ -106,41 +114,54 @@
 		select {
 		case <-decided:
 		case <-timer.C:
-			return nil, p.unreachable("the table has not answered in time")
+			return nil, &UnreachableError{Why: "the table has not answered in time", RetryAfter: afterSlowTable}
 		case <-ctx.Done():
-			return nil, p.unreachable("the request has ended")
+			return nil, &UnreachableError{Why: "the request has ended"}
 		}
 	}
 }
 
-// maxTries bounds the reports that one reservation waits for.
-const maxTries = 3
+const (
+	// waitReports is how many reports a reservation waits for: one that may have
+	// been under way, and one that names what it needs.
+	waitReports = 2
+	// Times after which a refused reservation may succeed.
+	afterSlowTable = 300 * time.Millisecond
+	afterShare     = time.Second // other hosts have reported and given back by then
+)
+
+// isNearCeiling reports whether two thirds of the ceiling's slice are used.
+func (p *purse) isNearCeiling() bool {
+	acked := p.ledger.acked.holding
+	return 3*(p.ledger.used()-acked.Spent) > 2*(acked.Ceiling-acked.Spent)
+}
 
-// refusal decides whether a reservation that is above the limit can succeed later.
-func (p *purse) refusal(now time.Duration, tokens int64, tries int) error {
-	if p.seen && now-p.seenAt < freshView && tokens > p.prepaid-p.account.Spent() && tries > 0 {
-		return fmt.Errorf("%w: %d of %d tokens are spent, %d are asked for", ErrExhausted, p.account.Spent(), p.prepaid, tokens)
+// refusal decides whether a reservation that is above the limit can succeed by
+// waiting. asked says that a report has asked for it in vain.
+func (p *purse) refusal(now time.Duration, tokens int64, asked bool) error {
+	unspent := p.prepaid - p.account.Spent()
+	if asked && now-p.seenAt < freshView && tokens > unspent {
+		return fmt.Errorf("%w: %d of %d tokens are left, %d are asked for", ErrExhausted, max(0, unspent), p.prepaid, tokens)
 	}
 	if p.leaving {
-		return fmt.Errorf("%w: the host is leaving", ErrUnreachable)
+		return &UnreachableError{Why: "the host is leaving", RetryAfter: afterSlowTable}
 	}
 	if !p.reachable {
-		return fmt.Errorf("%w: the table does not answer", ErrUnreachable)
+		if wait, ok := p.ledger.available(now, tokens); ok {
+			return &UnreachableError{Why: "the table does not answer, the ceiling will rise", RetryAfter: wait}
+		}
+		return &UnreachableError{Why: "the table does not answer and the holding is used up", RetryAfter: afterShare}
 	}
-	if tries >= maxTries {
-		return fmt.Errorf("%w: other hosts hold the rest", ErrUnreachable)
+	if asked {
+		return &UnreachableError{Why: "other hosts hold the rest", RetryAfter: afterShare}
 	}
 	return nil
 }
 
-func (p *purse) unreachable(why string) error {
-	return fmt.Errorf("%w: %s", ErrUnreachable, why)
-}
-
 func (p *purse) settle(r *Reservation, spent int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ledger.settle(elapsedClock(), r.epoch, r.tokens, spent)
+	p.ledger.settle(p.options.Clock(), r.epoch, r.tokens, spent)
 }
 
 // run reports to the table until everything was given back or ctx ends.
@@ -177,15 +198,14 @@
 	if p.leaving {
 		return p.ledger.reserved == 0
 	}
-	now := elapsedClock()
+	now := p.options.Clock()
 	used := p.ledger.used()
-	acked := p.ledger.acked.holding
 	switch {
 	case p.prepaid == 0:
 		return false
-	case p.need > 0 || p.reports == 0 || p.ledger.acked.sentAt == 0:
+	case p.need > 0 || p.undecided || p.ledger.acked.sentAt == 0:
 		return true
-	case used > (acked.Spent+acked.Ceiling)/2:
+	case p.isNearCeiling():
 		return true
 	case used != p.reported && now-p.reportAt >= reportInterval:
 		return true
@@ -200,16 +220,20 @@
 	if p.ledger.used() != p.reported || p.ledger.reserved > 0 {
 		interval = reportInterval
 	}
-	if p.leaving {
+	if p.leaving || p.undecided {
 		interval = minGap
 	}
-	return max(minGap, p.reportAt+interval-elapsedClock())
+	return max(minGap/4, p.reportAt+interval-p.options.Clock())
 }
 
 func (p *purse) untilGap() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.reportAt + minGap - elapsedClock()
+	gap := minGap
+	if p.undecided {
+		gap = rand.N(minGap) // hosts that collided do not meet again
+	}
+	return p.reportAt + gap - p.options.Clock()
 }
 
 // read takes over the account row.
@@ -238,12 +262,12 @@
 		return fmt.Errorf("customer %s: %w", p.customer, err)
 	}
 	p.account, p.version = account, version
-	p.seen, p.seenAt = true, elapsedClock()
+	p.seen, p.seenAt = true, p.options.Clock()
 	return nil
 }
 
 func (p *purse) setClock(storeNow time.Duration) {
-	p.storeNow, p.clockAt = storeNow, elapsedClock()
+	p.storeNow, p.clockAt = storeNow, p.options.Clock()
 }
 
 // report writes the next report and resends it until it is decided. It returns
@@ -270,7 +294,7 @@
 func (p *purse) prepare() (next Account, holding Holding, version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := elapsedClock()
+	now := p.options.Clock()
 	p.reports++
 	next = plan(p.account, position{
 		host:        p.options.Host,
@@ -279,14 +303,17 @@
 		amount:      p.ledger.amount,
 		used:        p.ledger.used(),
 		demand:      p.ledger.meter.rate(now),
+		usual:       p.ledger.meter.usual,
+		peak:        int64(p.ledger.meter.peak),
 		need:        p.need,
 		prepaid:     p.prepaid,
+		hosts:       p.options.Hosts(),
 		storeNow:    p.storeNow + now - p.clockAt,
 		leaving:     p.leaving,
 	})
 	holding = next.Holdings[p.options.Host]
 	p.ledger.pending = &sentReport{holding: holding, sentAt: now}
-	p.reportAt, p.reported, p.need = now, p.ledger.used(), 0
+	p.reportAt, p.reported, p.need, p.undecided = now, p.ledger.used(), 0, true
 	return next, holding, p.version
 }
 
@@ -349,14 +376,30 @@
 	p.reachable = true
 	p.setClock(outcome.Now)
 	if outcome.Applied {
+		before := p.account
 		p.account, p.version = next, outcome.Version
-		p.seenAt = elapsedClock()
+		p.seenAt = p.options.Clock()
+		p.applied++
+		p.undecided = false
+		p.logClosed(before, next)
 		p.ledger.confirm(*p.ledger.pending)
 		return p.leaving && holding.Incarnation == ""
 	}
 	return p.conflict(outcome.Current, holding)
 }
 
+// logClosed says what became of the holdings of processes that have ended.
+func (p *purse) logClosed(before, after Account) {
+	counted := after.Settled - before.Settled
+	for host, h := range before.Holdings {
+		if now, held := after.Holdings[host]; held && now.Incarnation == h.Incarnation || p.leaving {
+			continue
+		}
+		p.options.Log.Info().Str("customer", p.customer).Str("holder", host).Int64("held", h.Amount).Int64("reported_spent", h.Spent).
+			Int64("ceiling", h.Ceiling).Int64("counted_as_spent", counted).Dur("report_age", h.age(p.storeNow)).Msg("Holding of an ended process closed.")
+	}
+}
+
 // conflict takes over the row that another host has written. An earlier
 // submission of the report may be in it.
 func (p *purse) conflict(current []storage.PartRow, holding Holding) (left bool) {
@@ -376,6 +419,8 @@
 	mine := held && own.Incarnation == p.incarnation()
 	switch {
 	case mine && own.Report == holding.Report:
+		p.applied++
+		p.undecided = false
 		p.ledger.confirm(*p.ledger.pending)
 	case mine:
 		p.ledger.pending = nil
@@ -394,7 +439,7 @@
 func (p *purse) status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := elapsedClock()
+	now := p.options.Clock()
 	return Status{
 		Customer: p.customer, Prepaid: p.prepaid, Held: p.ledger.amount,
 		Spent: p.ledger.spent, Reserved: p.ledger.reserved, Limit: p.ledger.limit(now),
--- a/pkg/escrow/refusal.go
+++ b/pkg/escrow/refusal.go
@@ -1,6 +1,10 @@
 package escrow
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // Reasons for which a reservation fails.
 var (
@@ -10,3 +14,16 @@
 	// not answer, or that other hosts hold the rest.
 	ErrUnreachable = errors.New("budget out of reach")
 )
+
+// UnreachableError is an ErrUnreachable with the time after which a reservation
+// may succeed.
+type UnreachableError struct {
+	Why        string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return fmt.Sprintf("%v: %s", ErrUnreachable, e.Why) }
+
+// Unwrap returns ErrUnreachable.
+func (e *UnreachableError) Unwrap() error { return ErrUnreachable }
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -141,5 +141,9 @@
 		return refuse(BudgetExhausted, 0)
 	}
 	c.h.Log.Info().Str("request", c.id).Str("customer", c.customer.Name).Int64("tokens", tokens).Err(err).Msg("Budget out of reach.")
-	return refuse(BudgetUnreachable, afterBudget)
+	var unreachable *escrow.UnreachableError
+	if errors.As(err, &unreachable) && unreachable.RetryAfter > 0 {
+		return refuse(BudgetUnreachable, spread(unreachable.RetryAfter))
+	}
+	return refuse(BudgetUnreachable, spread(afterBudget))
 }
