--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -80,7 +80,7 @@
 	}
 	d.client.Opened = d.metrics.connectionOpened
 	d.budgets = escrow.NewKeeper(ctx, escrow.Options{
-		Rows: rows, Table: l.BudgetTable, Host: s.Host, Incarnation: newIncarnation(), Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
+		Rows: rows, AccountTable: l.BudgetTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: dialect, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets,
@@ -102,6 +102,7 @@
 	if err := d.serve(failed); err != nil {
 		return err
 	}
+	d.budgets.Start()
 	go d.client.Run(background)
 	go d.watchConfiguration(background)
 	go d.watchTargets(background)
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -12,7 +12,7 @@
 const initialHosts = 12
 
 // watchHosts tells the parts that share limits with other hosts how many there
-// are: those that hold a part of a budget.
+// are: those that report to the table.
 func (d *Daemon) watchHosts(ctx context.Context) {
 	d.targets.SetHosts(initialHosts)
 	ticker := time.NewTicker(hostsInterval)
@@ -23,11 +23,7 @@
 		case <-ctx.Done():
 			return
 		}
-		hosts := 0
-		for _, s := range d.budgets.Status() {
-			hosts = max(hosts, s.Holders)
-		}
-		if hosts > 0 {
+		if hosts := d.budgets.Hosts(); hosts > 1 {
 			d.targets.SetHosts(hosts)
 		}
 	}
--- a/pkg/edge/layout.go
+++ b/pkg/edge/layout.go
@@ -13,6 +13,6 @@
 	TargetTable         string
 	DecodeTarget        func(id string, value []byte) (balance.Target, error)
 	BudgetTable         string
-	HostTable           string
+	UsageTable          string
 	ReadyPath           string // asked by the balancer
 }
--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -1,16 +1,20 @@
 // Package escrow keeps prepaid budgets without a call on the way of a request.
 //
-// Each customer has one account row in the table. A host that serves the
-// customer holds a part of the budget: the row names the amount, which is
-// debited before the host authorises a request from it. What hosts hold
-// together never exceeds the prepaid total, whatever becomes of hosts, store and
-// network, and without trust in clocks of the time of day.
+// Each customer has an account row in the table that says which share of the
+// budget each host holds. A share is debited from the budget before its host
+// authorises a request from it, so that hosts together never spend more than is
+// prepaid, whatever becomes of hosts, store and network, and without trust in
+// the time of day.
+//
+// Each host reports what it has spent, in one row for all customers. A report
+// also bounds what the host spends until the next one: up to a ceiling at first,
+// and more with time. Whoever finds the share of an ended process counts as spent
+// what the last report allowed it until then, and frees the rest.
 //
 // The package answers these loads: every host loses the store and all other
 // hosts for some ten seconds while a customer sends several times its usual
-// (holdings cover that time at a multiple of the measured demand); all processes
-// are killed at once (each report carries a ceiling below the holding, so that a
-// host that starts again soon gets back what the dead process cannot have
-// spent); a budget that runs low (holdings shrink to shares by demand, and hosts
-// give back what another one lacks).
+// (shares cover that time at a multiple of the measured demand); all processes
+// are killed at once (the ceiling of a report lies little above what is spent);
+// parts of the store are down (a report goes to either of two places); a budget
+// runs low (shares follow the demand, and hosts give back what another one lacks).
 package escrow
--- a/pkg/escrow/keeper.go
+++ b/pkg/escrow/keeper.go
@@ -3,15 +3,26 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
-// Keeper holds this host's parts of all budgets. It is safe for concurrent use.
+// Keeper holds this host's shares of all budgets. It is safe for concurrent use.
 type Keeper struct {
 	options Options
-	mu      sync.Mutex
-	purses  map[string]*purse
 	ctx     context.Context
-	running sync.WaitGroup
+
+	mu       sync.Mutex
+	purses   map[string]*purse
+	reports  reports
+	reporter *reporter
+	peers    map[string]UsageReport  // of other processes, by incarnation
+	ended    map[string]endedProcess // by incarnation
+	started  time.Duration           // of this process, on its own clock
+	before   time.Duration           // store clock when this process started, or a little later; 0: not known
+	storeNow time.Duration           // at clockAt
+	clockAt  time.Duration
+	decided  chan struct{} // closed when something was decided, then replaced
+	leaving  bool
 }
 
 // NewKeeper returns a keeper without budgets. Its work ends with ctx.
@@ -19,7 +30,21 @@
 	if o.Clock == nil {
 		o.Clock = elapsedClock
 	}
-	return &Keeper{options: o, purses: make(map[string]*purse), ctx: ctx}
+	k := &Keeper{
+		options: o, ctx: ctx, purses: make(map[string]*purse), peers: make(map[string]UsageReport),
+		ended: make(map[string]endedProcess), decided: make(chan struct{}),
+		started: o.Clock(),
+	}
+	k.reporter = newReporter(k)
+	return k
+}
+
+// Start begins to report and to read the reports of other hosts.
+func (k *Keeper) Start() {
+	go k.reporter.run(k.ctx)
+	go k.recall(k.ctx)
+	go k.followPeers(k.ctx)
+	go k.reclaim(k.ctx)
 }
 
 // SetBudgets tells the prepaid totals of all customers, in tokens.
@@ -29,11 +54,14 @@
 	for customer, total := range prepaid {
 		p := k.purses[customer]
 		if p == nil {
-			p = newPurse(k.options, customer)
+			p = newPurse(k, customer)
 			k.purses[customer] = p
-			k.running.Go(func() { p.run(k.ctx) })
+			go p.run(k.ctx)
+		}
+		if p.prepaid != total {
+			p.prepaid = total
+			p.kick()
 		}
-		p.setPrepaid(total)
 	}
 }
 
@@ -50,30 +78,32 @@
 	return p.reserve(ctx, tokens)
 }
 
-// Loaded reports whether every account was read or written once.
+// Loaded reports whether a report was taken and every account was read once.
 func (k *Keeper) Loaded() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.reports.acked == nil {
+		return false
+	}
 	for _, p := range k.purses {
-		if !p.loaded() {
+		if !p.seen {
 			return false
 		}
 	}
 	return true
 }
 
-// Leave gives every holding back, as far as it is unspent, and waits until the
+// Leave gives every share back, as far as it is unspent, and waits until the
 // table has taken that or ctx ends.
 func (k *Keeper) Leave(ctx context.Context) error {
 	k.mu.Lock()
+	k.leaving = true
 	purses := make([]*purse, 0, len(k.purses))
 	for _, p := range k.purses {
 		purses = append(purses, p)
+		p.kick()
 	}
 	k.mu.Unlock()
-	for _, p := range purses {
-		p.startLeaving()
-	}
 	for _, p := range purses {
 		select {
 		case <-p.left:
@@ -84,7 +114,7 @@
 	return nil
 }
 
-// Status describes every holding, for operators.
+// Status describes every share.
 func (k *Keeper) Status() []Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -94,3 +124,51 @@
 	}
 	return all
 }
+
+// Hosts returns how many hosts report to the table, this one included.
+func (k *Keeper) Hosts() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	hosts := map[string]struct{}{k.options.Host: {}}
+	now := k.estimate()
+	for _, r := range k.peers {
+		if r.age(now) <= leaseTerm {
+			hosts[r.Host] = struct{}{}
+		}
+	}
+	return len(hosts)
+}
+
+// setClock notes the store's clock from the answer to a call that was sent at
+// sentAt. The estimate is never ahead of the store, since the answer took some
+// time. The start of this process is never put too early, for the same reason.
+func (k *Keeper) setClock(storeNow, sentAt time.Duration) {
+	k.storeNow, k.clockAt = storeNow, k.options.Clock()
+	if start := storeNow - (sentAt - k.started); k.before == 0 || start < k.before {
+		k.before = start
+	}
+}
+
+// estimate returns the store's clock, or a little less.
+func (k *Keeper) estimate() time.Duration {
+	return k.storeNow + k.options.Clock() - k.clockAt
+}
+
+// wake lets the waiting reservations look again.
+func (k *Keeper) wake() {
+	close(k.decided)
+	k.decided = make(chan struct{})
+}
+
+// endedProcess is a process that spends nothing any more.
+type endedProcess struct {
+	report UsageReport // its last one
+	// by is a time on the store's clock at which the process had ended, or its
+	// lease had.
+	by time.Duration
+}
+
+// maxSpent returns how much of a share the process may have spent.
+func (e endedProcess) maxSpent(customer string, s Share) int64 {
+	return e.report.MaxSpent(customer, s.Epoch, s.Amount, e.report.age(e.by))
+}
--- a/pkg/escrow/ledger.go
+++ b/pkg/escrow/ledger.go
@@ -2,59 +2,72 @@
 
 import "time"
 
-// ledger is what this host may spend for one customer. The caller serialises
+// ledger is what this process may spend for one customer. The caller serialises
 // access. Times are of a clock that counts suspension.
 type ledger struct {
-	amount   int64 // confirmed, less what an open report gives back
-	spent    int64 // by ended reservations of this epoch
-	reserved int64 // by open ones
-	epoch    int   // goes up when the holding was lost to another host
+	customer string
+	amount   int64  // share that the table has confirmed
+	offered  *int64 // share in a transaction whose outcome is not known
+	spent    int64  // by ended reservations of this epoch
+	reserved int64  // by open ones
+	epoch    int    // goes up when the share was closed by another host
 	meter    meter
-
-	acked   sentReport // last report that the table has taken
-	pending *sentReport
-}
-
-// sentReport is a report and the time at which it was first sent.
-type sentReport struct {
-	holding Holding
-	sentAt  time.Duration
-	unknown bool // the table may or may not have taken it
 }
 
 func (l *ledger) used() int64 { return l.spent + l.reserved }
 
-// limit returns what may be spent now. While the outcome of a report is
-// unknown, both it and the one before bound the host.
-func (l *ledger) limit(now time.Duration) int64 {
-	if l.acked.holding.Incarnation == "" || now-l.acked.sentAt > leaseTerm {
+// held returns the share that is certain.
+func (l *ledger) held() int64 {
+	if l.offered != nil {
+		return min(l.amount, *l.offered)
+	}
+	return l.amount
+}
+
+// limit returns what may be spent at a time. While the outcome of a report is
+// unknown, both it and the one before bound the process.
+func (l *ledger) limit(now time.Duration, r reports) int64 {
+	if r.acked == nil || now-r.acked.sentAt > leaseTerm {
 		return 0
 	}
-	limit := min(l.amount, l.acked.holding.MaxSpent(now-l.acked.sentAt))
-	if l.pending != nil {
-		limit = min(limit, l.pending.holding.MaxSpent(now-l.pending.sentAt))
+	limit := r.acked.maxSpent(l, now)
+	if r.pending != nil {
+		limit = min(limit, r.pending.maxSpent(l, now))
 	}
 	return limit
 }
 
+// reports are the usage reports that bound the process.
+type reports struct {
+	acked   *sentReport // last one that the table has taken
+	pending *sentReport // one whose outcome is not known
+}
+
+// sentReport is a report and the time at which it was first sent.
+type sentReport struct {
+	report UsageReport
+	sentAt time.Duration
+}
+
+func (s *sentReport) maxSpent(l *ledger, now time.Duration) int64 {
+	return s.report.MaxSpent(l.customer, l.epoch, l.held(), now-s.sentAt)
+}
+
 // reserve takes tokens if they are within the limit.
-func (l *ledger) reserve(now time.Duration, tokens int64) bool {
+func (l *ledger) reserve(now time.Duration, r reports, tokens int64) bool {
 	l.meter.reserved(now, tokens)
-	if l.used()+tokens > l.limit(now) {
+	if l.used()+tokens > l.limit(now, r) {
 		return false
 	}
 	l.reserved += tokens
 	return true
 }
 
-// available returns when the limit will allow for a reservation without a
-// further report, as a time from now, and whether it will at all.
-func (l *ledger) available(now time.Duration, tokens int64) (time.Duration, bool) {
-	if l.acked.holding.Incarnation == "" {
-		return 0, false
-	}
-	for wait := time.Duration(0); wait <= shortTerm; wait += availableStep {
-		if l.used()+tokens <= l.limit(now+wait) {
+// available returns after which time the limit will allow for a reservation
+// without another report, and whether it will at all.
+func (l *ledger) available(now time.Duration, r reports, tokens int64) (time.Duration, bool) {
+	for wait := time.Duration(0); wait <= 2*shortTerm; wait += availableStep {
+		if l.used()+tokens <= l.limit(now+wait, r) {
 			return wait, true
 		}
 	}
@@ -67,23 +80,15 @@
 // settle ends a reservation with what was spent of it.
 func (l *ledger) settle(now time.Duration, epoch int, tokens, spent int64) {
 	if epoch != l.epoch {
-		return // the holding was closed as if all of it was spent
+		return // the share was closed as if all of it was spent
 	}
 	l.reserved -= tokens
 	l.spent += spent
 	l.meter.add(now, spent)
 }
 
-// confirm takes over a report that is in the table.
-func (l *ledger) confirm(r sentReport) {
-	l.acked = r
-	l.amount = r.holding.Amount
-	l.pending = nil
-}
-
-// lose starts a new epoch without a holding.
+// lose starts a new epoch without a share.
 func (l *ledger) lose() {
 	l.epoch++
-	l.amount, l.spent, l.reserved = 0, 0, 0
-	l.acked, l.pending = sentReport{}, nil
+	l.amount, l.spent, l.reserved, l.offered = 0, 0, 0, nil
 }
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -9,30 +9,37 @@
 )
 
 const (
-	// reportInterval is the time between two reports of a customer that spends.
-	reportInterval = time.Second
-	// idleInterval is the time between two reports of a customer that does not.
-	// It keeps the lease of its holding.
+	// reportInterval is the time between two reports of a host that spends.
+	reportInterval = 700 * time.Millisecond
+	// idleInterval is the time between two reports of a host that does not. It
+	// keeps the lease of its shares.
 	idleInterval = 4 * time.Second
-	// minGap is the shortest time between two reports of a customer.
+	// minGap is the shortest time between two calls of one kind.
 	minGap = 30 * time.Millisecond
-	// callTimeout bounds one transaction.
+	// callTimeout bounds one call.
 	callTimeout = 1200 * time.Millisecond
-	// Pauses between the submissions of a report without an answer.
+	// Pauses between the submissions of a transaction without an answer.
 	firstResend = 60 * time.Millisecond
 	maxResend   = 400 * time.Millisecond
-	// reserveWait is the longest wait of a reservation for its report.
+	// reserveWait is the longest wait of a reservation for the table.
 	reserveWait = 250 * time.Millisecond
-	// freshView is the age up to which the account as last seen decides that a
-	// budget is exhausted.
-	freshView = 2 * time.Second
+	// freshView is the age up to which the account as last seen is planned with
+	// when a request lacks tokens.
+	freshView = 300 * time.Millisecond
+	// reviewInterval is the time between two looks at whether a share fits.
+	reviewInterval = time.Second
+	// feedInterval is the time between two reads of the other hosts' reports.
+	feedInterval = time.Second
+	// lackTerm is how long a request that got no tokens counts as lacking them.
+	lackTerm = 3 * time.Second
 )
 
 // Options are the settings of a Keeper.
 type Options struct {
-	Rows  storage.Rows
-	Table string // of the account rows
-	Host  string
+	Rows         storage.Rows
+	AccountTable string // account rows; the part is the customer
+	UsageTable   string // usage rows; two parts for each host
+	Host         string
 	// Incarnation is unique to this process.
 	Incarnation string
 	// Hosts returns how many hosts there are, as far as known.
--- /dev/null
+++ b/pkg/escrow/peers.go
@@ -0,0 +1,243 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// followPeers reads the usage reports of other hosts. There is no scan: every
+// host reports again within idleInterval.
+func (k *Keeper) followPeers(ctx context.Context) {
+	since, known := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			since, err = k.readFeed(ctx, since)
+		} else {
+			since, err = k.newestVersion(ctx)
+		}
+		known = err == nil || (known && !errors.Is(err, storage.ErrHistoryGone))
+		pause(ctx, feedInterval)
+	}
+}
+
+// newestVersion returns the version from which the feed is read.
+func (k *Keeper) newestVersion(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := k.options.Rows.Range(ctx, k.options.UsageTable, k.options.Host+reportPlaces[0], "")
+	return page.Version, err
+}
+
+// feedWait is how long a read of the feed waits for a report.
+const feedWait = 500 * time.Millisecond
+
+func (k *Keeper) readFeed(ctx context.Context, since uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
+	defer cancel()
+	page, err := k.options.Rows.Feed(ctx, k.options.UsageTable, since, feedWait)
+	if err != nil {
+		return since, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, row := range page.Rows {
+		k.takePeer(row)
+	}
+	return max(since, page.Version), nil
+}
+
+func (k *Keeper) takePeer(row storage.PartRow) {
+	if row.Deleted {
+		delete(k.peers, row.Key)
+		return
+	}
+	report, err := decodeUsage(row.Value)
+	if err != nil {
+		k.options.Log.Error().Err(err).Str("row", row.Part+" "+row.Key).Msg("Usage report unreadable.")
+		return
+	}
+	if report.Incarnation == k.options.Incarnation {
+		return
+	}
+	if known, ok := k.peers[report.Incarnation]; ok && known.Number >= report.Number {
+		return
+	}
+	k.peers[report.Incarnation] = report
+	for customer, u := range report.Customers {
+		if p := k.purses[customer]; p != nil && u.Lacking > 0 {
+			p.kick() // this host may hold what the other one lacks
+		}
+	}
+}
+
+const (
+	// reclaimInterval is the time between two looks at shares of lost hosts.
+	reclaimInterval = 5 * time.Second
+	// forgetAfter drops the reports of processes that are silent.
+	forgetAfter = 2 * time.Minute
+)
+
+// reclaim finds the shares of hosts that are gone, and removes the reports of
+// this host's ended processes once their shares are closed.
+func (k *Keeper) reclaim(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, reclaimInterval)
+		for _, host := range k.silentHosts() {
+			reports, err := k.readReports(ctx, host)
+			if err != nil {
+				k.options.Log.Info().Str("holder", host).Err(err).Msg("Reports of a silent host not read.")
+				continue
+			}
+			k.takeSilent(reports)
+		}
+		k.removeReports(ctx)
+	}
+}
+
+// silentHosts returns other hosts with shares whose reports are too old.
+func (k *Keeper) silentHosts() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	silent := make(map[string]struct{})
+	now := k.estimate()
+	for incarnation, r := range k.peers {
+		if r.age(now) > forgetAfter {
+			delete(k.peers, incarnation)
+		}
+	}
+	for _, p := range k.purses {
+		for _, s := range p.account.Shares {
+			_, ended := k.ended[s.Incarnation]
+			report, known := k.peers[s.Incarnation]
+			if s.Host == k.options.Host || ended || (known && report.age(now) <= leaseTerm+reclaimMargin) {
+				continue
+			}
+			silent[s.Host] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(silent))
+}
+
+// takeSilent notes the processes that may not spend any more, whether they run
+// or not. A report from the table is as new as any, as both places were read.
+func (k *Keeper) takeSilent(reports map[string]UsageReport) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.estimate()
+	for incarnation, r := range reports {
+		if r.age(now) > leaseTerm+reclaimMargin {
+			k.ended[incarnation] = endedProcess{report: r, by: now}
+		} else if known := k.peers[incarnation]; known.Number < r.Number {
+			k.peers[incarnation] = r
+		}
+	}
+	for _, p := range k.purses {
+		p.kick()
+	}
+}
+
+// removeReports removes reports of ended processes of this host whose shares
+// are all closed.
+func (k *Keeper) removeReports(ctx context.Context) {
+	for _, incarnation := range k.closedProcesses() {
+		err := k.removeReport(ctx, incarnation)
+		if err != nil {
+			k.options.Log.Info().Err(err).Str("incarnation", incarnation).Msg("Report of an ended process not removed.")
+			continue
+		}
+		k.mu.Lock()
+		delete(k.ended, incarnation)
+		k.mu.Unlock()
+	}
+}
+
+func (k *Keeper) closedProcesses() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	open := make(map[string]struct{})
+	for _, p := range k.purses {
+		if !p.seen {
+			return nil
+		}
+		for _, s := range p.account.Shares {
+			open[s.Incarnation] = struct{}{}
+		}
+	}
+	var closed []string
+	for incarnation, e := range k.ended {
+		if _, isOpen := open[incarnation]; !isOpen && e.report.Host == k.options.Host {
+			closed = append(closed, incarnation)
+		}
+	}
+	return closed
+}
+
+func (k *Keeper) removeReport(ctx context.Context, incarnation string) error {
+	for _, place := range reportPlaces {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		key := storage.RowKey{Table: k.options.UsageTable, Part: k.options.Host + place, Key: incarnation}
+		_, err := k.options.Rows.Transact(ctx, storage.RowTxn{Removes: []storage.RowKey{key}})
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recall reads the last reports of this host's earlier processes, which have
+// ended since this one runs in their place.
+func (k *Keeper) recall(ctx context.Context) {
+	for ctx.Err() == nil {
+		reports, err := k.readReports(ctx, k.options.Host)
+		if err == nil {
+			k.mu.Lock()
+			for incarnation, r := range reports {
+				if incarnation != k.options.Incarnation {
+					k.ended[incarnation] = endedProcess{report: r, by: k.before}
+				}
+			}
+			for _, p := range k.purses {
+				p.kick()
+			}
+			k.mu.Unlock()
+			return
+		}
+		k.options.Log.Warn().Err(err).Msg("Reports of earlier processes not read.")
+		pause(ctx, maxResend)
+	}
+}
+
+// readReports returns the newest report of each process of a host. Both places
+// must answer, since either may have the newest one.
+func (k *Keeper) readReports(ctx context.Context, host string) (map[string]UsageReport, error) {
+	reports := make(map[string]UsageReport)
+	for _, place := range reportPlaces {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		sentAt := k.options.Clock()
+		page, err := k.options.Rows.Range(ctx, k.options.UsageTable, host+place, "")
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		k.mu.Lock()
+		k.setClock(page.Now, sentAt)
+		k.mu.Unlock()
+		for _, row := range page.Rows {
+			report, err := decodeUsage(row.Value)
+			if err != nil {
+				return nil, err
+			}
+			if report.Number >= reports[report.Incarnation].Number {
+				reports[report.Incarnation] = report
+			}
+		}
+	}
+	return reports, nil
+}
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -3,126 +3,117 @@
 import "time"
 
 const (
-	// cover is the time of demand that a holding is meant for: ten seconds
-	// without the store at twice the usual demand.
+	// cover is the time of demand that a share is meant for: ten seconds without
+	// the store at twice the usual demand.
 	cover = 20 * time.Second
 	// scarceCover replaces it while another host lacks tokens.
 	scarceCover = time.Second
-	// spendable is the part of the unspent budget that is shared out by demand.
-	// The rest stays in the account for hosts whose demand rises.
+	// spendable is the part of the unspent budget that is shared out. The rest
+	// stays in the account for hosts whose demand rises.
 	spendable = 0.95
-	// A holding is filled up below lowMark and cut back above highMark of its target.
+	// standby is the part of the unspent budget that all hosts hold evenly, since
+	// a customer may turn to another host at any time.
+	standby = 0.08
+	// A share is filled up below lowMark and cut back above highMark of its target.
 	lowMark  = 0.75
 	highMark = 1.5
-	// standby is the part of the unspent budget that is held evenly by all hosts,
-	// since a customer may turn to another host at any time.
-	standby = 0.08
-	// minShares divides the prepaid total into the smallest holdings.
+	// minShares divides the prepaid total into the smallest ceilings.
 	minShares = 1000
 	// A ceiling allows for sliceTerm of demand above what is spent, and at least
 	// for leastSlice whatever is left of the budget.
 	sliceTerm  = 3 * time.Second
 	leastSlice = time.Second
-	// peaks is how many of the largest recent requests a ceiling allows for beside
-	// the mean demand.
+	// peaks is how many of the largest recent requests a ceiling and a share allow
+	// for beside the mean demand.
 	peaks = 2
-	// strandable is the part of the unspent budget that the ceilings of all hosts
-	// together may lie above what is spent: it is lost if all processes are killed.
+	// strandable is the part of the unspent budget by which the ceilings of all
+	// hosts together may lie above what is spent: it is lost if all processes are
+	// killed.
 	strandable = 0.12
 	// burst is the multiple of the measured demand that a host may spend when it
 	// is cut off.
-	burst = 4
+	burst = 3
 )
 
-// position is what a host knows of its own holding.
+// position is what a host knows of one customer's budget.
 type position struct {
-	host        string
-	incarnation string
-	report      int64   // number of the next report
-	amount      int64   // confirmed holding of this incarnation
-	used        int64   // spent and reserved
-	demand      float64 // of the last seconds, tokens per second
-	usual       float64 // of a longer time
-	peak        int64   // largest recent reservation
-	need        int64   // largest reservation that waits; 0: none
-	prepaid     int64
-	hosts       int           // that serve the customer, as far as known
-	storeNow    time.Duration // estimated, not ahead of the store's clock
-	leaving     bool          // give everything back
+	prepaid int64
+	settled int64   // spent from closed shares
+	amount  int64   // own share
+	used    int64   // of the own share, open reservations included
+	demand  float64 // of the last seconds, tokens per second
+	usual   float64 // of a longer time
+	peak    int64   // largest recent reservation
+	need    int64   // largest reservation that waits; 0: none
+	hosts   int     // as far as known, this one included
+	others  others
 }
 
-// plan returns the account with the host's next report. The account never holds
-// out more than is prepaid, unless the prepaid total was lowered.
-func plan(a Account, p position) Account {
-	next := a.clone()
-	if own, ok := next.Holdings[p.host]; ok && own.Incarnation != p.incarnation {
-		next.close(p.host, own.age(p.storeNow))
-	}
-	for host, h := range next.Holdings {
-		if host != p.host && h.age(p.storeNow) > leaseTerm+reclaimMargin {
-			next.close(host, h.age(p.storeNow))
-		}
+// others is what is known of the shares of other processes.
+type others struct {
+	amount  int64 // all shares
+	spent   int64 // by shares with a report
+	unknown int64 // amount of shares without a report
+	usual   float64
+	peak    int64
+	lack    bool // a request of another host waits in vain
+}
+
+// unspent returns the tokens that no host has spent, as far as known. Shares
+// without a report count as spent.
+func (p position) unspent() int64 {
+	return max(0, p.prepaid-p.settled-p.used-p.others.spent-p.others.unknown)
+}
+
+// free returns the tokens that no host holds.
+func (p position) free() int64 {
+	return max(0, p.prepaid-p.settled-p.amount-p.others.amount)
+}
+
+func (p position) even() float64 { return 1 / float64(max(1, p.hosts)) }
+
+func (p position) anyPeak() int64 { return max(p.peak, p.others.peak) }
+
+// target returns the unspent tokens that the host should hold.
+func (p position) target() int64 {
+	term := cover
+	if p.others.lack {
+		term = scarceCover
 	}
-	if p.leaving {
-		delete(next.Holdings, p.host)
-		next.Settled += p.used
-		return next
+	byDemand := p.even()
+	if total := p.usual + p.others.usual; total > 0 {
+		byDemand = p.usual / total
 	}
-	next.Holdings[p.host] = report(next, p)
-	return next
+	unspent := float64(p.unspent())
+	share := int64(unspent * (standby*p.even() + (spendable-standby)*byDemand))
+	covered := int64(p.demand*term.Seconds()) + peaks*p.anyPeak()
+	return max(min(covered, share), int64(standby*p.even()*unspent), p.need)
 }
 
-func report(a Account, p position) Holding {
-	delete(a.Holdings, p.host)
-	others := a.Allotted()
-	free := max(0, p.prepaid-others-p.amount)
-	target := target(a, p)
-	rest := p.amount - p.used
-	amount := p.amount
+// nextAmount returns the share that the host should hold. It never takes more
+// than is free.
+func (p position) nextAmount() int64 {
+	target, rest := p.target(), p.amount-p.used
 	switch {
 	case float64(rest) < lowMark*float64(target) || rest < p.need:
-		amount += min(free, max(target, p.need)-rest)
+		return p.amount + max(0, min(p.free(), target-rest))
 	case float64(rest) > highMark*float64(target):
-		amount -= rest - target
-	}
-	slice := slice(a, p)
-	return Holding{
-		Incarnation: p.incarnation,
-		Report:      p.report,
-		Amount:      amount,
-		Spent:       p.used,
-		Ceiling:     min(amount, p.used+slice),
-		Rate:        max(int64(burst*p.demand), p.prepaid/minShares),
-		Usual:       int64(p.usual),
-		Peak:        p.peak,
-		Lacking:     max(0, p.need-(amount-p.used)),
-		StampMs:     p.storeNow.Milliseconds(),
+		return p.amount - (rest - target)
 	}
+	return p.amount
 }
 
-// slice returns how far the ceiling lies above what is spent. a has no holding
-// of the host.
-func slice(a Account, p position) int64 {
-	unspent := max(0, p.prepaid-a.Spent()-p.used)
-	share := int64(strandable * float64(unspent) / float64(max(p.hosts, len(a.Holdings)+1)))
-	wanted := int64(p.demand*sliceTerm.Seconds()) + peaks*max(p.peak, a.peak())
-	return max(min(wanted, share), int64(p.demand*leastSlice.Seconds()), p.need, p.prepaid/minShares)
-}
-
-// target returns the unspent tokens that the host should hold. a has no holding
-// of the host.
-func target(a Account, p position) int64 {
-	wanted := cover
-	if a.othersLack(p.host) {
-		wanted = scarceCover
-	}
-	unspent := float64(max(0, p.prepaid-a.Spent()-p.used))
-	even := 1 / float64(max(p.hosts, len(a.Holdings)+1))
-	byDemand := even
-	if total := a.usualDemand() + p.usual; total > 0 {
-		byDemand = p.usual / total
+// usage returns the customer's entry in the next report.
+func (p position) usage(epoch int) Usage {
+	wanted := int64(p.demand*sliceTerm.Seconds()) + peaks*p.anyPeak()
+	allowed := int64(strandable * p.even() * float64(p.unspent()))
+	slice := max(min(wanted, allowed), int64(p.demand*leastSlice.Seconds()), p.need, p.prepaid/minShares)
+	return Usage{
+		Epoch:   epoch,
+		Spent:   p.used,
+		Ceiling: p.used + slice,
+		Rate:    max(int64(burst*p.demand), p.prepaid/minShares),
+		Usual:   int64(p.usual),
+		Peak:    p.peak,
 	}
-	share := int64(unspent * (standby*even + (spendable-standby)*byDemand))
-	covered := int64(p.demand*wanted.Seconds()) + peaks*max(p.peak, a.peak())
-	return max(min(covered, share), int64(standby*even*unspent), p.need)
 }
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/storage"
@@ -15,50 +13,31 @@
 // accountKey is the key of an account row. Its part is the customer.
 const accountKey = "account"
 
-// purse is this host's part of one customer's budget, with the goroutine that
-// reports it to the table.
+// purse is this host's share of one customer's budget, with the goroutine that
+// changes it in the table. The keeper's mutex protects its fields.
 type purse struct {
-	options  Options
-	customer string
-	wake     chan struct{}
-	left     chan struct{} // closed when everything was given back
-
-	mu      sync.Mutex
-	ledger  ledger
-	prepaid int64
-	need    int64         // largest reservation that waits
-	decided chan struct{} // closed when a report was decided, then replaced
-	leaving bool
-
+	keeper *Keeper
+	ledger ledger
+	wake   chan struct{}
+	left   chan struct{} // closed when everything was given back
+
+	prepaid   int64
+	need      int64         // largest reservation that waits
+	vainAt    time.Duration // when a reservation was last known to be in vain
+	vainNeed  int64
 	account   Account // as last seen
 	version   uint64  // of the row; 0: absent
 	seen      bool
 	seenAt    time.Duration
-	storeNow  time.Duration // at clockAt
-	clockAt   time.Duration
-	reports   int64
-	applied   int           // reports that the table has taken
-	reportAt  time.Duration // of the last one sent
-	reported  int64         // ledger.used() in it
-	undecided bool          // the last report is not in the table
+	triedAt   time.Duration
 	reachable bool
+	collided  bool
 }
 
-func newPurse(o Options, customer string) *purse {
+func newPurse(k *Keeper, customer string) *purse {
 	return &purse{
-		options: o, customer: customer,
-		wake: make(chan struct{}, 1), left: make(chan struct{}), decided: make(chan struct{}),
-		reachable: true,
-	}
-}
-
-func (p *purse) setPrepaid(total int64) {
-	p.mu.Lock()
-	changed := p.prepaid != total
-	p.prepaid = total
-	p.mu.Unlock()
-	if changed {
-		p.kick()
+		keeper: k, ledger: ledger{customer: customer}, reachable: true,
+		wake: make(chan struct{}, 1), left: make(chan struct{}),
 	}
 }
 
@@ -69,48 +48,96 @@
 	}
 }
 
-func (p *purse) loaded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.seen
+func (p *purse) now() time.Duration { return p.keeper.options.Clock() }
+
+// share returns the key under which the account has this process's share.
+func (p *purse) share() Share {
+	o := p.keeper.options
+	return Share{Host: o.Host, Incarnation: o.Incarnation, Epoch: p.ledger.epoch}
 }
 
-func (p *purse) startLeaving() {
-	p.mu.Lock()
-	p.leaving = true
-	p.mu.Unlock()
-	p.kick()
+// position collects what is known of the budget.
+func (p *purse) position() position {
+	now := p.now()
+	pos := position{
+		prepaid: p.prepaid, settled: p.account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
+		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usual, peak: int64(p.ledger.meter.peak),
+		need: p.need, hosts: p.keeper.options.Hosts(),
+	}
+	own := p.share().key()
+	for key, s := range p.account.Shares {
+		if key == own {
+			continue
+		}
+		pos.others.amount += s.Amount
+		report, known := p.keeper.peers[s.Incarnation]
+		u, named := report.Customers[p.ledger.customer]
+		if !known || !named || u.Epoch != s.Epoch {
+			pos.others.unknown += s.Amount
+			continue
+		}
+		pos.others.spent += u.Spent
+		pos.others.usual += float64(u.Usual)
+		pos.others.peak = max(pos.others.peak, u.Peak)
+		pos.others.lack = pos.others.lack || u.Lacking > 0
+	}
+	return pos
+}
+
+// usage returns the entry of the next report.
+func (p *purse) usage() Usage {
+	u := p.position().usage(p.ledger.epoch)
+	if p.vainAt > 0 && p.now()-p.vainAt < lackTerm {
+		u.Lacking = p.vainNeed
+	}
+	return u
+}
+
+// needsCeiling reports whether most of what the last report allows is used, or a
+// reservation waits for more.
+func (p *purse) needsCeiling() bool {
+	acked := p.keeper.reports.acked
+	if acked == nil {
+		return false
+	}
+	u, named := acked.report.Customers[p.ledger.customer]
+	if !named || u.Epoch != p.ledger.epoch || p.ledger.held() <= u.Ceiling {
+		return false
+	}
+	return 3*(p.ledger.used()-u.Spent) > 2*(u.Ceiling-u.Spent) || p.ledger.used()+p.need > u.Ceiling
+}
+
+// isSpending reports whether the last report is out of date.
+func (p *purse) isSpending() bool {
+	acked := p.keeper.reports.acked
+	return acked != nil && acked.report.Customers[p.ledger.customer].Spent != p.ledger.used()
 }
 
 // reserve takes tokens, or asks the table for them and waits for its decision.
 func (p *purse) reserve(ctx context.Context, tokens int64) (*Reservation, error) {
+	k := p.keeper
 	timer := time.NewTimer(reserveWait)
 	defer timer.Stop()
-	first := true
-	enough := 0 // number of applied reports after which waiting is of no use
+	k.mu.Lock()
+	start := p.now()
 	for {
-		p.mu.Lock()
-		now := p.options.Clock()
-		if p.ledger.reserve(now, tokens) {
+		now := p.now()
+		if p.ledger.reserve(now, k.reports, tokens) {
 			r := &Reservation{purse: p, epoch: p.ledger.epoch, tokens: tokens}
-			early := p.isNearCeiling()
-			p.mu.Unlock()
-			if early {
-				p.kick()
-			}
+			p.need = 0 // others that wait ask again
+			p.kickAfterReserve()
+			k.mu.Unlock()
 			return r, nil
 		}
-		if first {
-			first, enough = false, p.applied+waitReports
-		}
-		if err := p.refusal(now, tokens, p.applied >= enough); err != nil {
-			p.mu.Unlock()
+		if err := p.refusal(now, start, tokens); err != nil {
+			k.mu.Unlock()
 			return nil, err
 		}
 		p.need = max(p.need, tokens)
-		decided := p.decided
-		p.mu.Unlock()
+		decided := k.decided
 		p.kick()
+		k.reporter.kick()
+		k.mu.Unlock()
 		select {
 		case <-decided:
 		case <-timer.C:
@@ -118,69 +145,63 @@
 		case <-ctx.Done():
 			return nil, &UnreachableError{Why: "the request has ended"}
 		}
+		k.mu.Lock()
 	}
 }
 
 const (
-	// waitReports is how many reports a reservation waits for: one that may have
-	// been under way, and one that names what it needs.
-	waitReports = 2
 	// Times after which a refused reservation may succeed.
 	afterSlowTable = 300 * time.Millisecond
 	afterShare     = time.Second // other hosts have reported and given back by then
 )
 
-// isNearCeiling reports whether two thirds of the ceiling's slice are used.
-func (p *purse) isNearCeiling() bool {
-	acked := p.ledger.acked.holding
-	return 3*(p.ledger.used()-acked.Spent) > 2*(acked.Ceiling-acked.Spent)
+// kickAfterReserve asks for more in time.
+func (p *purse) kickAfterReserve() {
+	if p.needsCeiling() {
+		p.keeper.reporter.kick()
+	}
+	if p.ledger.amount-p.ledger.used() < int64(peaks*p.ledger.meter.peak) && p.now()-p.triedAt > freshView {
+		p.kick()
+	}
 }
 
 // refusal decides whether a reservation that is above the limit can succeed by
-// waiting. asked says that a report has asked for it in vain.
-func (p *purse) refusal(now time.Duration, tokens int64, asked bool) error {
-	unspent := p.prepaid - p.account.Spent()
-	if asked && now-p.seenAt < freshView && tokens > unspent {
-		return fmt.Errorf("%w: %d of %d tokens are left, %d are asked for", ErrExhausted, max(0, unspent), p.prepaid, tokens)
+// waiting.
+func (p *purse) refusal(now, start time.Duration, tokens int64) error {
+	pos := p.position()
+	left := pos.prepaid - pos.settled - pos.used - pos.others.spent
+	if p.seen && now-p.seenAt <= freshView && tokens > left {
+		return fmt.Errorf("%w: %d of %d tokens are left, %d are asked for", ErrExhausted, max(0, left), pos.prepaid, tokens)
 	}
-	if p.leaving {
+	switch {
+	case p.keeper.leaving:
 		return &UnreachableError{Why: "the host is leaving", RetryAfter: afterSlowTable}
-	}
-	if !p.reachable {
-		if wait, ok := p.ledger.available(now, tokens); ok {
+	case !p.reachable || !p.keeper.reporter.reachable:
+		if wait, ok := p.ledger.available(now, p.keeper.reports, tokens); ok {
 			return &UnreachableError{Why: "the table does not answer, the ceiling will rise", RetryAfter: wait}
 		}
-		return &UnreachableError{Why: "the table does not answer and the holding is used up", RetryAfter: afterShare}
-	}
-	if asked {
-		return &UnreachableError{Why: "other hosts hold the rest", RetryAfter: afterShare}
+		return &UnreachableError{Why: "the table does not answer and the share is used up", RetryAfter: afterShare}
+	case p.vainAt >= start && p.vainNeed >= tokens:
+		why := fmt.Sprintf("other hosts hold %d of %d unspent tokens, %d are free, this host has %d of %d", pos.others.amount-pos.others.spent, pos.unspent(), pos.free(), pos.amount-pos.used, pos.amount)
+		return &UnreachableError{Why: why, RetryAfter: afterShare}
 	}
 	return nil
 }
 
 func (p *purse) settle(r *Reservation, spent int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ledger.settle(p.options.Clock(), r.epoch, r.tokens, spent)
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	p.ledger.settle(p.now(), r.epoch, r.tokens, spent)
 }
 
-// run reports to the table until everything was given back or ctx ends.
+// run changes the share as needed until everything was given back or ctx ends.
 func (p *purse) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !p.seen {
-			if err := p.read(ctx); err != nil {
-				p.fail(err)
-				pause(ctx, firstResend)
-				continue
-			}
+		if left := p.step(ctx); left {
+			close(p.left)
+			return
 		}
-		if p.due() {
-			if done := p.report(ctx); done {
-				close(p.left)
-				return
-			}
-		}
-		timer := time.NewTimer(p.untilDue())
+		timer := time.NewTimer(p.untilReview())
 		select {
 		case <-p.wake:
 		case <-timer.C:
@@ -191,218 +212,255 @@
 	}
 }
 
-// due reports whether a report is needed now.
-func (p *purse) due() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.leaving {
-		return p.ledger.reserved == 0
+func (p *purse) untilReview() time.Duration {
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	if p.collided || !p.seen || p.keeper.leaving {
+		return minGap / 4
+	}
+	return reviewInterval
+}
+
+func (p *purse) untilGap() time.Duration {
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	gap := minGap
+	if p.collided {
+		gap = rand.N(minGap) // hosts that collided do not meet again
 	}
-	now := p.options.Clock()
-	used := p.ledger.used()
+	return p.triedAt + gap - p.now()
+}
+
+// step reads or changes the account if needed. It returns true once everything
+// was given back.
+func (p *purse) step(ctx context.Context) (left bool) {
+	change, read := p.decide()
 	switch {
-	case p.prepaid == 0:
+	case read:
+		p.read(ctx)
+		change, _ = p.decide()
+	case change == nil:
+		return p.hasLeft()
+	}
+	if change == nil {
+		return p.hasLeft()
+	}
+	return p.submit(ctx, *change)
+}
+
+// change is a new state of the account row.
+type change struct {
+	account Account
+	version uint64 // that the row must have
+	share   Share  // of this process; Amount 0: closed
+	held    bool   // the account has the share
+}
+
+// decide plans the next change of the account, if one is needed, or whether the
+// account must be read first.
+func (p *purse) decide() (next *change, read bool) {
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	if !p.seen {
+		return nil, true
+	}
+	if p.keeper.leaving && p.ledger.reserved > 0 {
+		return nil, false
+	}
+	account, closed := p.closeEnded()
+	pos := p.position()
+	pos.settled, pos.others = account.Settled, p.othersWithout(pos.others, account)
+	share := p.share()
+	amount := pos.nextAmount()
+	if p.keeper.leaving {
+		amount = 0
+	}
+	_, held := account.Shares[share.key()]
+	if amount == p.ledger.amount && !closed && (held || amount == 0) && !(p.keeper.leaving && held) {
+		return nil, p.needUnmet(pos)
+	}
+	share.Amount = amount
+	if p.keeper.leaving {
+		account.close(share.key(), p.ledger.used())
+	} else {
+		account.Shares[share.key()] = share
+	}
+	p.ledger.offered = &share.Amount
+	return &change{account: account, version: p.version, share: share, held: !p.keeper.leaving}, false
+}
+
+// needUnmet handles a reservation that waits although no change helps. It
+// returns true if the account must be read, as another host may have given back.
+func (p *purse) needUnmet(pos position) (read bool) {
+	if p.need == 0 || pos.amount-pos.used >= p.need {
 		return false
-	case p.need > 0 || p.undecided || p.ledger.acked.sentAt == 0:
-		return true
-	case p.isNearCeiling():
-		return true
-	case used != p.reported && now-p.reportAt >= reportInterval:
+	}
+	if p.now()-p.seenAt > freshView {
 		return true
 	}
-	return now-p.reportAt >= idleInterval
+	p.vainAt, p.vainNeed, p.need = p.now(), p.need, 0
+	p.keeper.wake()
+	p.keeper.reporter.kick()
+	return false
 }
 
-func (p *purse) untilDue() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	interval := idleInterval
-	if p.ledger.used() != p.reported || p.ledger.reserved > 0 {
-		interval = reportInterval
+// closeEnded returns the account without the shares of processes that have
+// ended, and whether there were any.
+func (p *purse) closeEnded() (Account, bool) {
+	account := p.account.clone()
+	closed := false
+	for key, s := range p.account.Shares {
+		if process, ended := p.keeper.ended[s.Incarnation]; ended {
+			account.close(key, process.maxSpent(p.ledger.customer, s))
+			closed = true
+		}
 	}
-	if p.leaving || p.undecided {
-		interval = minGap
+	return account, closed
+}
+
+// logClosed says what became of the shares of ended processes.
+func (p *purse) logClosed(before, after Account) {
+	for key, s := range before.Shares {
+		process, ended := p.keeper.ended[s.Incarnation]
+		if _, open := after.Shares[key]; open || !ended {
+			continue
+		}
+		p.keeper.options.Log.Info().Str("customer", p.ledger.customer).Str("holder", s.Host).Int64("held", s.Amount).
+			Int64("reported_spent", process.report.Customers[p.ledger.customer].Spent).
+			Int64("counted_as_spent", process.maxSpent(p.ledger.customer, s)).Dur("report_age", process.report.age(process.by)).
+			Msg("Share of an ended process is closed.")
 	}
-	return max(minGap/4, p.reportAt+interval-p.options.Clock())
 }
 
-func (p *purse) untilGap() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	gap := minGap
-	if p.undecided {
-		gap = rand.N(minGap) // hosts that collided do not meet again
+// othersWithout corrects what other shares hold by those that are closed.
+func (p *purse) othersWithout(o others, account Account) others {
+	for key, s := range p.account.Shares {
+		if _, open := account.Shares[key]; open {
+			continue
+		}
+		o.amount -= s.Amount
+		if u, named := p.keeper.peers[s.Incarnation].Customers[p.ledger.customer]; named && u.Epoch == s.Epoch {
+			o.spent -= u.Spent
+			o.usual -= float64(u.Usual)
+		} else {
+			o.unknown -= s.Amount
+		}
 	}
-	return p.reportAt + gap - p.options.Clock()
+	return o
+}
+
+func (p *purse) hasLeft() bool {
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	return p.keeper.leaving && p.ledger.reserved == 0
 }
 
 // read takes over the account row.
-func (p *purse) read(ctx context.Context) error {
+func (p *purse) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := p.options.Rows.Range(ctx, p.options.Table, p.customer, "")
+	sentAt := p.now()
+	page, err := p.keeper.options.Rows.Range(ctx, p.keeper.options.AccountTable, p.ledger.customer, "")
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	p.triedAt = p.now()
 	if err != nil {
-		return err
+		p.fail(err)
+		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.setClock(page.Now)
+	p.keeper.setClock(page.Now, sentAt)
+	var value []byte
+	var version uint64
 	for _, row := range page.Rows {
 		if row.Key == accountKey {
-			return p.take(row.Value, row.Version)
+			value, version = row.Value, row.Version
 		}
 	}
-	return p.take(nil, 0)
+	p.take(value, version)
+	p.answered()
 }
 
-// take sets the account as seen now.
-func (p *purse) take(value []byte, version uint64) error {
+// take sets the account as seen now. A row that cannot be read leaves it as it was.
+func (p *purse) take(value []byte, version uint64) {
 	account, err := decodeAccount(value)
 	if err != nil {
-		return fmt.Errorf("customer %s: %w", p.customer, err)
+		p.keeper.options.Log.Error().Err(err).Str("customer", p.ledger.customer).Msg("Account row unreadable. The share stays as it was.")
+		return
 	}
 	p.account, p.version = account, version
-	p.seen, p.seenAt = true, p.options.Clock()
-	return nil
-}
-
-func (p *purse) setClock(storeNow time.Duration) {
-	p.storeNow, p.clockAt = storeNow, p.options.Clock()
+	p.seen, p.seenAt = true, p.now()
+	if own, held := account.Shares[p.share().key()]; held {
+		p.ledger.amount = own.Amount
+	} else if p.ledger.amount > 0 {
+		p.keeper.options.Log.Warn().Str("customer", p.ledger.customer).Int64("held", p.ledger.amount).Int64("used", p.ledger.used()).Msg("Share was closed by another host.")
+		p.ledger.lose()
+	}
 }
 
-// report writes the next report and resends it until it is decided. It returns
-// true once everything was given back.
-func (p *purse) report(ctx context.Context) (left bool) {
-	next, holding, version := p.prepare()
+// submit writes a change and resends it until it is decided. It returns true
+// once everything was given back.
+func (p *purse) submit(ctx context.Context, c change) (left bool) {
+	unknown := false
 	resend := firstResend
 	for ctx.Err() == nil {
-		outcome, err := p.transact(ctx, next, version)
+		sentAt := p.now()
+		outcome, err := p.transact(ctx, c)
 		if err == nil {
-			return p.decide(outcome, next, holding)
+			return p.decided(outcome, c, sentAt)
 		}
-		if p.refused(err) {
-			pause(ctx, resend)
-			return false
+		unknown = unknown || !errors.Is(err, storage.ErrNotApplied)
+		p.keeper.mu.Lock()
+		p.triedAt = p.now()
+		p.fail(err)
+		if !unknown {
+			p.ledger.offered = nil
 		}
+		p.keeper.mu.Unlock()
 		pause(ctx, resend)
+		if !unknown {
+			return false
+		}
 		resend = min(2*resend, maxResend)
 	}
 	return false
 }
 
-// prepare plans the next report and restricts the ledger to it.
-func (p *purse) prepare() (next Account, holding Holding, version uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.options.Clock()
-	p.reports++
-	next = plan(p.account, position{
-		host:        p.options.Host,
-		incarnation: p.incarnation(),
-		report:      p.reports,
-		amount:      p.ledger.amount,
-		used:        p.ledger.used(),
-		demand:      p.ledger.meter.rate(now),
-		usual:       p.ledger.meter.usual,
-		peak:        int64(p.ledger.meter.peak),
-		need:        p.need,
-		prepaid:     p.prepaid,
-		hosts:       p.options.Hosts(),
-		storeNow:    p.storeNow + now - p.clockAt,
-		leaving:     p.leaving,
-	})
-	holding = next.Holdings[p.options.Host]
-	p.ledger.pending = &sentReport{holding: holding, sentAt: now}
-	p.reportAt, p.reported, p.need, p.undecided = now, p.ledger.used(), 0, true
-	return next, holding, p.version
-}
-
-// incarnation names this process and the epoch of its ledger.
-func (p *purse) incarnation() string {
-	return p.options.Incarnation + "." + strconv.Itoa(p.ledger.epoch)
-}
-
-func (p *purse) transact(ctx context.Context, next Account, version uint64) (storage.RowOutcome, error) {
+func (p *purse) transact(ctx context.Context, c change) (storage.RowOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := storage.RowKey{Table: p.options.Table, Part: p.customer, Key: accountKey}
-	return p.options.Rows.Transact(ctx, storage.RowTxn{
-		Preconditions: []storage.Precondition{{RowKey: key, Version: version}},
-		Puts:          []storage.PartRow{{RowKey: key, Value: next.encode()}},
+	key := storage.RowKey{Table: p.keeper.options.AccountTable, Part: p.ledger.customer, Key: accountKey}
+	return p.keeper.options.Rows.Transact(ctx, storage.RowTxn{
+		Preconditions: []storage.Precondition{{RowKey: key, Version: c.version}},
+		Puts:          []storage.PartRow{{RowKey: key, Value: c.account.encode()}},
 	})
 }
 
-// refused handles a failed call and reports whether the report is certainly not
-// in the table. Once an outcome was unknown it stays so until the row is seen.
-func (p *purse) refused(err error) bool {
-	p.fail(err)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !errors.Is(err, storage.ErrNotApplied) {
-		p.ledger.pending.unknown = true
-	}
-	if p.ledger.pending.unknown {
-		return false
-	}
-	p.ledger.pending = nil
-	return true
-}
-
-// fail wakes the reservations that wait: they are refused at once while the
-// table does not answer.
-func (p *purse) fail(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.reachable {
-		p.options.Log.Warn().Err(err).Str("customer", p.customer).Int64("held", p.ledger.amount).Int64("used", p.ledger.used()).Msg("Account not reported.")
-	}
-	p.reachable = false
-	p.wakeWaiters()
-}
-
-func (p *purse) wakeWaiters() {
-	close(p.decided)
-	p.decided = make(chan struct{})
-}
-
-// decide takes over the outcome of a report.
-func (p *purse) decide(outcome storage.RowOutcome, next Account, holding Holding) (left bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	defer p.wakeWaiters()
-	if !p.reachable {
-		p.options.Log.Info().Str("customer", p.customer).Msg("Account reported again.")
-	}
-	p.reachable = true
-	p.setClock(outcome.Now)
+// decided takes over the outcome of a change.
+func (p *purse) decided(outcome storage.RowOutcome, c change, sentAt time.Duration) (left bool) {
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	p.triedAt = p.now()
+	p.keeper.setClock(outcome.Now, sentAt)
+	p.ledger.offered = nil
+	p.collided = !outcome.Applied
 	if outcome.Applied {
-		before := p.account
-		p.account, p.version = next, outcome.Version
-		p.seenAt = p.options.Clock()
-		p.applied++
-		p.undecided = false
-		p.logClosed(before, next)
-		p.ledger.confirm(*p.ledger.pending)
-		return p.leaving && holding.Incarnation == ""
+		p.logClosed(p.account, c.account)
+		p.account, p.version, p.seenAt = c.account, outcome.Version, p.now()
+		p.ledger.amount = c.share.Amount
+	} else {
+		p.conflict(outcome.Current, c)
 	}
-	return p.conflict(outcome.Current, holding)
-}
-
-// logClosed says what became of the holdings of processes that have ended.
-func (p *purse) logClosed(before, after Account) {
-	counted := after.Settled - before.Settled
-	for host, h := range before.Holdings {
-		if now, held := after.Holdings[host]; held && now.Incarnation == h.Incarnation || p.leaving {
-			continue
-		}
-		p.options.Log.Info().Str("customer", p.customer).Str("holder", host).Int64("held", h.Amount).Int64("reported_spent", h.Spent).
-			Int64("ceiling", h.Ceiling).Int64("counted_as_spent", counted).Dur("report_age", h.age(p.storeNow)).Msg("Holding of an ended process closed.")
+	p.answered()
+	if c.held {
+		return false
 	}
+	_, still := p.account.Shares[c.share.key()]
+	return !still
 }
 
-// conflict takes over the row that another host has written. An earlier
-// submission of the report may be in it.
-func (p *purse) conflict(current []storage.PartRow, holding Holding) (left bool) {
+// conflict takes over the row that another host, or an earlier submission of
+// the change, has written.
+func (p *purse) conflict(current []storage.PartRow, c change) {
 	var value []byte
 	var version uint64
 	for _, row := range current {
@@ -410,43 +468,47 @@
 			value, version = row.Value, row.Version
 		}
 	}
-	if err := p.take(value, version); err != nil {
-		p.options.Log.Error().Err(err).Msg("Account row unreadable. Holding stays as it was.")
-		p.ledger.pending = nil
-		return false
+	if !c.held {
+		p.ledger.amount = 0 // the share may be closed already
+		if account, err := decodeAccount(value); err == nil {
+			p.ledger.amount = account.Shares[c.share.key()].Amount
+		}
 	}
-	own, held := p.account.Holdings[p.options.Host]
-	mine := held && own.Incarnation == p.incarnation()
-	switch {
-	case mine && own.Report == holding.Report:
-		p.applied++
-		p.undecided = false
-		p.ledger.confirm(*p.ledger.pending)
-	case mine:
-		p.ledger.pending = nil
-	case holding.Incarnation == "" && !held:
-		return true // the account was given back by the submission before
-	case p.ledger.acked.holding.Incarnation != "":
-		p.options.Log.Warn().Str("customer", p.customer).Int64("held", p.ledger.amount).Int64("used", p.ledger.used()).Msg("Holding was taken back by another host.")
-		p.ledger.lose()
-	default:
-		p.ledger.pending = nil
+	p.take(value, version)
+}
+
+// answered notes that the table answers for this account.
+func (p *purse) answered() {
+	if !p.reachable {
+		p.keeper.options.Log.Info().Str("customer", p.ledger.customer).Msg("Account answers again.")
 	}
-	p.kick()
-	return false
+	p.reachable = true
+	p.keeper.wake()
+}
+
+// fail wakes the reservations that wait: they are refused at once while the
+// table does not answer.
+func (p *purse) fail(err error) {
+	if p.reachable {
+		p.keeper.options.Log.Warn().Err(err).Str("customer", p.ledger.customer).Int64("held", p.ledger.amount).Int64("used", p.ledger.used()).Msg("Account does not answer.")
+	}
+	p.reachable = false
+	p.keeper.wake()
 }
 
 func (p *purse) status() Status {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.options.Clock()
-	return Status{
-		Customer: p.customer, Prepaid: p.prepaid, Held: p.ledger.amount,
-		Spent: p.ledger.spent, Reserved: p.ledger.reserved, Limit: p.ledger.limit(now),
-		Allotted: p.account.Allotted(), Demand: int64(p.ledger.meter.rate(now)),
-		Holders: len(p.account.Holdings), ReportAge: now - p.ledger.acked.sentAt,
-		Unknown: p.ledger.pending != nil,
+	now := p.now()
+	s := Status{
+		Customer: p.ledger.customer, Prepaid: p.prepaid, Held: p.ledger.amount,
+		Spent: p.ledger.spent, Reserved: p.ledger.reserved, Limit: p.ledger.limit(now, p.keeper.reports),
+		Settled: p.account.Settled, Allotted: p.account.Allotted(), Shares: len(p.account.Shares),
+		Demand: int64(p.ledger.meter.rate(now)), Reachable: p.reachable,
+		Unknown: p.ledger.offered != nil || p.keeper.reports.pending != nil,
+	}
+	if acked := p.keeper.reports.acked; acked != nil {
+		s.ReportAge = now - acked.sentAt
 	}
+	return s
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/pkg/escrow/reservation.go
+++ b/pkg/escrow/reservation.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// Reservation is a part of a holding that one request may spend. The zero value
+// Reservation is a part of a share that one request may spend. The zero value
 // is a reservation without a budget.
 type Reservation struct {
 	purse  *purse
--- a/pkg/escrow/status.go
+++ b/pkg/escrow/status.go
@@ -9,10 +9,12 @@
 	Held      int64         `json:"held"`      // by this host
 	Spent     int64         `json:"spent"`     // of Held
 	Reserved  int64         `json:"reserved"`  // of Held, by open requests
-	Limit     int64         `json:"limit"`     // may be spent now
+	Limit     int64         `json:"limit"`     // of spent and reserved tokens now
+	Settled   int64         `json:"settled"`   // spent from closed shares, as last seen
 	Allotted  int64         `json:"allotted"`  // spent or held by any host, as last seen
+	Shares    int           `json:"shares"`    // of all hosts
 	Demand    int64         `json:"demand"`    // tokens per second
-	Holders   int           `json:"holders"`   // hosts with a holding
 	ReportAge time.Duration `json:"report_ns"` // since the last report that the table has taken
-	Unknown   bool          `json:"unknown"`   // the outcome of a report is unknown
+	Reachable bool          `json:"reachable"` // the account answers
+	Unknown   bool          `json:"unknown"`   // the outcome of a transaction is unknown
 }
