Keep long prompts apart from short ones in lanes that every host computes alike

Change: requests of 5,000 prompt tokens and more have targets of their own, in an order that all hosts share; the split follows the measured work in steps.

--- a/pkg/balance/attempt.go
+++ b/pkg/balance/attempt.go
@@ -5,6 +5,8 @@
 // Attempt is one request at one target, from the choice to its end.
 type Attempt struct {
 	Target   Target
+	Load     float64 // of the target when it was chosen
+	Rank     int     // of the target in the order of the request's prompt part; 0: the first
 	set      *Set
 	state    *state
 	prompt   int64
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -28,33 +28,57 @@
 func (s *Set) Pick(r Request) (*Attempt, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(r.Excluded) == 0 {
+		s.lane(r.Service).observe(r)
+	}
 	candidates := s.candidates(r)
 	if len(candidates) == 0 {
 		return nil, ErrNoTarget
 	}
-	chosen := choose(candidates, r)
-	return s.start(chosen, r), nil
+	chosen, rank := choose(candidates, r)
+	a := s.start(chosen, r)
+	a.Load, a.Rank = chosen.load, rank
+	return a, nil
 }
 
 // candidate is an available target with its load for one request.
 type candidate struct {
 	*state
-	load float64
-	rank uint64 // rendezvous hash with the request's shared prompt part; random without one
+	requests float64 // estimated, of all hosts
+	load     float64 // requests and prompts, weighted by how slow the target is
+	rank     uint64  // rendezvous hash with the request's shared prompt part; random without one
 }
 
+// candidates returns the targets that may get the request: those of its lane,
+// all of them if the lane has no room, and those in quarantine if there is no
+// other.
 func (s *Set) candidates(r Request) []candidate {
-	var all []candidate
-	for _, t := range s.services[r.Service] {
-		if t.available(r.Now) && !slices.Contains(r.Excluded, t.ID) {
-			all = append(all, s.candidate(t, r))
-		}
+	targets := s.services[r.Service]
+	lane := s.lane(r.Service).divide(targets, r)
+	all := s.filter(lane, r, (*state).available)
+	if len(all) == 0 || (isFull(all) && r.PromptTokens < longPrompt) {
+		all = s.filter(targets, r, (*state).available)
 	}
-	if len(all) > 0 {
-		return all
+	if len(all) == 0 {
+		all = s.filter(targets, r, (*state).reachable)
+	}
+	return all
+}
+
+// lane returns the lanes of a service.
+func (s *Set) lane(service string) *lanes {
+	l := s.lanes[service]
+	if l == nil {
+		l = newLanes()
+		s.lanes[service] = l
 	}
-	for _, t := range s.services[r.Service] {
-		if t.reachable(r.Now) && !slices.Contains(r.Excluded, t.ID) {
+	return l
+}
+
+func (s *Set) filter(targets []*state, r Request, fits func(*state, time.Time) bool) []candidate {
+	all := make([]candidate, 0, len(targets))
+	for _, t := range targets {
+		if fits(t, r.Now) && !slices.Contains(r.Excluded, t.ID) {
 			all = append(all, s.candidate(t, r))
 		}
 	}
@@ -62,8 +86,9 @@
 }
 
 func (s *Set) candidate(t *state, r Request) candidate {
-	load := t.load(r.Now, s.hosts) + float64(t.pendingPrompt)/promptWeight
-	c := candidate{state: t, load: (load + 1) * t.slowness(r.Now), rank: rand.Uint64()}
+	requests := t.load(r.Now, s.hosts)
+	load := requests + float64(t.pendingPrompt)/promptWeight
+	c := candidate{state: t, requests: requests, load: (load + 1) * t.slowness(r.Now), rank: rand.Uint64()}
 	if key := sharedPart(r.Parts); key != "" {
 		c.rank = rendezvous(key, t.ID)
 	}
@@ -80,9 +105,9 @@
 
 // choose takes the first target in the order of the shared part's hash whose
 // load is within the bound, or the least loaded one if there is no shared part.
-func choose(all []candidate, r Request) candidate {
+func choose(all []candidate, r Request) (c candidate, rank int) {
 	if sharedPart(r.Parts) == "" {
-		return least(all)
+		return least(all), 0
 	}
 	mean := 0.0
 	for _, c := range all {
@@ -95,12 +120,12 @@
 		}
 		return 1
 	})
-	for _, c := range all {
+	for i, c := range all {
 		if c.load <= mean*affinityBound+affinitySlack {
-			return c
+			return c, i
 		}
 	}
-	return least(all)
+	return least(all), len(all)
 }
 
 func least(all []candidate) candidate {
--- a/pkg/balance/set.go
+++ b/pkg/balance/set.go
@@ -10,12 +10,13 @@
 	mu       sync.Mutex
 	byID     map[string]*state
 	services map[string][]*state
+	lanes    map[string]*lanes // by service
 	hosts    int
 }
 
 // NewSet returns a set without targets.
 func NewSet() *Set {
-	return &Set{byID: make(map[string]*state), services: make(map[string][]*state), hosts: 1}
+	return &Set{byID: make(map[string]*state), services: make(map[string][]*state), lanes: make(map[string]*lanes), hosts: 1}
 }
 
 // Apply replaces the registered targets. What is known of a target stays as
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -23,6 +23,7 @@
 // state is what this host knows of a target from its own requests.
 type state struct {
 	Target
+	laneRank      uint64
 	inFlight      int   // own open requests
 	pendingPrompt int64 // prompt tokens of own requests without a first byte
 	waiting       map[*Attempt]struct{}
@@ -41,7 +42,7 @@
 }
 
 func newState(t Target) *state {
-	return &state{Target: t, pace: 1, waiting: make(map[*Attempt]struct{})}
+	return &state{Target: t, laneRank: rendezvous(laneKey, t.ID), pace: 1, waiting: make(map[*Attempt]struct{})}
 }
 
 // load estimates the requests at the target. hosts is how many hosts send to it.
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -78,12 +78,16 @@
 	}
 }
 
+// finished counts an answer that was passed on to its end.
 func (c *call) finished(status int) {
 	total := time.Since(c.arrived)
-	c.h.Observer.Answered(c.service.Name, status, total, total)
-	if c.attempts > 1 || status >= http.StatusInternalServerError {
-		c.h.Log.Info().Str("request", c.id).Str("route", c.route.Name).Strs("targets", c.trail).Int("status", status).Dur("after", total).Msg("Request answered.")
+	if c.firstByte == 0 {
+		c.firstByte = total
 	}
+	c.h.Observer.Answered(c.service.Name, status, c.firstByte, total)
+	c.h.Log.Info().Str("request", c.id).Str("route", c.route.Name).Strs("targets", c.trail).Int("status", status).
+		Int64("prompt", c.cost.Prompt).Int64("events", c.events).Float64("load", c.load).Int("rank", c.rank).
+		Dur("sent", c.sent.Sub(c.arrived)).Dur("first_byte", c.firstByte).Dur("pause", c.longestPause).Dur("total", total).Msg("Request answered.")
 }
 
 // end answers a request that no target has answered. If a part of an answer is
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -39,11 +39,12 @@
 		if err != nil {
 			return c.settleFor(passed, NoTarget)
 		}
+		c.trail = append(c.trail, attempt.Target.ID)
 		s := c.try(attempt)
-		c.trail = append(c.trail, attempt.Target.ID+":"+string(s.reason))
 		if s.done {
 			return nil
 		}
+		c.trail[len(c.trail)-1] += ":" + string(s.reason)
 		if s.reason == TargetUnreached || s.reason == ConnectionLimit {
 			unsent++
 		}
@@ -118,13 +119,14 @@
 // try sends the request to one target.
 func (c *call) try(a *balance.Attempt) step {
 	c.excluded = append(c.excluded, a.Target.ID)
+	c.sent, c.load, c.rank = time.Now(), a.Load, a.Rank
 	response, err := c.h.Client.Send(c.ctx, a.Target.Addr, c.request(a), c.connectionShare())
 	if err != nil {
 		return c.sendFailed(a, err)
 	}
 	defer response.Close()
 	c.attempts++
-	load := c.load(response)
+	load := c.reportedLoad(response)
 	a.Answered(time.Now(), load)
 	return c.answered(a, response)
 }
@@ -137,7 +139,7 @@
 	return max(1, c.service.MaxConnections/c.h.Targets.Hosts())
 }
 
-func (c *call) load(response *upstream.Response) *balance.Load {
+func (c *call) reportedLoad(response *upstream.Response) *balance.Load {
 	value := response.Header.Get(c.h.Dialect.Load)
 	if value == "" {
 		return nil
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -31,14 +31,21 @@
 	parts       []balance.Part
 	reservation *escrow.Reservation
 
-	attempts  int           // sent to a target
-	ran       int           // attempts that may have run
-	excluded  []string      // ids of targets that were tried
-	events    int64         // passed on to the caller
-	lastEvent string        // id of the last event passed on
-	started   bool          // the head of the answer is out
-	firstByte time.Duration // until the head was out
-	trail     []string      // targets and outcomes, for the log
+	attempts  int      // sent to a target
+	ran       int      // attempts that may have run
+	excluded  []string // ids of targets that were tried
+	events    int64    // passed on to the caller
+	lastEvent string   // id of the last event passed on
+	started   bool     // the head of the answer is out
+
+	// For the log:
+	sent         time.Time     // to the last target
+	load         float64       // of the last target when it was chosen
+	rank         int           // of the last target among those of the request's prompt part
+	firstByte    time.Duration // until the head was out
+	lastEventAt  time.Time
+	longestPause time.Duration // between events
+	trail        []string      // targets and outcomes, for the log
 }
 
 // path returns the path as it stands in the request line.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -47,6 +47,11 @@
 		return nil
 	}
 	c.startStream(response)
+	now := time.Now()
+	if c.events > 0 {
+		c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
 	for _, e := range events {
 		if c.lastEvent != "" && !after(e.id, c.lastEvent) {
 			continue
@@ -81,7 +86,7 @@
 		if rest := splitter.rest(); len(rest) > 0 {
 			_, _ = c.w.Write(rest) // the caller sees a short body if it has left
 		}
-		c.streamDone(response.Status)
+		c.finished(response.Status)
 		return step{done: true}
 	}
 	if c.ctx.Err() != nil {
@@ -92,7 +97,3 @@
 	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Err(err).Msg("Stream broken off.")
 	return step{reason: AnswerBroken, ran: true}
 }
-
-func (c *call) streamDone(status int) {
-	c.h.Observer.Answered(c.service.Name, status, c.firstByte, time.Since(c.arrived))
-}
