Let budget ceilings follow the demand at a host and the time that a budget lasts

Change: 0.1 to 0.3 by how long the budget lasts; a reservation waits up to a second for a ceiling that rises while the table does not answer.

--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -26,10 +26,15 @@
 	// peaks is how many of the largest recent requests a ceiling and a share allow
 	// for beside the mean demand.
 	peaks = 2
-	// strandable is the part of the unspent budget by which the ceilings of all
-	// hosts together may lie above what is spent: it is lost if all processes are
-	// killed.
-	strandable = 0.12
+	// The ceilings of all hosts together lie above what is spent by at most a part
+	// of the unspent budget, which is lost if all processes are killed: leastStrand
+	// of it, and more up to mostStrand if the budget will last for strandTerm.
+	leastStrand = 0.1
+	mostStrand  = 0.3
+	strandTerm  = 30 * time.Second
+	// evenCeiling is the part of it that all hosts have evenly; the rest follows
+	// the demand.
+	evenCeiling = 0.3
 	// burst is the multiple of the measured demand that a host may spend when it
 	// is cut off.
 	burst = 3
@@ -74,18 +79,22 @@
 
 func (p position) anyPeak() int64 { return max(p.peak, p.others.peak) }
 
+// demandShare returns this host's part of the usual demand.
+func (p position) demandShare() float64 {
+	if total := p.usual + p.others.usual; total > 0 {
+		return p.usual / total
+	}
+	return p.even()
+}
+
 // target returns the unspent tokens that the host should hold.
 func (p position) target() int64 {
 	term := cover
 	if p.others.lack {
 		term = scarceCover
 	}
-	byDemand := p.even()
-	if total := p.usual + p.others.usual; total > 0 {
-		byDemand = p.usual / total
-	}
 	unspent := float64(p.unspent())
-	share := int64(unspent * (standby*p.even() + (spendable-standby)*byDemand))
+	share := int64(unspent * (standby*p.even() + (spendable-standby)*p.demandShare()))
 	covered := int64(p.demand*term.Seconds()) + peaks*p.anyPeak()
 	return max(min(covered, share), int64(standby*p.even()*unspent), p.need)
 }
@@ -103,10 +112,21 @@
 	return p.amount
 }
 
+// strandable returns the part of the unspent budget that may be lost.
+func (p position) strandable() float64 {
+	demand := p.usual + p.others.usual
+	if demand <= 0 {
+		return mostStrand
+	}
+	lasts := float64(p.unspent()) / demand / strandTerm.Seconds()
+	return max(leastStrand, min(mostStrand, mostStrand*lasts))
+}
+
 // usage returns the customer's entry in the next report.
 func (p position) usage(epoch int) Usage {
 	wanted := int64(p.demand*sliceTerm.Seconds()) + peaks*p.anyPeak()
-	allowed := int64(strandable * p.even() * float64(p.unspent()))
+	part := evenCeiling*p.even() + (1-evenCeiling)*p.demandShare()
+	allowed := int64(p.strandable() * part * float64(p.unspent()))
 	slice := max(min(wanted, allowed), int64(p.demand*leastSlice.Seconds()), p.need, p.prepaid/minShares)
 	return Usage{
 		Epoch:   epoch,
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -129,6 +129,12 @@
 			k.mu.Unlock()
 			return r, nil
 		}
+		if wait, ok := p.ceilingWait(ctx, now, start, tokens); ok {
+			k.mu.Unlock()
+			pause(ctx, wait)
+			k.mu.Lock()
+			continue
+		}
 		if err := p.refusal(now, start, tokens); err != nil {
 			k.mu.Unlock()
 			return nil, err
@@ -155,6 +161,27 @@
 	afterShare     = time.Second // other hosts have reported and given back by then
 )
 
+// maxCeilingWait is the longest time that a reservation waits for its host's
+// ceiling to rise while the table does not answer.
+const maxCeilingWait = time.Second
+
+// ceilingWait returns how long to wait for the ceiling if that takes no large
+// part of the request's time. The wait ends with the tokens in hand, so that the
+// caller need not come back for them.
+func (p *purse) ceilingWait(ctx context.Context, now, start time.Duration, tokens int64) (time.Duration, bool) {
+	if p.keeper.leaving || (p.reachable && p.keeper.reporter.reachable) || ctx.Err() != nil {
+		return 0, false
+	}
+	wait, ok := p.ledger.available(now, p.keeper.reports, tokens)
+	if !ok || now-start+wait > maxCeilingWait {
+		return 0, false
+	}
+	if deadline, bounded := ctx.Deadline(); bounded && time.Until(deadline) < 3*wait {
+		return 0, false
+	}
+	return max(wait, availableStep), true
+}
+
 // kickAfterReserve asks for more in time.
 func (p *purse) kickAfterReserve() {
 	if p.needsCeiling() {
