Keep ceilings small, and report only once the store's clock is known

Change: ceilings of one second of demand and two usual requests, reports every 400 ms, short term 1.5 s, five times the demand afterwards; the reporter waits for the store's clock first.

--- a/pkg/escrow/meter.go
+++ b/pkg/escrow/meter.go
@@ -12,6 +12,8 @@
 	slowDecay  = 6 * time.Second
 	usualDecay = 20 * time.Second
 	fastWeight = 0.5
+	// typicalWeight is the weight of a reservation in the mean.
+	typicalWeight = 0.05
 )
 
 // meter measures tokens per second.
@@ -19,6 +21,7 @@
 	fast, slow float64
 	usual      float64
 	peak       float64 // largest reservation, decaying
+	typical    float64 // mean reservation
 	at         time.Duration
 }
 
@@ -26,6 +29,10 @@
 func (m *meter) reserved(now time.Duration, tokens int64) {
 	m.decay(now)
 	m.peak = max(m.peak, float64(tokens))
+	if m.typical == 0 {
+		m.typical = float64(tokens)
+	}
+	m.typical += typicalWeight * (float64(tokens) - m.typical)
 }
 
 func (m *meter) add(now time.Duration, tokens int64) {
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -10,7 +10,7 @@
 
 const (
 	// reportInterval is the time between two reports of a host that spends.
-	reportInterval = 700 * time.Millisecond
+	reportInterval = 400 * time.Millisecond
 	// idleInterval is the time between two reports of a host that does not. It
 	// keeps the lease of its shares.
 	idleInterval = 4 * time.Second
--- a/pkg/escrow/peers.go
+++ b/pkg/escrow/peers.go
@@ -30,8 +30,15 @@
 func (k *Keeper) newestVersion(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := k.options.Clock()
 	page, err := k.options.Rows.Range(ctx, k.options.UsageTable, k.options.Host+reportPlaces[0], "")
-	return page.Version, err
+	if err != nil {
+		return 0, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.setClock(page.Now, sentAt)
+	return page.Version, nil
 }
 
 // feedWait is how long a read of the feed waits for a report.
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -18,26 +18,18 @@
 	lowMark  = 0.75
 	highMark = 1.5
 	// minShares divides the prepaid total into the smallest ceilings.
-	minShares = 1000
-	// A ceiling allows for sliceTerm of demand above what is spent, and at least
-	// for leastSlice whatever is left of the budget.
-	sliceTerm  = 3 * time.Second
-	leastSlice = time.Second
-	// peaks is how many of the largest recent requests a ceiling and a share allow
-	// for beside the mean demand.
+	minShares = 2000
+	// peaks is how many of the largest recent requests a share allows for beside
+	// the mean demand.
 	peaks = 2
-	// The ceilings of all hosts together lie above what is spent by at most a part
-	// of the unspent budget, which is lost if all processes are killed: leastStrand
-	// of it, and more up to mostStrand if the budget will last for strandTerm.
-	leastStrand = 0.1
-	mostStrand  = 0.3
-	strandTerm  = 30 * time.Second
-	// evenCeiling is the part of it that all hosts have evenly; the rest follows
-	// the demand.
-	evenCeiling = 0.3
+	// A ceiling allows for sliceTerm of demand above what is spent, and for
+	// sliceRequests of mean size. All of it is lost if the process is killed, so
+	// that it is kept small: a larger request raises it first.
+	sliceTerm     = time.Second
+	sliceRequests = 2
 	// burst is the multiple of the measured demand that a host may spend when it
 	// is cut off.
-	burst = 3
+	burst = 5
 )
 
 // position is what a host knows of one customer's budget.
@@ -49,6 +41,7 @@
 	demand  float64 // of the last seconds, tokens per second
 	usual   float64 // of a longer time
 	peak    int64   // largest recent reservation
+	typical float64 // mean reservation
 	need    int64   // largest reservation that waits; 0: none
 	hosts   int     // as far as known, this one included
 	others  others
@@ -112,22 +105,9 @@
 	return p.amount
 }
 
-// strandable returns the part of the unspent budget that may be lost.
-func (p position) strandable() float64 {
-	demand := p.usual + p.others.usual
-	if demand <= 0 {
-		return mostStrand
-	}
-	lasts := float64(p.unspent()) / demand / strandTerm.Seconds()
-	return max(leastStrand, min(mostStrand, mostStrand*lasts))
-}
-
 // usage returns the customer's entry in the next report.
 func (p position) usage(epoch int) Usage {
-	wanted := int64(p.demand*sliceTerm.Seconds()) + peaks*p.anyPeak()
-	part := evenCeiling*p.even() + (1-evenCeiling)*p.demandShare()
-	allowed := int64(p.strandable() * part * float64(p.unspent()))
-	slice := max(min(wanted, allowed), int64(p.demand*leastSlice.Seconds()), p.need, p.prepaid/minShares)
+	slice := max(int64(p.demand*sliceTerm.Seconds()+sliceRequests*p.typical), p.need, p.prepaid/minShares)
 	return Usage{
 		Epoch:   epoch,
 		Spent:   p.used,
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -35,6 +35,7 @@
 }
 
 func (r *reporter) run(ctx context.Context) {
+	r.learnClock(ctx)
 	for ctx.Err() == nil {
 		if r.due() {
 			r.send(ctx)
@@ -50,6 +51,19 @@
 	}
 }
 
+// learnClock waits for an answer of the store, since a report without a time on
+// its clock would look as old as the store to other hosts.
+func (r *reporter) learnClock(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, err := r.keeper.newestVersion(ctx)
+		if err == nil {
+			return
+		}
+		r.failed(err)
+		pause(ctx, firstResend)
+	}
+}
+
 // due reports whether a report is needed now.
 func (r *reporter) due() bool {
 	k := r.keeper
@@ -114,9 +128,6 @@
 		Host: k.options.Host, Incarnation: k.options.Incarnation, Number: r.number,
 		StampMs: k.estimate().Milliseconds(), Customers: make(map[string]Usage, len(k.purses)),
 	}
-	if k.clockAt == 0 {
-		report.StampMs = 0 // the store's clock is not known before its first answer
-	}
 	for customer, p := range k.purses {
 		if p.seen && p.ledger.amount > 0 {
 			report.Customers[customer] = p.usage()
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -10,7 +10,7 @@
 	// shortTerm is how long after a report a host spends no more than its
 	// ceiling. It outlasts the restart of a process, so that the next one gets
 	// back the rest of the share.
-	shortTerm = 2 * time.Second
+	shortTerm = 1500 * time.Millisecond
 	// leaseTerm is how long after its last report a host may spend at all. It
 	// outlasts a partition of ten seconds.
 	leaseTerm = 15 * time.Second
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -85,8 +85,8 @@
 		c.firstByte = total
 	}
 	c.h.Observer.Answered(c.service.Name, status, c.firstByte, total)
-	c.h.Log.Info().Str("request", c.id).Str("route", c.route.Name).Strs("targets", c.trail).Int("status", status).
-		Int64("prompt", c.cost.Prompt).Int64("events", c.events).Float64("load", c.load).Int("rank", c.rank).
+	c.h.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("customer", c.customerName()).Strs("targets", c.trail).Int("status", status).
+		Int64("cost", c.spent()).Int64("prompt", c.cost.Prompt).Int64("events", c.events).Float64("load", c.load).Int("rank", c.rank).
 		Dur("sent", c.sent.Sub(c.arrived)).Dur("first_byte", c.firstByte).Dur("pause", c.longestPause).Dur("total", total).Msg("Request answered.")
 }
 
@@ -98,7 +98,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.h.Log.Info().Str("request", c.id).Str("route", route).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).
+	c.h.Log.Info().Str("request", c.id).Str("route", route).Str("customer", c.customerName()).Int64("cost", c.spent()).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).
 		Bool("may_have_run", c.ran > 0).Strs("targets", c.trail).Int64("events", c.events).Dur("after", time.Since(c.arrived)).Msg("Request not answered by a target.")
 	if c.started {
 		panic(http.ErrAbortHandler)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -73,6 +73,14 @@
 	return c.route.Priority
 }
 
+// customerName returns the name of the customer, empty without one.
+func (c *call) customerName() string {
+	if c.customer == nil {
+		return ""
+	}
+	return c.customer.Name
+}
+
 // spent returns the tokens that the request has cost so far.
 func (c *call) spent() int64 {
 	if c.ran == 0 {
