Test the escrow of budgets without a network, report spending in time

New tests with a store in memory (pkg/standin/rowstore): hosts that are cut off, killed, refused by a part of the store, replies lost and applied late. Found by them: spending was reported after up to 4 s, since the reporter slept for the idle interval (TestReportsGoToTheOtherPlace, TestNextProcessGetsShareBack: 31,624 of 100,000 tokens lost); reservations were refused at once although the report's second place answered; the demand meter started at zero, so that young hosts underestimated their demand.

--- /dev/null
+++ b/pkg/escrow/keeper_test.go
@@ -0,0 +1,213 @@
+package escrow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// Guards against a budget of which a good part cannot be spent although hosts
+// and store work.
+func TestHostsSpendWholeBudget(t *testing.T) {
+	const prepaid, size = 60_000, 500
+	w := newWorld(t, 3)
+	budget := map[string]int64{"regie": prepaid}
+	nodes := []*node{w.start("a", "a1", budget), w.start("b", "b1", budget), w.start("c", "c1", budget)}
+	spent := int64(0)
+	deadline := time.Now().Add(8 * time.Second)
+	for i := 0; spent < prepaid*97/100 && time.Now().Before(deadline); i++ {
+		spent += nodes[i%len(nodes)].spend(t, "regie", size)
+	}
+	assert.Assert(t, spent >= prepaid*97/100, "%d of %d", spent, prepaid)
+	assert.Assert(t, spent <= prepaid)
+	_, err := nodes[0].Reserve(t.Context(), "regie", prepaid)
+	assert.Assert(t, errors.Is(err, ErrExhausted), "%v", err)
+}
+
+// Guards against a cut that stops service while the host holds a share.
+func TestCutHostSpendsItsShare(t *testing.T) {
+	w := newWorld(t, 2)
+	n := w.start("a", "a1", map[string]int64{"regie": 1_000_000})
+	for range 250 {
+		n.spend(t, "regie", 500)
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.rows.SetFaults(rowstore.Faults{Cut: true})
+	start, served := time.Now(), 0
+	for time.Since(start) < 3*time.Second {
+		if n.spend(t, "regie", 500) > 0 {
+			served++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, served >= 150, "%d", served)
+}
+
+// Guards against a request that waits while nothing can come of it.
+func TestCutHostRefusesAtOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	n := w.start("a", "a1", map[string]int64{"regie": 1_000_000})
+	n.spend(t, "regie", 500)
+	n.rows.SetFaults(rowstore.Faults{Cut: true})
+	w.eventually("outage noticed", func() bool {
+		n.spend(t, "regie", 100)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return !n.reporter.reachable
+	})
+	start := time.Now()
+	_, err := n.Reserve(t.Context(), "regie", 900_000)
+	var unreachable *UnreachableError
+	assert.Assert(t, errors.As(err, &unreachable), "%v", err)
+	assert.Assert(t, unreachable.RetryAfter > 0)
+	assert.Assert(t, time.Since(start) < 100*time.Millisecond)
+}
+
+// Guards against the loss of a share when a process is killed and starts again.
+func TestNextProcessGetsShareBack(t *testing.T) {
+	w := newWorld(t, 1)
+	budget := map[string]int64{"regie": 100_000}
+	first := w.start("a", "a1", budget)
+	spent := int64(0)
+	for range 60 {
+		spent += first.spend(t, "regie", 200)
+		time.Sleep(10 * time.Millisecond)
+	}
+	first.cancel()
+	second := w.start("a", "a2", budget)
+	w.eventually("share of the first process closed", func() bool {
+		_, open := w.account("regie").Shares[Share{Incarnation: "a1"}.key()]
+		return !open
+	})
+	settled := w.account("regie").Settled
+	assert.Assert(t, settled >= spent, "%d < %d", settled, spent)
+	assert.Assert(t, settled <= spent+15_000, "%d of %d lost", settled-spent, 100_000)
+	second.cancel()
+}
+
+// Guards against reports without the store's time: other hosts took a share of a
+// process that had just started for one of a lost host, and closed it.
+func TestFirstReportBearsTheStoresTime(t *testing.T) {
+	w := newWorld(t, 2)
+	time.Sleep(50 * time.Millisecond)
+	n := w.start("a", "a1", map[string]int64{"regie": 100_000})
+	n.cancel()
+	found := false
+	for _, place := range reportPlaces {
+		row := w.store.Get(storage.RowKey{Table: usages, Part: "a" + place, Key: "a1"})
+		if row.Version == 0 {
+			continue
+		}
+		found = true
+		var r UsageReport
+		assert.NilError(t, json.Unmarshal(row.Value, &r))
+		assert.Assert(t, r.StampMs >= 50, "%d", r.StampMs)
+	}
+	assert.Assert(t, found)
+}
+
+// Guards against a share that is lost although its host leaves gracefully.
+func TestLeavingGivesSharesBack(t *testing.T) {
+	w := newWorld(t, 2)
+	n := w.start("a", "a1", map[string]int64{"regie": 100_000, "office": 50_000})
+	spent := n.spend(t, "regie", 700)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	assert.NilError(t, n.Leave(ctx))
+	assert.Equal(t, len(w.account("regie").Shares), 0)
+	assert.Equal(t, w.account("regie").Settled, spent)
+	assert.Equal(t, len(w.account("office").Shares), 0)
+}
+
+// Guards against reports that stop while one part of the store is down.
+func TestReportsGoToTheOtherPlace(t *testing.T) {
+	w := newWorld(t, 1)
+	n := w.start("a", "a1", map[string]int64{"regie": 100_000})
+	n.rows.SetFaults(rowstore.Faults{RefusedPart: "a" + reportPlaces[0]})
+	spent := int64(0)
+	for range 60 {
+		spent += n.spend(t, "regie", 200)
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, spent, int64(12_000))
+	row := w.store.Get(storage.RowKey{Table: usages, Part: "a" + reportPlaces[1], Key: "a1"})
+	assert.Assert(t, row.Version > 0)
+}
+
+// Guards against an account row of another writer that cannot be read.
+func TestUnreadableAccountKeepsShare(t *testing.T) {
+	w := newWorld(t, 1)
+	n := w.start("a", "a1", map[string]int64{"regie": 100_000})
+	assert.Equal(t, n.spend(t, "regie", 500), int64(500))
+	w.store.Put(storage.RowKey{Table: accounts, Part: "regie", Key: accountKey}, []byte("{"))
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, n.spend(t, "regie", 500), int64(500))
+}
+
+// Guards against overspending while hosts are cut off, killed and started again
+// in any order, replies of the store are lost and transactions applied late, and
+// the budget is topped up meanwhile.
+func TestNeverOverspentUnderFaults(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 1))
+	const hosts = 4
+	w := newWorld(t, hosts)
+	prepaid := int64(40_000)
+	var mu sync.Mutex // guards spent
+	spent := int64(0)
+	nodes := make([]*node, hosts)
+	launch := func(i, number int) {
+		nodes[i] = w.start(string(rune('a'+i)), incarnation(number), map[string]int64{"regie": prepaid})
+	}
+	for i := range nodes {
+		launch(i, i)
+	}
+	var callers sync.WaitGroup
+	call := func(n *node) {
+		for range 40 {
+			callers.Go(func() {
+				tokens := n.spend(t, "regie", 150)
+				mu.Lock()
+				spent += tokens
+				mu.Unlock()
+			})
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for step := range 40 {
+		i := random.IntN(hosts)
+		switch random.IntN(6) {
+		case 0:
+			nodes[i].rows.SetFaults(rowstore.Faults{Cut: true})
+		case 1:
+			nodes[i].rows.SetFaults(rowstore.Faults{LoseReplies: true})
+		case 2:
+			nodes[i].rows.SetFaults(rowstore.Faults{LoseReplies: true, ApplyLate: 300 * time.Millisecond})
+		case 3:
+			nodes[i].cancel()
+			callers.Wait() // a killed process has no requests
+			launch(i, 100+step)
+		case 4:
+			prepaid += 1_000
+			for _, n := range nodes {
+				n.SetBudgets(map[string]int64{"regie": prepaid})
+			}
+		default:
+			nodes[i].rows.SetFaults(rowstore.Faults{})
+		}
+		call(nodes[random.IntN(hosts)])
+	}
+	callers.Wait()
+	assert.Assert(t, spent <= prepaid, "spent %d of %d", spent, prepaid)
+	assert.Assert(t, spent >= 10_000, "spent only %d", spent)
+}
--- a/pkg/escrow/meter.go
+++ b/pkg/escrow/meter.go
@@ -12,6 +12,8 @@
 	slowDecay  = 6 * time.Second
 	usualDecay = 20 * time.Second
 	fastWeight = 0.5
+	// minMeterAge keeps the first requests from passing for a high demand.
+	minMeterAge = 2 * time.Second
 	// typicalWeight is the weight of a reservation in the mean.
 	typicalWeight = 0.05
 )
@@ -22,7 +24,7 @@
 	usual      float64
 	peak       float64 // largest reservation, decaying
 	typical    float64 // mean reservation
-	at         time.Duration
+	start, at  time.Duration
 }
 
 // reserved notes the size of a reservation.
@@ -42,12 +44,26 @@
 	m.usual += float64(tokens) / usualDecay.Seconds()
 }
 
+// rate returns the demand of the last seconds.
 func (m *meter) rate(now time.Duration) float64 {
 	m.decay(now)
-	return max(fastWeight*m.fast, m.slow)
+	return max(fastWeight*m.corrected(m.fast, fastDecay), m.corrected(m.slow, slowDecay))
+}
+
+// usualRate returns the demand of a longer time.
+func (m *meter) usualRate() float64 { return m.corrected(m.usual, usualDecay) }
+
+// corrected makes up for the time before the meter started, which an average
+// that decays would count as time without demand.
+func (m *meter) corrected(average float64, decay time.Duration) float64 {
+	age := max(m.at-m.start, minMeterAge)
+	return average / (1 - math.Exp(-age.Seconds()/decay.Seconds()))
 }
 
 func (m *meter) decay(now time.Duration) {
+	if m.at == 0 {
+		m.start, m.at = now, now
+	}
 	passed := (now - m.at).Seconds()
 	if passed <= 0 {
 		return
--- /dev/null
+++ b/pkg/escrow/plan_test.go
@@ -0,0 +1,74 @@
+package escrow
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func drawPosition(t *rapid.T) position {
+	p := position{
+		prepaid: rapid.Int64Range(0, 10_000_000).Draw(t, "prepaid"),
+		demand:  rapid.Float64Range(0, 500_000).Draw(t, "demand"),
+		usual:   rapid.Float64Range(0, 500_000).Draw(t, "usual"),
+		peak:    rapid.Int64Range(0, 70_000).Draw(t, "peak"),
+		need:    rapid.Int64Range(0, 70_000).Draw(t, "need"),
+		hosts:   rapid.IntRange(0, 90).Draw(t, "hosts"),
+	}
+	p.settled = rapid.Int64Range(0, p.prepaid).Draw(t, "settled")
+	p.amount = rapid.Int64Range(0, p.prepaid-p.settled).Draw(t, "amount")
+	p.used = rapid.Int64Range(0, p.amount).Draw(t, "used")
+	p.others.amount = rapid.Int64Range(0, p.prepaid-p.settled-p.amount).Draw(t, "others")
+	p.others.spent = rapid.Int64Range(0, p.others.amount).Draw(t, "others spent")
+	p.others.usual = rapid.Float64Range(0, 500_000).Draw(t, "others usual")
+	p.others.lack = rapid.Bool().Draw(t, "lack")
+	return p
+}
+
+// Guards against a plan that takes more than is free, or gives back what is spent.
+func TestNextAmountStaysWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPosition(t)
+		next := p.nextAmount()
+		assert.Assert(t, next >= p.used)
+		assert.Assert(t, p.settled+p.others.amount+next <= p.prepaid)
+	})
+}
+
+// Guards against a budget whose total was lowered below what is held.
+func TestNextAmountOfLoweredBudget(t *testing.T) {
+	p := position{prepaid: 100, amount: 400, used: 150, hosts: 1}
+	assert.Assert(t, p.nextAmount() <= 400)
+	assert.Assert(t, p.nextAmount() >= 150)
+}
+
+// Guards against a host that keeps its whole share while another one lacks tokens.
+func TestShareShrinksForOthers(t *testing.T) {
+	p := position{prepaid: 1_000_000, amount: 500_000, used: 100_000, demand: 20_000, usual: 20_000, hosts: 2}
+	p.others.amount, p.others.usual = 500_000, 20_000
+	p.others.spent = 499_000
+	before := p.nextAmount()
+	p.others.lack = true
+	assert.Assert(t, p.nextAmount() < before)
+	assert.Assert(t, p.nextAmount() >= p.used+int64(p.demand*scarceCover.Seconds()))
+}
+
+// Guards against a first host that takes the whole budget because all the
+// demand so far is its own.
+func TestFirstHostLeavesRoom(t *testing.T) {
+	p := position{prepaid: 1_000_000, demand: 10_000, usual: 10_000, hosts: 9}
+	assert.Assert(t, p.nextAmount() <= 250_000)
+}
+
+// Guards against ceilings that lose a good part of a budget when all processes
+// are killed: 3 in 100 for nine hosts with the demand of 44 s of the budget.
+func TestCeilingsLoseLittle(t *testing.T) {
+	const hosts, prepaid = 9, 4_400_000
+	lost := int64(0)
+	for range hosts {
+		p := position{prepaid: prepaid, amount: 400_000, used: 100_000, demand: 100_000 / hosts, usual: 100_000 / hosts, typical: 1_500, hosts: hosts}
+		lost += p.usage(0).Ceiling - p.used
+	}
+	assert.Assert(t, lost <= 3*prepaid/100, "%d", lost)
+}
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -61,7 +61,7 @@
 	now := p.now()
 	pos := position{
 		prepaid: p.prepaid, settled: p.account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
-		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usual, peak: int64(p.ledger.meter.peak), typical: p.ledger.meter.typical,
+		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usualRate(), peak: int64(p.ledger.meter.peak), typical: p.ledger.meter.typical,
 		need: p.need, hosts: p.keeper.options.Hosts(),
 	}
 	own := p.share().key()
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -20,7 +20,8 @@
 	versions  []uint64 // of the row in each place
 	number    int64
 	sentAt    time.Duration
-	reachable bool
+	failures  int  // in a row
+	reachable bool // a place has answered lately
 }
 
 func newReporter(k *Keeper) *reporter {
@@ -82,16 +83,10 @@
 }
 
 func (r *reporter) untilDue() time.Duration {
-	k := r.keeper
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	interval := idleInterval
-	for _, p := range k.purses {
-		if p.isSpending() {
-			interval = reportInterval
-		}
+	if wait := r.sentAt + reportInterval - r.keeper.options.Clock(); wait > 0 {
+		return wait
 	}
-	return max(minGap, r.sentAt+interval-k.options.Clock())
+	return reportInterval / 2 // nothing was spent since the last report
 }
 
 // send writes the next report and resends it, to either place, until the table
@@ -112,6 +107,9 @@
 		}
 		r.failed(err)
 		r.place = (r.place + 1) % len(reportPlaces)
+		if r.failures < len(reportPlaces) {
+			continue // the other place may be up
+		}
 		pause(ctx, resend)
 		resend = min(2*resend, maxResend)
 	}
@@ -181,7 +179,7 @@
 	if !r.reachable {
 		k.options.Log.Info().Int64("report", report.Number).Msg("Usage reported again.")
 	}
-	r.reachable = true
+	r.reachable, r.failures = true, 0
 	k.reports.acked, k.reports.pending = k.reports.pending, nil
 	k.wake()
 }
@@ -190,6 +188,10 @@
 	k := r.keeper
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	r.failures++
+	if r.failures < len(reportPlaces) {
+		return
+	}
 	if r.reachable {
 		k.options.Log.Warn().Err(err).Bool("not_applied", errors.Is(err, storage.ErrNotApplied)).Msg("Usage not reported.")
 	}
--- /dev/null
+++ b/pkg/escrow/usage_test.go
@@ -0,0 +1,34 @@
+package escrow
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a bound that falls with time, or exceeds the share.
+func TestMaxSpentRisesWithinShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amount := rapid.Int64Range(0, 1_000_000).Draw(t, "amount")
+		spent := rapid.Int64Range(0, amount).Draw(t, "spent")
+		r := UsageReport{Customers: map[string]Usage{"c": {
+			Spent: spent, Ceiling: spent + rapid.Int64Range(0, 100_000).Draw(t, "slice"), Rate: rapid.Int64Range(0, 100_000).Draw(t, "rate"),
+		}}}
+		last := int64(0)
+		for age := time.Duration(0); age < 2*leaseTerm; age += 300 * time.Millisecond {
+			limit := r.MaxSpent("c", 0, amount, age)
+			assert.Assert(t, limit >= last && limit >= spent && limit <= amount)
+			last = limit
+		}
+	})
+}
+
+// Guards against counting less than a share that the report does not name.
+func TestUnnamedShareMayBeSpent(t *testing.T) {
+	r := UsageReport{Customers: map[string]Usage{"c": {Epoch: 0, Ceiling: 10}}}
+	assert.Equal(t, r.MaxSpent("other", 0, 500, 0), int64(500))
+	assert.Equal(t, r.MaxSpent("c", 1, 500, 0), int64(500))
+	assert.Equal(t, r.MaxSpent("c", 0, 500, 0), int64(10))
+}
--- /dev/null
+++ b/pkg/escrow/world_test.go
@@ -0,0 +1,89 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+const (
+	accounts = "accounts"
+	usages   = "usages"
+)
+
+// world is a store with hosts that spend from it.
+type world struct {
+	t     *testing.T
+	store *rowstore.Store
+	hosts int
+}
+
+// node is one process.
+type node struct {
+	*Keeper
+	rows   *rowstore.Client
+	cancel context.CancelFunc
+}
+
+func newWorld(t *testing.T, hosts int) *world {
+	return &world{t: t, store: rowstore.New(nil), hosts: hosts}
+}
+
+// start runs a process and waits until it has loaded its budgets.
+func (w *world) start(host, incarnation string, budgets map[string]int64) *node {
+	w.t.Helper()
+	ctx, cancel := context.WithCancel(w.t.Context())
+	n := &node{rows: w.store.Client(), cancel: cancel}
+	n.Keeper = NewKeeper(ctx, Options{
+		Rows: n.rows, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation,
+		Hosts: func() int { return w.hosts },
+		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+	})
+	n.SetBudgets(budgets)
+	n.Start()
+	w.eventually("budgets of "+host+" loaded", n.Loaded)
+	return n
+}
+
+func (w *world) eventually(what string, done func() bool) {
+	w.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("not within 10 s: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// account returns the account row of a customer.
+func (w *world) account(customer string) Account {
+	w.t.Helper()
+	row := w.store.Get(storage.RowKey{Table: accounts, Part: customer, Key: accountKey})
+	a, err := decodeAccount(row.Value)
+	assert.NilError(w.t, err)
+	return a
+}
+
+// spend reserves and settles tokens, and returns what was spent.
+func (n *node) spend(t *testing.T, customer string, tokens int64) int64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	r, err := n.Reserve(ctx, customer, tokens)
+	if err != nil {
+		return 0
+	}
+	r.Settle(tokens)
+	return tokens
+}
+
+func incarnation(n int) string { return fmt.Sprintf("process-%d", n) }
--- /dev/null
+++ b/pkg/standin/rowstore/client.go
@@ -0,0 +1,113 @@
+package rowstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// Faults are what one client meets.
+type Faults struct {
+	Cut         bool          // calls hang until their context ends
+	Refuse      bool          // calls are refused without effect
+	RefusedPart string        // calls to this part are refused without effect
+	LoseReplies bool          // transactions are applied, their replies lost
+	ApplyLate   time.Duration // with LoseReplies: transactions are applied that much later
+	Delay       time.Duration // before each answer
+}
+
+// Client is one host's way to a store. It is safe for concurrent use.
+type Client struct {
+	store  *Store
+	mu     sync.Mutex
+	faults Faults
+}
+
+var _ storage.Rows = (*Client)(nil)
+
+// Client returns a way to the store without faults.
+func (s *Store) Client() *Client { return &Client{store: s} }
+
+// SetFaults replaces the faults.
+func (c *Client) SetFaults(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+}
+
+// meet applies the faults that come before the store is reached.
+func (c *Client) meet(ctx context.Context, part string) (Faults, error) {
+	c.mu.Lock()
+	f := c.faults
+	c.mu.Unlock()
+	if f.Refuse || (f.RefusedPart != "" && f.RefusedPart == part) {
+		return f, fmt.Errorf("refused: %w", storage.ErrNotApplied)
+	}
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if f.Cut {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return f, fmt.Errorf("%w: %w", storage.ErrUnavailable, ctx.Err())
+	}
+	return f, nil
+}
+
+// Transact implements storage.Rows.
+func (c *Client) Transact(ctx context.Context, txn storage.RowTxn) (storage.RowOutcome, error) {
+	f, err := c.meet(ctx, partOf(txn))
+	if err != nil {
+		return storage.RowOutcome{}, err
+	}
+	if !f.LoseReplies {
+		return c.store.apply(txn), nil
+	}
+	if f.ApplyLate > 0 {
+		time.AfterFunc(f.ApplyLate, func() { c.store.apply(txn) })
+	} else {
+		c.store.apply(txn)
+	}
+	return storage.RowOutcome{}, fmt.Errorf("%w: reply lost", storage.ErrUnavailable)
+}
+
+func partOf(txn storage.RowTxn) string {
+	for _, p := range txn.Puts {
+		return p.Part
+	}
+	for _, k := range txn.Removes {
+		return k.Part
+	}
+	return ""
+}
+
+// Range implements storage.Rows.
+func (c *Client) Range(ctx context.Context, table, part, from string) (storage.RowPage, error) {
+	if _, err := c.meet(ctx, part); err != nil {
+		return storage.RowPage{}, err
+	}
+	return c.store.scan(table, part, from), nil
+}
+
+// Parts implements storage.Rows.
+func (c *Client) Parts(ctx context.Context, table string) ([]string, error) {
+	if _, err := c.meet(ctx, ""); err != nil {
+		return nil, err
+	}
+	return c.store.parts(table), nil
+}
+
+// Feed implements storage.Rows.
+func (c *Client) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+	if _, err := c.meet(ctx, ""); err != nil {
+		return storage.RowPage{}, err
+	}
+	return c.store.feed(ctx, table, since, wait)
+}
--- /dev/null
+++ b/pkg/standin/rowstore/store.go
@@ -0,0 +1,175 @@
+package rowstore
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// Store holds all rows. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[storage.RowKey]storage.PartRow
+	history []storage.PartRow // in the order of their versions
+	oldest  uint64            // version from which the history is kept
+	version uint64
+	changed chan struct{} // closed at each change, then replaced
+	clock   func() time.Duration
+	Stats   Stats
+}
+
+// Stats counts calls. Read it only while no call is under way.
+type Stats struct {
+	Transactions int
+	Reads        int
+	Feeds        int
+}
+
+// New returns an empty store. clock is its steady clock; nil: the time since New.
+func New(clock func() time.Duration) *Store {
+	if clock == nil {
+		start := time.Now()
+		clock = func() time.Duration { return time.Since(start) }
+	}
+	return &Store{rows: make(map[storage.RowKey]storage.PartRow), changed: make(chan struct{}), clock: clock}
+}
+
+// Put writes a row without a condition, as another writer does.
+func (s *Store) Put(key storage.RowKey, value []byte) {
+	s.apply(storage.RowTxn{Puts: []storage.PartRow{{RowKey: key, Value: value}}})
+}
+
+// Remove removes a row, as another writer does.
+func (s *Store) Remove(key storage.RowKey) {
+	s.apply(storage.RowTxn{Removes: []storage.RowKey{key}})
+}
+
+// Get returns a row, with Version 0 if it is absent.
+func (s *Store) Get(key storage.RowKey) storage.PartRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
+// ForgetHistory drops the history of all feeds.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.oldest = s.version
+}
+
+// apply decides a transaction.
+func (s *Store) apply(txn storage.RowTxn) storage.RowOutcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Stats.Transactions++
+	for _, c := range txn.Preconditions {
+		if s.rows[c.RowKey].Version != c.Version {
+			return s.conflict(txn)
+		}
+	}
+	s.version++
+	for _, p := range txn.Puts {
+		s.record(storage.PartRow{RowKey: p.RowKey, Value: slices.Clone(p.Value), Version: s.version})
+	}
+	for _, key := range txn.Removes {
+		if _, ok := s.rows[key]; ok {
+			s.record(storage.PartRow{RowKey: key, Version: s.version, Deleted: true})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return storage.RowOutcome{Applied: true, Version: s.version, Now: s.clock()}
+}
+
+func (s *Store) record(row storage.PartRow) {
+	if row.Deleted {
+		delete(s.rows, row.RowKey)
+	} else {
+		s.rows[row.RowKey] = row
+	}
+	s.history = append(s.history, row)
+}
+
+func (s *Store) conflict(txn storage.RowTxn) storage.RowOutcome {
+	outcome := storage.RowOutcome{Version: s.version, Now: s.clock()}
+	for _, c := range txn.Preconditions {
+		if row, ok := s.rows[c.RowKey]; ok {
+			outcome.Current = append(outcome.Current, row)
+		}
+	}
+	return outcome
+}
+
+func (s *Store) scan(table, part, from string) storage.RowPage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Stats.Reads++
+	page := storage.RowPage{Version: s.version, Now: s.clock()}
+	for key, row := range s.rows {
+		if key.Table == table && key.Part == part && key.Key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b storage.PartRow) int { return cmp.Compare(a.Key, b.Key) })
+	if len(page.Rows) > maxPage {
+		page.Rows, page.More = page.Rows[:maxPage], true
+	}
+	return page
+}
+
+// maxPage is the largest number of rows in a page.
+const maxPage = 500
+
+func (s *Store) parts(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Stats.Reads++
+	parts := make(map[string]struct{})
+	for key := range s.rows {
+		if key.Table == table {
+			parts[key.Part] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(parts))
+}
+
+func (s *Store) feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+	timeout := time.After(wait)
+	for {
+		page, changed, err := s.changes(table, since)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return page, fmt.Errorf("%w: %w", storage.ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+func (s *Store) changes(table string, since uint64) (storage.RowPage, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Stats.Feeds++
+	page := storage.RowPage{Version: s.version, Now: s.clock()}
+	if since < s.oldest {
+		return page, nil, fmt.Errorf("feed of %s since %d: %w", table, since, storage.ErrHistoryGone)
+	}
+	for _, row := range s.history {
+		if row.Version > since && row.Table == table {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, s.changed, nil
+}
