--- a/pkg/retrylimit/limit.go
+++ b/pkg/retrylimit/limit.go
@@ -55,7 +55,6 @@
 	for i := range l.requests {
 		retries += l.retries[i]
 		requests += l.requests[i]
-		requests += l.requests[i]
 	}
 	if float64(retries+1) > l.ratio*float64(requests)+l.reserve {
 		return false
--- /dev/null
+++ b/pkg/retrylimit/limit_test.go
@@ -0,0 +1,56 @@
+package retrylimit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against more retries in any window than ratio and reserve allow.
+func TestLimitHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		reserve := float64(rapid.IntRange(0, 10).Draw(t, "reserve"))
+		l := New(ratio, reserve, window)
+		now := l.start
+		var requests, retries []time.Time
+		for range 120 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "retry") {
+				if l.Allow(now) {
+					retries = append(retries, now)
+				}
+				continue
+			}
+			l.Observe(now)
+			requests = append(requests, now)
+		}
+		for _, end := range retries {
+			from := end.Add(-window)
+			got, allowed := float64(count(retries, from, end)), ratio*float64(count(requests, from.Add(-window/slots), end))+reserve
+			assert.Assert(t, got <= allowed, "%v: %v > %v", end.Sub(l.start), got, allowed)
+		}
+	})
+}
+
+func count(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a limit that never recovers.
+func TestRetriesComeBack(t *testing.T) {
+	l := New(0, 2, time.Second)
+	now := l.start
+	assert.Assert(t, l.Allow(now) && l.Allow(now) && !l.Allow(now))
+	assert.Assert(t, l.Allow(now.Add(1200*time.Millisecond)))
+	assert.Assert(t, l.Allow(now.Add(time.Hour)))
+}
--- /dev/null
+++ b/pkg/watch/watcher_test.go
@@ -0,0 +1,135 @@
+package watch
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+const table = "targets"
+
+// follower records what a watcher applies.
+type follower struct {
+	mu    sync.Mutex
+	rows  map[string]string
+	steps int
+}
+
+func (f *follower) apply(s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps++
+	f.rows = make(map[string]string)
+	for key, row := range s.Rows {
+		f.rows[key] = string(row.Value)
+	}
+}
+
+func (f *follower) value(key string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[key]
+}
+
+func put(s *rowstore.Store, key, value string) {
+	s.Put(storage.RowKey{Table: table, Key: key}, []byte(value))
+}
+
+func start(t *testing.T, rows storage.Rows) *follower {
+	t.Helper()
+	f := &follower{}
+	w := New(Options{
+		Rows: rows, Table: table, Wait: 100 * time.Millisecond, Apply: f.apply,
+		Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go w.Run(ctx)
+	return f
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(8 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 8 s: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against rows that are missed at the change from the scan to the feed.
+func TestFollowsChanges(t *testing.T) {
+	store := rowstore.New(nil)
+	put(store, "a", "1")
+	f := start(t, store.Client())
+	eventually(t, "scan", func() bool { return f.value("a") == "1" })
+	put(store, "a", "2")
+	put(store, "b", "1")
+	eventually(t, "changes", func() bool { return f.value("a") == "2" && f.value("b") == "1" })
+	store.Remove(storage.RowKey{Table: table, Key: "a"})
+	eventually(t, "removal", func() bool { return f.value("a") == "" && f.value("b") == "1" })
+}
+
+// Guards against a removal that is missed while the history is dropped.
+func TestScansAgainAfterLostHistory(t *testing.T) {
+	store := rowstore.New(nil)
+	put(store, "a", "1")
+	put(store, "b", "1")
+	client := store.Client()
+	f := start(t, client)
+	eventually(t, "scan", func() bool { return f.value("b") == "1" })
+	client.SetFaults(rowstore.Faults{Refuse: true})
+	store.Remove(storage.RowKey{Table: table, Key: "a"})
+	put(store, "b", "2")
+	store.ForgetHistory()
+	client.SetFaults(rowstore.Faults{})
+	eventually(t, "second scan", func() bool { return f.value("a") == "" && f.value("b") == "2" })
+}
+
+// Guards against a watcher that keeps an old state for good after a connection
+// has gone silent.
+func TestComesBackAfterSilence(t *testing.T) {
+	store := rowstore.New(nil)
+	put(store, "a", "1")
+	client := store.Client()
+	f := start(t, client)
+	eventually(t, "scan", func() bool { return f.value("a") == "1" })
+	client.SetFaults(rowstore.Faults{Cut: true})
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, f.value("a"), "1")
+	put(store, "a", "2")
+	client.SetFaults(rowstore.Faults{})
+	eventually(t, "change during the cut", func() bool { return f.value("a") == "2" })
+}
+
+// staleRows answers scans with an older state.
+type staleRows struct {
+	storage.Rows
+	page storage.RowPage
+}
+
+func (s staleRows) Range(context.Context, string, string, string) (storage.RowPage, error) {
+	return s.page, nil
+}
+
+// Guards against a state that goes back to an older one after a stale read.
+func TestStaleScanIsRefused(t *testing.T) {
+	f := &follower{}
+	w := New(Options{Rows: staleRows{page: storage.RowPage{Version: 5, Rows: []storage.PartRow{
+		{RowKey: storage.RowKey{Table: table, Key: "a"}, Value: []byte("old"), Version: 4},
+	}}}, Table: table, Apply: f.apply, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}})
+	w.rows["a"] = storage.PartRow{RowKey: storage.RowKey{Table: table, Key: "a"}, Value: []byte("new"), Version: 9}
+	w.version = 9
+	assert.ErrorContains(t, w.scan(t.Context()), "known is 9")
+	assert.Equal(t, f.steps, 0)
+}
