Test forwarding, retries, streams and refusals before replicas on loopback

The headers move to a package of their own, dialect, which also has peppertrail's own names. New stand-in of a target (pkg/standin/replica) that speaks any dialect.

--- /dev/null
+++ b/pkg/dialect/default.go
@@ -0,0 +1,66 @@
+package dialect
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+)
+
+// Default returns peppertrail's own headers.
+func Default() Dialect {
+	return Dialect{
+		RequestID:      "Peppertrail-Request",
+		Deadline:       "Peppertrail-Timeout",
+		Key:            "Peppertrail-Key",
+		Customer:       "Peppertrail-Customer",
+		Cost:           "Peppertrail-Cost",
+		PromptParts:    "Peppertrail-Prompt-Parts",
+		OutputHint:     "Peppertrail-Output-Hint",
+		ExpectTarget:   "Peppertrail-Target",
+		Priority:       "Peppertrail-Priority",
+		NotRun:         "Peppertrail-Not-Run",
+		Load:           "Peppertrail-Load",
+		LastEventID:    "Last-Event-Id",
+		ParseDeadline:  time.ParseDuration,
+		FormatDeadline: time.Duration.String,
+		ParseCost:      parseCost,
+		ParseParts:     parseParts,
+		ParseLoad:      parseLoad,
+		FormatPriority: strconv.Itoa,
+	}
+}
+
+// parseCost decodes "prompt=12 output=3".
+func parseCost(value string) (Cost, error) {
+	var c Cost
+	if _, err := fmt.Sscanf(value, "prompt=%d output=%d", &c.Prompt, &c.MaxOutput); err != nil || c.Prompt < 0 || c.MaxOutput < 0 {
+		return Cost{}, fmt.Errorf("%q: not of the form prompt=N output=N", value)
+	}
+	return c, nil
+}
+
+// parseParts decodes "id=tokens; id=tokens".
+func parseParts(value string) ([]balance.Part, error) {
+	var parts []balance.Part
+	for entry := range strings.SplitSeq(value, ";") {
+		id, count, found := strings.Cut(strings.TrimSpace(entry), "=")
+		tokens, err := strconv.ParseInt(count, 10, 64)
+		if !found || err != nil || tokens < 0 {
+			return nil, fmt.Errorf("%q: not of the form ID=TOKENS", entry)
+		}
+		parts = append(parts, balance.Part{ID: id, Tokens: tokens})
+	}
+	return parts, nil
+}
+
+// parseLoad decodes "running=1 waiting=2 slots=3".
+func parseLoad(value string) (balance.Load, error) {
+	var l balance.Load
+	if _, err := fmt.Sscanf(value, "running=%d waiting=%d slots=%d", &l.Running, &l.Waiting, &l.Slots); err != nil {
+		return balance.Load{}, fmt.Errorf("%q: not of the form running=N waiting=N slots=N", value)
+	}
+	return l, nil
+}
--- a/pkg/forward/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -1,4 +1,6 @@
-package forward
+// Package dialect names the headers that callers, hosts and targets exchange and
+// decodes their values, so that the rest of the code knows neither.
+package dialect
 
 import (
 	"time"
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
 	"github.com/peppertrail/peppertrail/pkg/routing"
@@ -65,7 +66,7 @@
 }
 
 // New returns a daemon with checked settings. Logs go to out.
-func New(ctx context.Context, s Settings, l Layout, dialect forward.Dialect, rows storage.Rows, out io.Writer) (*Daemon, error) {
+func New(ctx context.Context, s Settings, l Layout, headers dialect.Dialect, rows storage.Rows, out io.Writer) (*Daemon, error) {
 	logs, err := telemetry.NewLogs("info", telemetry.JSONFormat, out)
 	if err != nil {
 		return nil, err
@@ -83,7 +84,7 @@
 		Rows: rows, AccountTable: l.BudgetTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
 	})
 	d.handler = forward.New(forward.Options{
-		Dialect: dialect, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets,
+		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets,
 		Leaving: d.leaving.Load, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
 		Observer: d.metrics, Log: logs.Logger("forward"),
 	})
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 )
@@ -26,7 +27,7 @@
 	customer    *routing.Customer
 	id          string
 	body        []byte
-	cost        Cost
+	cost        dialect.Cost
 	outputHint  int64
 	parts       []balance.Part
 	reservation *escrow.Reservation
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/retrylimit"
 	"github.com/peppertrail/peppertrail/pkg/routing"
@@ -16,7 +17,7 @@
 
 // Options are the parts that a Handler uses.
 type Options struct {
-	Dialect Dialect
+	Dialect dialect.Dialect
 	// Configuration returns the configuration in force, nil before the first.
 	Configuration func() *routing.Configuration
 	Targets       *balance.Set
--- /dev/null
+++ b/pkg/forward/rig_test.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
+	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/routing"
+	"github.com/peppertrail/peppertrail/pkg/standin/replica"
+	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
+	"github.com/peppertrail/peppertrail/pkg/upstream"
+)
+
+const (
+	testHost    = "kitchen.example"
+	testService = "chef"
+	testKey     = "key of the regie"
+)
+
+// rig is a handler before replicas.
+type rig struct {
+	t        *testing.T
+	handler  *Handler
+	server   *httptest.Server
+	replicas []*replica.Replica
+	config   atomic.Pointer[routing.Configuration]
+	leaving  atomic.Bool
+	budgets  *escrow.Keeper
+	seen     observed
+}
+
+// observed counts what the handler reports.
+type observed struct {
+	mu      sync.Mutex
+	refused map[Reason]int
+	retried map[Reason]int
+}
+
+func (o *observed) Refused(r Reason, _ int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refused[r]++
+}
+
+func (o *observed) Retried(r Reason) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.retried[r]++
+}
+
+func (o *observed) Answered(string, int, time.Duration, time.Duration) {}
+
+// newRig returns a handler before replicas t0, t1 and so on.
+func newRig(t *testing.T, replicas int) *rig {
+	t.Helper()
+	r := &rig{t: t, seen: observed{refused: map[Reason]int{}, retried: map[Reason]int{}}}
+	quiet := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	r.budgets = escrow.NewKeeper(t.Context(), escrow.Options{
+		Rows: rowstore.New(nil).Client(), AccountTable: "accounts", UsageTable: "usages", Host: "h1", Incarnation: "h1-1",
+		Hosts: func() int { return 1 }, Log: quiet,
+	})
+	r.budgets.Start()
+	set := balance.NewSet()
+	r.handler = New(Options{
+		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, Client: upstream.New(), Budgets: r.budgets,
+		Leaving: r.leaving.Load, RetryRatio: 0.2, RetryReserve: 20, RetryWindow: 10 * time.Second, Observer: &r.seen, Log: quiet,
+	})
+	var targets []balance.Target
+	for i := range replicas {
+		one := replica.New(fmt.Sprintf("t%d", i), dialect.Default())
+		t.Cleanup(one.Close)
+		r.replicas = append(r.replicas, one)
+		targets = append(targets, one.Target(testService))
+	}
+	set.Apply(targets)
+	r.server = httptest.NewServer(r.handler)
+	t.Cleanup(r.server.Close)
+	r.configure(1000)
+	return r
+}
+
+// configure brings routes of every kind into force.
+func (r *rig) configure(prepaid int64) {
+	r.t.Helper()
+	route := func(name string, kind routing.Repeatable) *routing.Route {
+		return &routing.Route{Name: name, Host: testHost, PathPrefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Split: []routing.Share{{Service: testService, Weight: 1}}}
+	}
+	resumable := route("resumable", routing.Streaming)
+	resumable.Resumable = true
+	short := route("short", routing.Safe)
+	short.Timeout = 200 * time.Millisecond
+	open := route("open", routing.Safe)
+	open.Anonymous = true
+	c, err := routing.New(1, []*routing.Route{
+		route("safe", routing.Safe), route("unsafe", routing.Unsafe), route("stream", routing.Streaming), resumable, short, open,
+	}, []*routing.Service{{Name: testService, Engine: &routing.EngineLimits{TokensPerEvent: 10}}},
+		[]*routing.Customer{{Name: "regie", Keys: []string{testKey}, Prepaid: &prepaid}}, routing.Limits{BodyBytes: 1 << 20})
+	assert.NilError(r.t, err)
+	r.budgets.SetBudgets(map[string]int64{"regie": prepaid})
+	deadline := time.Now().Add(5 * time.Second)
+	for !r.budgets.Loaded() && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.config.Store(c)
+}
+
+// setFaults gives every replica the same faults.
+func (r *rig) setFaults(f replica.Faults) {
+	for _, one := range r.replicas {
+		one.SetFaults(f)
+	}
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	closed bool  // the host closes the connection
+	err    error // of the body
+}
+
+// ask sends a request with an id.
+func (r *rig) ask(id, path string, headers ...string) reply {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+	defer cancel()
+	return r.askWithin(ctx, id, path, headers...)
+}
+
+func (r *rig) askWithin(ctx context.Context, id, path string, headers ...string) reply {
+	r.t.Helper()
+	d := dialect.Default()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+path, strings.NewReader("body of "+id))
+	assert.NilError(r.t, err)
+	request.Host = testHost
+	request.Header.Set(d.RequestID, id)
+	request.Header.Set(d.Key, testKey)
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+		request.Header.Set("Accept", "text/event-stream")
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := r.server.Client().Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), closed: response.Close, err: err}
+}
+
+// runs counts the runs of all replicas.
+func (r *rig) runs() int {
+	n := 0
+	for _, one := range r.replicas {
+		n += len(one.Runs())
+	}
+	return n
+}
+
+// events returns the events of a whole stream.
+func events(id string, count int) string {
+	var b strings.Builder
+	for n := 1; n <= count; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d of %s\n\n", n, n, id)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/standin/replica/replica.go
@@ -0,0 +1,171 @@
+package replica
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
+)
+
+// Signature is the header by which a replica marks its answers.
+const Signature = "Replica-Signature"
+
+// Run is a request that a replica has begun to work on.
+type Run struct {
+	ID      string
+	Method  string
+	URI     string
+	Host    string
+	Body    string
+	Header  http.Header
+	After   string        // id of the last event that the caller has
+	Gone    chan struct{} // closed when the sender leaves before the end
+	Started time.Time
+}
+
+// Replica is one target. It is safe for concurrent use.
+type Replica struct {
+	ID      string
+	Events  int // of a stream
+	dialect dialect.Dialect
+	server  *httptest.Server
+
+	mu       sync.Mutex
+	faults   Faults
+	runs     []Run
+	rejected int
+}
+
+// New starts a replica with an id on a loopback address.
+func New(id string, d dialect.Dialect) *Replica {
+	r := &Replica{ID: id, Events: 5, dialect: d}
+	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
+	return r
+}
+
+// Close ends the replica and its connections.
+func (r *Replica) Close() {
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
+// Target returns the replica's registration.
+func (r *Replica) Target(service string) balance.Target {
+	return balance.Target{ID: r.ID, Service: service, Addr: r.Addr(), Slots: 8}
+}
+
+// Addr returns the replica's address.
+func (r *Replica) Addr() string { return strings.TrimPrefix(r.server.URL, "http://") }
+
+// SetFaults replaces the faults.
+func (r *Replica) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Runs returns what the replica has begun to work on.
+func (r *Replica) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// Rejected returns how many requests the replica has not run.
+func (r *Replica) Rejected() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rejected
+}
+
+func (r *Replica) serve(w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get(r.dialect.RequestID)
+	w.Header().Set(r.dialect.RequestID, id)
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	if expected := request.Header.Get(r.dialect.ExpectTarget); expected != "" && expected != r.ID {
+		r.reject(w, http.StatusMisdirectedRequest)
+		return
+	}
+	faults, run := r.begin(id, request, string(body))
+	if faults.Full {
+		r.reject(w, http.StatusServiceUnavailable)
+		return
+	}
+	if faults.Silent {
+		<-request.Context().Done()
+		close(run.Gone)
+		return
+	}
+	select {
+	case <-time.After(faults.Delay):
+	case <-request.Context().Done():
+		close(run.Gone)
+		return
+	}
+	if faults.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(Signature, r.ID)
+	if faults.Status != 0 {
+		w.WriteHeader(faults.Status)
+		fmt.Fprintf(w, "status of %s", r.ID)
+		return
+	}
+	if strings.Contains(request.Header.Get("Accept"), "text/event-stream") {
+		r.stream(w, run, faults)
+		return
+	}
+	fmt.Fprintf(w, "answer to %s", id)
+}
+
+// begin records a run, unless the replica is full.
+func (r *Replica) begin(id string, request *http.Request, body string) (Faults, Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := Run{
+		ID: id, Method: request.Method, URI: request.RequestURI, Host: request.Host, Body: body, Header: request.Header,
+		After: request.Header.Get(r.dialect.LastEventID), Gone: make(chan struct{}), Started: time.Now(),
+	}
+	if !r.faults.Full {
+		r.runs = append(r.runs, run)
+	}
+	return r.faults, run
+}
+
+func (r *Replica) reject(w http.ResponseWriter, status int) {
+	r.mu.Lock()
+	r.rejected++
+	r.mu.Unlock()
+	w.Header().Set(r.dialect.NotRun, "1")
+	w.WriteHeader(status)
+}
+
+// stream sends the events after the last one that the caller has.
+func (r *Replica) stream(w http.ResponseWriter, run Run, f Faults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(run.After) // none: 0
+	flusher := http.NewResponseController(w)
+	for n := first + 1; n <= r.Events; n++ {
+		if f.CutAfter > 0 && n > f.CutAfter {
+			if f.CutMidEvent {
+				fmt.Fprintf(w, "id: %d\nda", n)
+				_ = flusher.Flush() // the connection is cut next
+			}
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", n, n, run.ID)
+		if flusher.Flush() != nil {
+			return
+		}
+	}
+}
