--- a/pkg/retrylimit/limit_test.go
+++ b/pkg/retrylimit/limit_test.go
@@ -50,7 +50,9 @@
 func TestRetriesComeBack(t *testing.T) {
 	l := New(0, 2, time.Second)
 	now := l.start
-	assert.Assert(t, l.Allow(now) && l.Allow(now) && !l.Allow(now))
+	assert.Assert(t, l.Allow(now))
+	assert.Assert(t, l.Allow(now))
+	assert.Assert(t, !l.Allow(now))
 	assert.Assert(t, l.Allow(now.Add(1200*time.Millisecond)))
 	assert.Assert(t, l.Allow(now.Add(time.Hour)))
 }
