Tell other hosts of long prompts on their way, wait for a rising ceiling

Cause: a host sees a ninth of the long prompts before the targets; the price of a long prompt behind another one is its first token. TestServiceGoesOnWithoutTheStore served 56 of 60 requests (57 wanted) after ceilings had become smaller: a request was refused where the ceiling would rise after 1 to 1.5 s. Change: datagrams (pkg/gossip) announce prompts of 5,000 tokens and more and their first byte; a reservation waits for a ceiling as long as the short term lasts, and that is 1.25 s instead of 1.5 (report ages at kills were 0.75 to 1.25 s).

--- a/pkg/balance/attempt.go
+++ b/pkg/balance/attempt.go
@@ -10,6 +10,7 @@
 	set      *Set
 	state    *state
 	prompt   int64
+	number   uint64
 	started  time.Time
 	expected time.Duration // to the first byte
 	answered bool
@@ -25,6 +26,7 @@
 		return
 	}
 	a.answered = true
+	a.set.tell(a, 0)
 	a.state.pendingPrompt -= a.prompt
 	delete(a.state.waiting, a)
 	ratio := now.Sub(a.started).Seconds() / a.expected.Seconds()
@@ -49,6 +51,7 @@
 	s.inFlight--
 	s.finishedSince++
 	if !a.answered {
+		a.set.tell(a, 0)
 		s.pendingPrompt -= a.prompt
 		delete(s.waiting, a)
 	}
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -87,7 +87,7 @@
 
 func (s *Set) candidate(t *state, r Request) candidate {
 	requests := t.load(r.Now, s.hosts)
-	load := requests + float64(t.pendingPrompt)/promptWeight
+	load := requests + float64(t.promptTokens(r.Now))/promptWeight
 	c := candidate{state: t, requests: requests, load: (load + 1) * t.slowness(r.Now), rank: rand.Uint64()}
 	if key := sharedPart(r.Parts); key != "" {
 		c.rank = rendezvous(key, t.ID)
@@ -139,13 +139,15 @@
 }
 
 func (s *Set) start(c candidate, r Request) *Attempt {
+	s.prompts++
 	a := &Attempt{
-		Target: c.Target, set: s, state: c.state, prompt: r.PromptTokens, started: r.Now,
+		number: s.prompts, Target: c.Target, set: s, state: c.state, prompt: r.PromptTokens, started: r.Now,
 		expected: baseExpected + time.Duration(r.PromptTokens)*expectedPerToken,
 	}
 	c.inFlight++
 	c.startedSince++
 	c.pendingPrompt += r.PromptTokens
 	c.waiting[a] = struct{}{}
+	s.tell(a, r.PromptTokens)
 	return a
 }
--- a/pkg/balance/set.go
+++ b/pkg/balance/set.go
@@ -7,11 +7,16 @@
 
 // Set holds all known targets. It is safe for concurrent use.
 type Set struct {
+	// Announce is called for each long prompt of this host, at its start and when
+	// its target has read it. It must not block. Nil: nobody is told.
+	Announce func(Prompt)
+
 	mu       sync.Mutex
 	byID     map[string]*state
 	services map[string][]*state
 	lanes    map[string]*lanes // by service
 	hosts    int
+	prompts  uint64 // number of the last attempt
 }
 
 // NewSet returns a set without targets.
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -27,6 +27,7 @@
 	inFlight      int   // own open requests
 	pendingPrompt int64 // prompt tokens of own requests without a first byte
 	waiting       map[*Attempt]struct{}
+	remote        map[remoteKey]remotePrompt // of other hosts
 
 	report        Load
 	reportedAt    time.Time
@@ -42,7 +43,7 @@
 }
 
 func newState(t Target) *state {
-	return &state{Target: t, laneRank: rendezvous(laneKey, t.ID), pace: 1, waiting: make(map[*Attempt]struct{})}
+	return &state{Target: t, laneRank: rendezvous(laneKey, t.ID), pace: 1, waiting: make(map[*Attempt]struct{}), remote: make(map[remoteKey]remotePrompt)}
 }
 
 // load estimates the requests at the target. hosts is how many hosts send to it.
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
+	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/telemetry"
@@ -56,6 +57,7 @@
 	handler  *forward.Handler
 	callers  *http.Server
 	metrics  *metrics
+	gossip   *gossip.Node // nil: other hosts are not told
 
 	configuration atomic.Pointer[routing.Configuration]
 	targetsKnown  atomic.Bool
@@ -81,7 +83,7 @@
 	}
 	d.client.Opened = d.metrics.connectionOpened
 	d.budgets = escrow.NewKeeper(ctx, escrow.Options{
-		Rows: rows, AccountTable: l.BudgetTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
+		Rows: rows, AccountTable: l.BudgetTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets,
@@ -100,6 +102,9 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	failed := make(chan error, 3)
+	if err := d.startGossip(background); err != nil {
+		return err
+	}
 	if err := d.serve(failed); err != nil {
 		return err
 	}
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/gossip"
 )
 
 // hostsInterval is the time between two looks at how many hosts there are.
@@ -26,5 +29,28 @@
 		if hosts := d.budgets.Hosts(); hosts > 1 {
 			d.targets.SetHosts(hosts)
 		}
+		if d.gossip != nil {
+			d.gossip.SetPeers(d.budgets.PeerAddrs())
+		}
+	}
+}
+
+// startGossip tells other hosts of this host's long prompts, and hears of theirs.
+func (d *Daemon) startGossip(ctx context.Context) error {
+	if d.settings.PeerListen == "" {
+		return nil
+	}
+	heard := func(m gossip.Message) {
+		d.targets.Heard(m.Host, balance.Prompt{Number: m.Number, Target: m.Target, Tokens: m.Tokens}, time.Now())
+	}
+	node, err := gossip.Listen(d.settings.Host, d.settings.PeerListen, heard, d.logs.Logger("gossip"))
+	if err != nil {
+		return err
+	}
+	d.gossip = node
+	d.targets.Announce = func(p balance.Prompt) {
+		node.Send(gossip.Message{Number: p.Number, Target: p.Target, Tokens: p.Tokens})
 	}
+	go node.Run(ctx)
+	return nil
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -15,6 +15,7 @@
 	Listen        string        // address for callers, by IP number
 	ReadyListen   string        // address at which the balancer asks whether the daemon is ready
 	AdminListen   string        // address for operators and metrics; empty: none
+	PeerListen    string        // address for datagrams of other hosts; empty: none
 	Store         string        // address of the store
 	Memory        int64         // bytes that the process may use; 0: no bound
 	Grace         time.Duration // from the order to stop to the kill
@@ -38,6 +39,9 @@
 	if s.AdminListen != "" {
 		addresses["listen address for operators"] = s.AdminListen
 	}
+	if s.PeerListen != "" {
+		addresses["listen address for other hosts"] = s.PeerListen
+	}
 	for name, address := range addresses {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			problems = append(problems, fmt.Errorf("%s %q: %w", name, address, err))
--- a/pkg/escrow/keeper.go
+++ b/pkg/escrow/keeper.go
@@ -139,6 +139,20 @@
 	return len(hosts)
 }
 
+// PeerAddrs returns the addresses of the other hosts that report to the table.
+func (k *Keeper) PeerAddrs() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.estimate()
+	var addrs []string
+	for _, r := range k.peers {
+		if r.Addr != "" && r.Host != k.options.Host && r.age(now) <= leaseTerm {
+			addrs = append(addrs, r.Addr)
+		}
+	}
+	return addrs
+}
+
 // setClock notes the store's clock from the answer to a call that was sent at
 // sentAt. The estimate is never ahead of the store, since the answer took some
 // time. The start of this process is never put too early, for the same reason.
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -42,6 +42,7 @@
 	Host         string
 	// Incarnation is unique to this process.
 	Incarnation string
+	Addr        string // for datagrams of other hosts; empty: none
 	// Hosts returns how many hosts there are, as far as known.
 	Hosts func() int
 	// Clock is a steady clock that also counts while the machine is suspended;
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -163,7 +163,7 @@
 
 // maxCeilingWait is the longest time that a reservation waits for its host's
 // ceiling to rise while the table does not answer.
-const maxCeilingWait = time.Second
+const maxCeilingWait = shortTerm
 
 // ceilingWait returns how long to wait for the ceiling if that takes no large
 // part of the request's time. The wait ends with the tokens in hand, so that the
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -123,7 +123,7 @@
 	r.number++
 	r.sentAt = k.options.Clock()
 	report := UsageReport{
-		Host: k.options.Host, Incarnation: k.options.Incarnation, Number: r.number,
+		Host: k.options.Host, Incarnation: k.options.Incarnation, Addr: k.options.Addr, Number: r.number,
 		StampMs: k.estimate().Milliseconds(), Customers: make(map[string]Usage, len(k.purses)),
 	}
 	for customer, p := range k.purses {
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -10,7 +10,7 @@
 	// shortTerm is how long after a report a host spends no more than its
 	// ceiling. It outlasts the restart of a process, so that the next one gets
 	// back the rest of the share.
-	shortTerm = 1500 * time.Millisecond
+	shortTerm = 1250 * time.Millisecond
 	// leaseTerm is how long after its last report a host may spend at all. It
 	// outlasts a partition of ten seconds.
 	leaseTerm = 15 * time.Second
@@ -23,6 +23,7 @@
 type UsageReport struct {
 	Host        string           `json:"host"`
 	Incarnation string           `json:"incarnation"`
+	Addr        string           `json:"addr,omitempty"` // for datagrams of other hosts
 	Number      int64            `json:"n"`
 	StampMs     int64            `json:"t"` // store clock when the report was sent, or a little before
 	Customers   map[string]Usage `json:"customers"`
