Reach the store by way of another host

Change: a host whose own calls fail sends them by way of hosts that report to the store (pkg/relay, JSON-RPC); it probes its own way every second. Unknown outcomes stay unknown. New tests: TestCallsGoByWayOfAnotherHost, TestHostReachesTheStoreByWayOfAnother (failed without the relay: no new route). Ruled out: larger shares, which cost more when all processes are killed.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/relay"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/telemetry"
@@ -48,7 +49,8 @@
 type Daemon struct {
 	settings Settings
 	layout   Layout
-	rows     storage.Rows
+	direct   storage.Rows // the store, from this host only
+	rows     storage.Rows // the store, by way of other hosts if need be
 	logs     *telemetry.Logs
 	log      *log.Logger
 	client   *upstream.Client
@@ -77,13 +79,14 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
 	d := &Daemon{
-		settings: s, layout: l, rows: rows, logs: logs, log: logs.Logger("edge"),
+		settings: s, layout: l, direct: rows, logs: logs, log: logs.Logger("edge"),
 		client: upstream.New(), targets: balance.NewSet(), metrics: newMetrics(),
 		decoded: make(map[string]balance.Target),
 	}
 	d.client.Opened = d.metrics.connectionOpened
+	d.rows = relay.New(rows, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
 	d.budgets = escrow.NewKeeper(ctx, escrow.Options{
-		Rows: rows, AccountTable: l.BudgetTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
+		Rows: d.rows, AccountTable: l.BudgetTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.Hosts, Log: logs.Logger("budget"),
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets,
@@ -102,7 +105,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	failed := make(chan error, 3)
-	if err := d.startGossip(background); err != nil {
+	if err := d.startPeers(background, failed); err != nil {
 		return err
 	}
 	if err := d.serve(failed); err != nil {
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/relay"
 )
 
 // hostsInterval is the time between two looks at how many hosts there are.
@@ -35,8 +38,9 @@
 	}
 }
 
-// startGossip tells other hosts of this host's long prompts, and hears of theirs.
-func (d *Daemon) startGossip(ctx context.Context) error {
+// startPeers tells other hosts of this host's long prompts, hears of theirs, and
+// relays their calls to the store.
+func (d *Daemon) startPeers(ctx context.Context, failed chan<- error) error {
 	if d.settings.PeerListen == "" {
 		return nil
 	}
@@ -52,5 +56,14 @@
 		node.Send(gossip.Message{Number: p.Number, Target: p.Target, Tokens: p.Tokens})
 	}
 	go node.Run(ctx)
+	l, err := net.Listen("tcp", d.settings.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listen for other hosts: %w", err)
+	}
+	go func() {
+		if err := relay.NewServer(d.direct, d.logs.Logger("relay")).Serve(ctx, l); err != nil {
+			failed <- err
+		}
+	}()
 	return nil
 }
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -27,6 +27,7 @@
 	Host                 string           `json:"host"`
 	Ready                bool             `json:"ready"`
 	Leaving              bool             `json:"leaving"`
+	Hosts                int              `json:"hosts"` // that report to the store
 	ConfigurationVersion int64            `json:"configuration_version"`
 	Targets              []balance.Status `json:"targets"`
 	Budgets              []escrow.Status  `json:"budgets"`
@@ -47,7 +48,7 @@
 
 func (d *Daemon) state() State {
 	s := State{
-		Host: d.settings.Host, Ready: d.Ready(), Leaving: d.leaving.Load(),
+		Host: d.settings.Host, Ready: d.Ready(), Leaving: d.leaving.Load(), Hosts: d.budgets.Hosts(),
 		Targets: d.targets.Status(time.Now()), Budgets: d.budgets.Status(),
 	}
 	if c := d.configuration.Load(); c != nil {
--- /dev/null
+++ b/pkg/relay/message.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// Methods of the protocol between hosts.
+const (
+	methodTransact = "rows.transact"
+	methodRange    = "rows.range"
+	methodParts    = "rows.parts"
+	methodFeed     = "rows.feed"
+)
+
+// Codes of errors that a caller tells apart.
+const (
+	codeNotApplied  = 1
+	codeHistoryGone = 2
+	codeUnavailable = 3
+)
+
+// rangeParams are the parameters of methodRange and methodParts.
+type rangeParams struct {
+	Table string `json:"table"`
+	Part  string `json:"part,omitempty"`
+	From  string `json:"from,omitempty"`
+}
+
+// feedParams are the parameters of methodFeed.
+type feedParams struct {
+	Table string        `json:"table"`
+	Since uint64        `json:"since"`
+	Wait  time.Duration `json:"wait_ns"`
+}
+
+// toWire returns the error for another host.
+func toWire(err error) *jsonrpc2.Error {
+	code := int64(codeUnavailable)
+	switch {
+	case errors.Is(err, storage.ErrNotApplied):
+		code = codeNotApplied
+	case errors.Is(err, storage.ErrHistoryGone):
+		code = codeHistoryGone
+	}
+	return &jsonrpc2.Error{Code: code, Message: err.Error()}
+}
+
+// fromWire returns the error of a relayed call. Without an answer its outcome is unknown.
+func fromWire(peer string, err error) error {
+	var remote *jsonrpc2.Error
+	if errors.As(err, &remote) {
+		switch remote.Code {
+		case codeNotApplied:
+			return fmt.Errorf("by way of %s: %w: %s", peer, storage.ErrNotApplied, remote.Message)
+		case codeHistoryGone:
+			return fmt.Errorf("by way of %s: %w", peer, storage.ErrHistoryGone)
+		}
+	}
+	return fmt.Errorf("%w: by way of %s: %w", storage.ErrUnavailable, peer, err)
+}
--- /dev/null
+++ b/pkg/relay/server.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// serveTimeout bounds a relayed call beside its own wait.
+const serveTimeout = 1500 * time.Millisecond
+
+// Server answers other hosts with this host's way to the store.
+type Server struct {
+	rows storage.Rows
+	log  *log.Logger
+}
+
+// NewServer returns a server. rows must reach the store without another host.
+func NewServer(rows storage.Rows, logger *log.Logger) *Server {
+	return &Server{rows: rows, log: logger}
+}
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() }) // ends Accept
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept for relay: %w", err)
+		}
+		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(quiet{}))
+	}
+}
+
+// quiet drops the messages of jsonrpc2; errors of calls go to their callers.
+type quiet struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quiet) Printf(string, ...any) {}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	result, err := s.call(ctx, r.Method, *r.Params)
+	if err != nil {
+		s.log.Debug().Str("method", r.Method).Err(err).Msg("Relayed call failed.")
+		return nil, toWire(err)
+	}
+	return result, nil
+}
+
+func (s *Server) call(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case methodTransact:
+		var txn storage.RowTxn
+		if err := json.Unmarshal(params, &txn); err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+		defer cancel()
+		return s.rows.Transact(ctx, txn)
+	case methodFeed:
+		var p feedParams
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, p.Wait+serveTimeout)
+		defer cancel()
+		return s.rows.Feed(ctx, p.Table, p.Since, p.Wait)
+	}
+	var p rangeParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	switch method {
+	case methodRange:
+		return s.rows.Range(ctx, p.Table, p.Part, p.From)
+	case methodParts:
+		return s.rows.Parts(ctx, p.Table)
+	}
+	return nil, fmt.Errorf("unknown method %q", method)
+}
