Command line for edge daemons, logs that never block

peppertrail edge hosts, budgets, targets and explain read what daemons believe and what their logs say of one request. Log lines of an edge daemon are written in the background; what does not fit is dropped, counted and reported.

--- a/cmd/peppertrail/app.go
+++ b/cmd/peppertrail/app.go
@@ -44,6 +44,7 @@
 	a.registerHosts()
 	a.registerRequests()
 	a.registerRepairs()
+	a.registerEdge()
 	return a
 }
 
--- /dev/null
+++ b/cmd/peppertrail/explain.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/integrii/flaggy"
+)
+
+// maxExplainLine bounds a line of a log, in bytes.
+const maxExplainLine = 1 << 20
+
+// explainCommand prints what daemons have logged of one request.
+type explainCommand struct {
+	app     *app
+	request string
+	files   []string
+}
+
+func (a *app) registerExplain(group *flaggy.Subcommand) {
+	e := &explainCommand{app: a}
+	sub := a.command(group, "explain", "what the logs of daemons say of one request", e.run)
+	sub.String(&e.request, "", "request", "id of the request")
+	sub.StringSlice(&e.files, "", "log", "log of a daemon; may be repeated; without it the log is read from standard input")
+}
+
+func (e *explainCommand) run(context.Context) error {
+	if e.request == "" {
+		return usage("--request", "no id", "name the request")
+	}
+	found := 0
+	if len(e.files) == 0 {
+		n, err := e.read("-", os.Stdin)
+		if err != nil {
+			return err
+		}
+		found += n
+	}
+	for _, name := range e.files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+		n, err := e.read(name, f)
+		f.Close()
+		if err != nil {
+			return err
+		}
+		found += n
+	}
+	if found == 0 {
+		return fmt.Errorf("no line of request %s", e.request)
+	}
+	return nil
+}
+
+// read prints the lines of the request. Lines that are no JSON are passed over:
+// what a process writes when it crashes stands in the same log.
+func (e *explainCommand) read(name string, r io.Reader) (int, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxExplainLine)
+	found := 0
+	for lines.Scan() {
+		text := lines.Text()
+		if !strings.Contains(text, e.request) {
+			continue
+		}
+		start := strings.IndexByte(text, '{')
+		var fields map[string]any
+		if start < 0 || json.Unmarshal([]byte(text[start:]), &fields) != nil || fields["request"] != e.request {
+			continue
+		}
+		found++
+		e.print(text[:start], fields)
+	}
+	if err := lines.Err(); err != nil {
+		return found, fmt.Errorf("log %s: %w", name, err)
+	}
+	return found, nil
+}
+
+// print writes the message first, then the other fields by name.
+func (e *explainCommand) print(prefix string, fields map[string]any) {
+	fmt.Fprintf(e.app.stdout, "%s%v %v: %v\n", prefix, fields["time"], fields["component"], fields["message"])
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		switch name {
+		case "time", "component", "message", "level", "request":
+		default:
+			fmt.Fprintf(e.app.stdout, "    %s: %v\n", name, fields[name])
+		}
+	}
+}
--- a/cmd/peppertraild/platform.go
+++ b/cmd/peppertraild/platform.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/peppertrail/peppertrail/pkg/edge"
+	"github.com/peppertrail/peppertrail/pkg/telemetry"
 	"github.com/peppertrail/peppertrail/platform"
 )
 
@@ -24,7 +25,9 @@
 	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	d, err := edge.New(context.Background(), settings, platform.Layout(), platform.Dialect(), platform.NewStore(settings.Store), os.Stdout)
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	defer out.Close()
+	d, err := edge.New(context.Background(), settings, platform.Layout(), platform.Dialect(), platform.NewStore(settings.Store), out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "peppertraild:", err)
 		return exitBadInput
--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/watch"
 )
@@ -31,6 +32,8 @@
 		}
 	}
 	d.budgets.SetBudgets(prepaid)
+	now := time.Now()
+	d.adoptedAt.Store(&now)
 	d.configuration.Store(next)
 	d.log.Info().Int64("version", next.Version).Int("customers", len(next.Customers)).Msg("Configuration in force.")
 }
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -62,6 +62,7 @@
 	gossip   *gossip.Node // nil: other hosts are not told
 
 	configuration atomic.Pointer[routing.Configuration]
+	adoptedAt     atomic.Pointer[time.Time] // of configuration
 	targetsKnown  atomic.Bool
 	leaving       atomic.Bool
 
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -29,6 +29,7 @@
 	Leaving              bool             `json:"leaving"`
 	Hosts                int              `json:"hosts"` // that report to the store
 	ConfigurationVersion int64            `json:"configuration_version"`
+	ConfigurationAge     time.Duration    `json:"configuration_age_ns"` // since it came into force on this host
 	Targets              []balance.Status `json:"targets"`
 	Budgets              []escrow.Status  `json:"budgets"`
 }
@@ -53,6 +54,7 @@
 	}
 	if c := d.configuration.Load(); c != nil {
 		s.ConfigurationVersion = c.Version
+		s.ConfigurationAge = time.Since(*d.adoptedAt.Load())
 	}
 	return s
 }
--- /dev/null
+++ b/pkg/telemetry/bounded_test.go
@@ -0,0 +1,45 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowOutput blocks until it is released.
+type slowOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (o *slowOutput) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// Guards against a log that delays its callers, and against lines that are
+// dropped without a word.
+func TestBoundedWriterDropsAndSaysSo(t *testing.T) {
+	out := &slowOutput{release: make(chan struct{})}
+	w := NewBoundedWriter(out)
+	start := time.Now()
+	for i := range 3 * boundedLines {
+		fmt.Fprintf(w, "line %d\n", i)
+	}
+	assert.Assert(t, time.Since(start) < time.Second)
+	dropped := w.Dropped()
+	assert.Assert(t, dropped >= boundedLines)
+	close(out.release)
+	assert.NilError(t, w.Close())
+	text := out.text.String()
+	assert.Assert(t, strings.Contains(text, "line 0\n"))
+	assert.Assert(t, strings.Contains(text, fmt.Sprintf(`"dropped":%d`, dropped)))
+	assert.Equal(t, strings.Count(text, "line "), 3*boundedLines-int(dropped))
+}
