--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/rendezvous"
 )
 
 // ErrNoTarget means that no target of the service may get the request.
@@ -90,7 +92,7 @@
 	load := requests + float64(t.promptTokens(r.Now))/promptWeight
 	c := candidate{state: t, requests: requests, load: (load + 1) * t.slowness(r.Now), rank: rand.Uint64()}
 	if key := sharedPart(r.Parts); key != "" {
-		c.rank = rendezvous(key, t.ID)
+		c.rank = rendezvous.Score(key, t.ID)
 	}
 	return c
 }
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/rendezvous"
+)
 
 const (
 	// reportTerm is how long a load report is used.
@@ -43,7 +47,7 @@
 }
 
 func newState(t Target) *state {
-	return &state{Target: t, laneRank: rendezvous(laneKey, t.ID), pace: 1, waiting: make(map[*Attempt]struct{}), remote: make(map[remoteKey]remotePrompt)}
+	return &state{Target: t, laneRank: rendezvous.Score(laneKey, t.ID), pace: 1, waiting: make(map[*Attempt]struct{}), remote: make(map[remoteKey]remotePrompt)}
 }
 
 // load estimates the requests at the target. hosts is how many hosts send to it.
--- a/pkg/escrow/peers.go
+++ b/pkg/escrow/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -22,7 +23,7 @@
 			since, err = k.newestVersion(ctx)
 		}
 		known = err == nil || (known && !errors.Is(err, storage.ErrHistoryGone))
-		pause(ctx, feedInterval)
+		pause.For(ctx, feedInterval)
 	}
 }
 
@@ -94,7 +95,7 @@
 // this host's ended processes once their shares are closed.
 func (k *Keeper) reclaim(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, reclaimInterval)
+		pause.For(ctx, reclaimInterval)
 		for _, host := range k.silentHosts() {
 			reports, err := k.readReports(ctx, host)
 			if err != nil {
@@ -217,7 +218,7 @@
 			return
 		}
 		k.options.Log.Warn().Err(err).Msg("Reports of earlier processes not read.")
-		pause(ctx, maxResend)
+		pause.For(ctx, maxResend)
 	}
 }
 
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -131,7 +132,7 @@
 		}
 		if wait, ok := p.ceilingWait(ctx, now, start, tokens); ok {
 			k.mu.Unlock()
-			pause(ctx, wait)
+			pause.For(ctx, wait)
 			k.mu.Lock()
 			continue
 		}
@@ -235,7 +236,7 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		pause(ctx, p.untilGap())
+		pause.For(ctx, p.untilGap())
 	}
 }
 
@@ -443,7 +444,7 @@
 			p.ledger.offered = nil
 		}
 		p.keeper.mu.Unlock()
-		pause(ctx, resend)
+		pause.For(ctx, resend)
 		if !unknown {
 			return false
 		}
@@ -537,15 +538,3 @@
 	}
 	return s
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -48,7 +49,7 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		pause(ctx, r.sentAt+minGap-r.keeper.options.Clock())
+		pause.For(ctx, r.sentAt+minGap-r.keeper.options.Clock())
 	}
 }
 
@@ -61,7 +62,7 @@
 			return
 		}
 		r.failed(err)
-		pause(ctx, firstResend)
+		pause.For(ctx, firstResend)
 	}
 }
 
@@ -110,7 +111,7 @@
 		if r.failures < len(reportPlaces) {
 			continue // the other place may be up
 		}
-		pause(ctx, resend)
+		pause.For(ctx, resend)
 		resend = min(2*resend, maxResend)
 	}
 }
--- a/pkg/route/retrybudget.go
+++ b/pkg/route/retrybudget.go
@@ -23,12 +23,13 @@
 	min   float64 // per second
 
 	mu    sync.Mutex
+	start time.Time // of the first call; time of day may jump, the time since then does not
 	slots [retryWindow]retrySlot
 }
 
 // retrySlot counts one second.
 type retrySlot struct {
-	second   int64 // Unix time
+	second   int64 // since the start
 	requests int
 	retries  int
 }
@@ -59,9 +60,17 @@
 	return true
 }
 
+// second returns the number of the second that now is in, from 1.
+func (b *RetryBudget) second(now time.Time) int64 {
+	if b.start.IsZero() {
+		b.start = now
+	}
+	return int64(now.Sub(b.start)/time.Second) + 1
+}
+
 // slot returns the slot of now, emptied if it counted an earlier second.
 func (b *RetryBudget) slot(now time.Time) *retrySlot {
-	second := now.Unix()
+	second := b.second(now)
 	s := &b.slots[((second%retryWindow)+retryWindow)%retryWindow]
 	if s.second != second {
 		*s = retrySlot{second: second}
@@ -71,7 +80,7 @@
 
 // totals sums the slots of the window that ends at now.
 func (b *RetryBudget) totals(now time.Time) (requests, retries int) {
-	second := now.Unix()
+	second := b.second(now)
 	for _, s := range b.slots {
 		if s.second > second-retryWindow && s.second <= second {
 			requests += s.requests
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -66,21 +67,21 @@
 
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	pause := firstPause
+	delay := firstPause
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		switch {
 		case err == nil:
 			w.succeeded()
-			pause = firstPause
-			sleep(ctx, w.options.Pause)
+			delay = firstPause
+			pause.For(ctx, w.options.Pause)
 		case errors.Is(err, storage.ErrHistoryGone):
 			w.options.Log.Info().Str("table", w.options.Table).Uint64("version", w.version).Msg("Feed lost its history. Scanning again.")
 			w.scanned = false
 		default:
 			w.failed(err)
-			sleep(ctx, pause+rand.N(pause))
-			pause = min(2*pause, maxPause)
+			pause.For(ctx, delay+rand.N(delay))
+			delay = min(2*delay, maxPause)
 		}
 	}
 }
@@ -197,12 +198,3 @@
 	}
 	w.failing = true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
