Ask other hosts at once for what a request lacks, a third place for reports

Two of nine hosts could not report for ten seconds, as both places of their reports were in partitions that were down; their shares counted as spent (2.3 million tokens). Change: a lack is told in a datagram, others hold only a second of demand for 0.7 s, the request looks at the account three times 60 ms apart; a third place. New test TestOthersGiveBackAtOnce, failing without the word.

--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -45,6 +45,10 @@
 		return nil
 	}
 	heard := func(m gossip.Message) {
+		if m.Customer != "" {
+			d.budgets.HeardLack(m.Customer)
+			return
+		}
 		d.targets.Heard(m.Host, balance.Prompt{Number: m.Number, Target: m.Target, Tokens: m.Tokens}, time.Now())
 	}
 	node, err := gossip.Listen(d.settings.Host, d.settings.PeerListen, heard, d.logs.Logger("gossip"))
@@ -67,3 +71,10 @@
 	}()
 	return nil
 }
+
+// announceLack tells other hosts that a request lacks tokens of a customer.
+func (d *Daemon) announceLack(customer string) {
+	if d.gossip != nil {
+		d.gossip.Send(gossip.Message{Customer: customer})
+	}
+}
--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -15,6 +15,6 @@
 // hosts for some ten seconds while a customer sends several times its usual
 // (shares cover that time at a multiple of the measured demand); all processes
 // are killed at once (the ceiling of a report lies little above what is spent);
-// parts of the store are down (a report goes to either of two places); a budget
+// parts of the store are down (a report goes to one of several places); a budget
 // runs low (shares follow the demand, and hosts give back what another one lacks).
 package escrow
--- a/pkg/escrow/keeper_test.go
+++ b/pkg/escrow/keeper_test.go
@@ -211,3 +211,22 @@
 	assert.Assert(t, spent <= prepaid, "spent %d of %d", spent, prepaid)
 	assert.Assert(t, spent >= 10_000, "spent only %d", spent)
 }
+
+// Guards against a refusal while other hosts hold what a request lacks and can
+// give it back at once.
+func TestOthersGiveBackAtOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	w.told = true
+	budget := map[string]int64{"regie": 100_000}
+	a := w.start("a", "a1", budget)
+	for range 120 {
+		a.spend(t, "regie", 300)
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.eventually("most is held by one host", func() bool { return w.account("regie").Shares[Share{Incarnation: "a1"}.key()].Amount > 90_000 })
+	b := w.start("b", "b1", budget)
+	time.Sleep(1500 * time.Millisecond) // reports are read
+	start := time.Now()
+	assert.Equal(t, b.spend(t, "regie", 20_000), int64(20_000))
+	assert.Assert(t, time.Since(start) < reserveWait, "%v", time.Since(start))
+}
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -30,6 +30,13 @@
 	reviewInterval = time.Second
 	// feedInterval is the time between two reads of the other hosts' reports.
 	feedInterval = time.Second
+	// heardTerm is how long the word of another host's lack makes this one hold
+	// only what it needs at once.
+	heardTerm = 700 * time.Millisecond
+	// A request that lacks tokens that others hold waits for maxAsks looks at the
+	// account, askPause apart: the time in which others give back.
+	maxAsks  = 3
+	askPause = 60 * time.Millisecond
 	// lackTerm is how long a request that got no tokens counts as lacking them.
 	lackTerm = 3 * time.Second
 )
@@ -38,13 +45,16 @@
 type Options struct {
 	Rows         storage.Rows
 	AccountTable string // account rows; the part is the customer
-	UsageTable   string // usage rows; two parts for each host
+	UsageTable   string // usage rows; some parts for each host
 	Host         string
 	// Incarnation is unique to this process.
 	Incarnation string
 	Addr        string // for datagrams of other hosts; empty: none
 	// Hosts returns how many hosts there are, as far as known.
 	Hosts func() int
+	// Announce is called when a request lacks tokens that other hosts hold. It
+	// must not block. Nil: other hosts read of it in the next report.
+	Announce func(customer string)
 	// Clock is a steady clock that also counts while the machine is suspended;
 	// nil: the one of the system.
 	Clock func() time.Duration
--- a/pkg/escrow/peers.go
+++ b/pkg/escrow/peers.go
@@ -133,7 +133,7 @@
 }
 
 // takeSilent notes the processes that may not spend any more, whether they run
-// or not. A report from the table is as new as any, as both places were read.
+// or not. A report from the table is as new as any, as all places were read.
 func (k *Keeper) takeSilent(reports map[string]UsageReport) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -199,6 +199,16 @@
 	return nil
 }
 
+// HeardLack notes that a request on another host lacks tokens of a customer.
+func (k *Keeper) HeardLack(customer string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p := k.purses[customer]; p != nil {
+		p.heardLackAt = p.now()
+		p.kick()
+	}
+}
+
 // recall reads the last reports of this host's earlier processes, which have
 // ended since this one runs in their place.
 func (k *Keeper) recall(ctx context.Context) {
@@ -222,8 +232,8 @@
 	}
 }
 
-// readReports returns the newest report of each process of a host. Both places
-// must answer, since either may have the newest one.
+// readReports returns the newest report of each process of a host. All places
+// must answer, since any may have the newest one.
 func (k *Keeper) readReports(ctx context.Context, host string) (map[string]UsageReport, error) {
 	reports := make(map[string]UsageReport)
 	for _, place := range reportPlaces {
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -22,17 +22,20 @@
 	wake   chan struct{}
 	left   chan struct{} // closed when everything was given back
 
-	prepaid   int64
-	need      int64         // largest reservation that waits
-	vainAt    time.Duration // when a reservation was last known to be in vain
-	vainNeed  int64
-	account   Account // as last seen
-	version   uint64  // of the row; 0: absent
-	seen      bool
-	seenAt    time.Duration
-	triedAt   time.Duration
-	reachable bool
-	collided  bool
+	prepaid     int64
+	need        int64         // largest reservation that waits
+	vainAt      time.Duration // when a reservation was last known to be in vain
+	vainNeed    int64
+	asks        int           // looks at the account since other hosts were asked
+	askedAt     time.Duration // of the last one
+	heardLackAt time.Duration // when another host last lacked tokens
+	account     Account       // as last seen
+	version     uint64        // of the row; 0: absent
+	seen        bool
+	seenAt      time.Duration
+	triedAt     time.Duration
+	reachable   bool
+	collided    bool
 }
 
 func newPurse(k *Keeper, customer string) *purse {
@@ -65,6 +68,7 @@
 		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usualRate(), peak: int64(p.ledger.meter.peak), typical: p.ledger.meter.typical,
 		need: p.need, hosts: p.keeper.options.Hosts(),
 	}
+	pos.others.lack = p.heardLackAt > 0 && now-p.heardLackAt < heardTerm
 	own := p.share().key()
 	for key, s := range p.account.Shares {
 		if key == own {
@@ -125,7 +129,7 @@
 		now := p.now()
 		if p.ledger.reserve(now, k.reports, tokens) {
 			r := &Reservation{purse: p, epoch: p.ledger.epoch, tokens: tokens}
-			p.need = 0 // others that wait ask again
+			p.need, p.asks = 0, 0 // others that wait ask again
 			p.kickAfterReserve()
 			k.mu.Unlock()
 			return r, nil
@@ -246,6 +250,9 @@
 	if p.collided || !p.seen || p.keeper.leaving {
 		return minGap / 4
 	}
+	if p.asks > 0 {
+		return max(minGap/4, p.askedAt+askPause-p.now())
+	}
 	return reviewInterval
 }
 
@@ -321,17 +328,37 @@
 // returns true if the account must be read, as another host may have given back.
 func (p *purse) needUnmet(pos position) (read bool) {
 	if p.need == 0 || pos.amount-pos.used >= p.need {
+		p.asks = 0
 		return false
 	}
-	if p.now()-p.seenAt > freshView {
+	now := p.now()
+	if now-p.seenAt > freshView || (p.asks > 0 && now-p.askedAt >= askPause && p.seenAt < p.askedAt+askPause) {
 		return true
 	}
+	if p.mayAskOthers(pos) {
+		if p.asks == 0 {
+			p.keeper.options.Announce(p.ledger.customer)
+		}
+		p.asks++
+		p.askedAt = now
+		return false
+	}
+	p.asks = 0
 	p.vainAt, p.vainNeed, p.need = p.now(), p.need, 0
 	p.keeper.wake()
 	p.keeper.reporter.kick()
 	return false
 }
 
+// mayAskOthers reports whether other hosts hold what a request waits for, and
+// may still give it back in time.
+func (p *purse) mayAskOthers(pos position) bool {
+	if p.keeper.options.Announce == nil || p.asks >= maxAsks {
+		return false
+	}
+	return pos.others.amount-pos.others.spent-pos.others.unknown >= p.need
+}
+
 // closeEnded returns the account without the shares of processes that have
 // ended, and whether there were any.
 func (p *purse) closeEnded() (Account, bool) {
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -10,8 +10,8 @@
 )
 
 // reportPlaces are the suffixes of the parts to which a host's reports go. The
-// second one serves while the store's partition of the first is down.
-var reportPlaces = []string{"/0", "/1"}
+// others serve while the store's partition of the first is down.
+var reportPlaces = []string{"/0", "/1", "/2"}
 
 // reporter writes the usage reports of a process, one after the other.
 type reporter struct {
@@ -90,7 +90,7 @@
 	return reportInterval / 2 // nothing was spent since the last report
 }
 
-// send writes the next report and resends it, to either place, until the table
+// send writes the next report and resends it, to any place, until the table
 // has taken it. Its content stays the same, as the earlier submissions may be
 // applied at any time.
 func (r *reporter) send(ctx context.Context) {
--- a/pkg/escrow/world_test.go
+++ b/pkg/escrow/world_test.go
@@ -24,6 +24,9 @@
 	t     *testing.T
 	store *rowstore.Store
 	hosts int
+	nodes []*node
+	// told makes hosts tell each other of a lack at once.
+	told bool
 }
 
 // node is one process.
@@ -44,15 +47,29 @@
 	n := &node{rows: w.store.Client(), cancel: cancel}
 	n.Keeper = NewKeeper(ctx, Options{
 		Rows: n.rows, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation,
-		Hosts: func() int { return w.hosts },
-		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Hosts:    func() int { return w.hosts },
+		Announce: func(customer string) { w.tell(host, customer) },
+		Log:      &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 	})
 	n.SetBudgets(budgets)
 	n.Start()
+	w.nodes = append(w.nodes, n)
 	w.eventually("budgets of "+host+" loaded", n.Loaded)
 	return n
 }
 
+// tell passes a lack on to the other hosts.
+func (w *world) tell(host, customer string) {
+	if !w.told {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.options.Host != host {
+			go n.HeardLack(customer)
+		}
+	}
+}
+
 func (w *world) eventually(what string, done func() bool) {
 	w.t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -1,6 +1,6 @@
-// Package gossip tells other hosts in datagrams what they cannot know yet of the
-// targets: long prompts on their way. What is lost is not sent again; receivers
-// let everything expire.
+// Package gossip tells other hosts in datagrams what they cannot know yet: long
+// prompts on their way to targets, and budgets of which a request lacks tokens.
+// What is lost is not sent again; receivers let everything expire.
 package gossip
 
 import (
@@ -24,12 +24,14 @@
 	maxFanout = 24
 )
 
-// Message says that a prompt is on its way to a target, or has been read.
+// Message says that a prompt is on its way to a target or has been read, or that
+// a request lacks tokens of a customer's budget.
 type Message struct {
-	Host   string `json:"h"`
-	Number uint64 `json:"n"` // of the prompt, unique for its host
-	Target string `json:"t"`
-	Tokens int64  `json:"p,omitempty"` // 0: has been read
+	Host     string `json:"h"`
+	Number   uint64 `json:"n,omitempty"` // of the prompt, unique for its host
+	Target   string `json:"t,omitempty"`
+	Tokens   int64  `json:"p,omitempty"` // 0: has been read
+	Customer string `json:"c,omitempty"` // whose tokens are lacking
 }
 
 // Node sends to and hears from other hosts. It is safe for concurrent use.
