Stop requests that crash their targets, on all hosts

Change: a request is known by customer, method, path and body; each target that it breaks is told to other hosts; after three it is refused with 503 and 30 s, without being sent. One that was answered is forgotten, since resets and lost answers break connections of harmless requests too.

--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -45,9 +45,13 @@
 		return nil
 	}
 	heard := func(m gossip.Message) {
-		if m.Customer != "" {
+		switch {
+		case m.Customer != "":
 			d.budgets.HeardLack(m.Customer)
 			return
+		case m.Crashed != 0:
+			d.suspects.Heard(m.Crashed, m.Target, time.Now())
+			return
 		}
 		d.targets.Heard(m.Host, balance.Prompt{Number: m.Number, Target: m.Target, Tokens: m.Tokens}, time.Now())
 	}
@@ -59,6 +63,9 @@
 	d.targets.Announce = func(p balance.Prompt) {
 		node.Send(gossip.Message{Number: p.Number, Target: p.Target, Tokens: p.Tokens})
 	}
+	d.suspects.Announce = func(fingerprint uint64, target string) {
+		node.Send(gossip.Message{Crashed: fingerprint, Target: target})
+	}
 	go node.Run(ctx)
 	l, err := net.Listen("tcp", d.settings.PeerListen)
 	if err != nil {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -23,6 +23,7 @@
 	Targets       *balance.Set
 	Client        *upstream.Client
 	Budgets       *escrow.Keeper
+	Suspects      *Suspects
 	// Leaving reports whether the host is stopping. Answers then close their connections.
 	Leaving func() bool
 	// RetryRatio, RetryReserve and RetryWindow bound the retries of all hosts together.
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -66,6 +66,9 @@
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
+	if c.h.Suspects.Crashes(c.fingerprint(), c.arrived) {
+		return refuse(CrashesTargets, afterCrashes)
+	}
 	c.service = c.config.Service(c.route.Service(position(c.id)))
 	c.h.limit(c.service.Name).Observe(c.arrived)
 	return c.reserve()
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -35,6 +35,7 @@
 	ConnectionLimit   Reason = "connection_limit"
 	DeadlinePassed    Reason = "deadline_passed"
 	CallerGone        Reason = "caller_gone"
+	CrashesTargets    Reason = "crashes_targets"
 )
 
 // Reasons returns every reason, for registering one counter each.
@@ -42,7 +43,7 @@
 	return []Reason{
 		NoConfiguration, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
 		BudgetExhausted, BudgetUnreachable, NoTarget, TargetFull, TargetReplaced,
-		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone,
+		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, CrashesTargets,
 	}
 }
 
--- a/pkg/forward/rig_test.go
+++ b/pkg/forward/rig_test.go
@@ -76,7 +76,7 @@
 	set := balance.NewSet()
 	r.handler = New(Options{
 		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, Client: upstream.New(), Budgets: r.budgets,
-		Leaving: r.leaving.Load, RetryRatio: 0.2, RetryReserve: 20, RetryWindow: 10 * time.Second, Observer: &r.seen, Log: quiet,
+		Suspects: NewSuspects(), Leaving: r.leaving.Load, RetryRatio: 0.2, RetryReserve: 20, RetryWindow: 10 * time.Second, Observer: &r.seen, Log: quiet,
 	})
 	var targets []balance.Target
 	for i := range replicas {
@@ -143,9 +143,22 @@
 }
 
 func (r *rig) askWithin(ctx context.Context, id, path string, headers ...string) reply {
+	r.t.Helper()
+	return r.send(ctx, id, path, "body of "+id, headers...)
+}
+
+// askBody sends a request with a body of its own.
+func (r *rig) askBody(id, path, body string) reply {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+	defer cancel()
+	return r.send(ctx, id, path, body)
+}
+
+func (r *rig) send(ctx context.Context, id, path, text string, headers ...string) reply {
 	r.t.Helper()
 	d := dialect.Default()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+path, strings.NewReader("body of "+id))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+path, strings.NewReader(text))
 	assert.NilError(r.t, err)
 	request.Host = testHost
 	request.Header.Set(d.RequestID, id)
--- /dev/null
+++ b/pkg/forward/suspects.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+)
+
+const (
+	// crashLimit is the number of targets that a request may break before it is
+	// refused: the users allow three.
+	crashLimit = 3
+	// suspectTerm is how long a request is remembered after it last broke a target.
+	// It outlasts the return of crashed targets by far.
+	suspectTerm = time.Minute
+	// maxSuspects bounds the memory for requests that broke a target.
+	maxSuspects = 4096
+	// afterCrashes is the time after which such a request may come back.
+	afterCrashes = 30 * time.Second
+)
+
+// Suspects remembers requests whose targets broke off without an answer, so that
+// one that crashes its targets does not crash all of them. A request is known by
+// its customer, path and body, as it comes again under other ids and at other
+// hosts. It is safe for concurrent use.
+type Suspects struct {
+	// Announce is called for each target that a request breaks on this host. It
+	// must not block. Nil: other hosts are not told.
+	Announce func(fingerprint uint64, target string)
+
+	mu  sync.Mutex
+	all map[uint64]*suspect
+}
+
+// suspect is a request that broke at least one target.
+type suspect struct {
+	targets map[string]struct{}
+	last    time.Time
+}
+
+// NewSuspects returns an empty memory.
+func NewSuspects() *Suspects { return &Suspects{all: make(map[uint64]*suspect)} }
+
+// Heard notes that a request broke a target, here or on another host.
+func (s *Suspects) Heard(fingerprint uint64, target string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one := s.all[fingerprint]
+	if one == nil {
+		s.forget(now)
+		if len(s.all) >= maxSuspects {
+			return
+		}
+		one = &suspect{targets: make(map[string]struct{})}
+		s.all[fingerprint] = one
+	}
+	one.targets[target] = struct{}{}
+	one.last = now
+}
+
+// Broke notes that a request of this host broke a target, and tells other hosts.
+func (s *Suspects) Broke(fingerprint uint64, target string, now time.Time) {
+	s.Heard(fingerprint, target, now)
+	if s.Announce != nil {
+		s.Announce(fingerprint, target)
+	}
+}
+
+// Answered notes that a target has answered a request to its end: it does not
+// crash targets, however often its connections broke.
+func (s *Suspects) Answered(fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, fingerprint)
+}
+
+// Crashes reports whether a request has broken so many targets that it may not
+// reach another one.
+func (s *Suspects) Crashes(fingerprint uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one := s.all[fingerprint]
+	return one != nil && len(one.targets) >= crashLimit && now.Sub(one.last) < suspectTerm
+}
+
+func (s *Suspects) forget(now time.Time) {
+	for fingerprint, one := range s.all {
+		if now.Sub(one.last) >= suspectTerm {
+			delete(s.all, fingerprint)
+		}
+	}
+}
+
+// fingerprint is the same for the same request under another id.
+func (c *call) fingerprint() uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{c.customerName(), c.r.Method, c.r.RequestURI, string(c.body)} {
+		_, _ = h.Write([]byte(part)) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -1,5 +1,6 @@
 // Package gossip tells other hosts in datagrams what they cannot know yet: long
-// prompts on their way to targets, and budgets of which a request lacks tokens.
+// prompts on their way to targets, budgets of which a request lacks tokens, and
+// requests that break targets.
 // What is lost is not sent again; receivers let everything expire.
 package gossip
 
@@ -25,13 +26,14 @@
 )
 
 // Message says that a prompt is on its way to a target or has been read, or that
-// a request lacks tokens of a customer's budget.
+// a request lacks tokens of a customer's budget, or that one broke its target.
 type Message struct {
 	Host     string `json:"h"`
 	Number   uint64 `json:"n,omitempty"` // of the prompt, unique for its host
 	Target   string `json:"t,omitempty"`
 	Tokens   int64  `json:"p,omitempty"` // 0: has been read
 	Customer string `json:"c,omitempty"` // whose tokens are lacking
+	Crashed  uint64 `json:"x,omitempty"` // fingerprint of a request that broke Target
 }
 
 // Node sends to and hears from other hosts. It is safe for concurrent use.
