--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -18,12 +18,12 @@
 	expectedPerToken = 10 * time.Microsecond
 	// affinityBound is how far the load of a target with cached parts may lie
 	// above the mean before another one gets the request.
-	affinityBound = 1.3
+	affinityBound = 1.6
 	// affinitySlack is added to the bound, in requests, so that single requests
 	// do not decide where there are few.
 	affinitySlack = 2
 	// promptWeight is the prompt tokens that count as one request in the load.
-	promptWeight = 4000
+	promptWeight = 1000
 )
 
 // Pick chooses a target and counts the request against it until End.
