Fingerprint a request once, keep pools that were just looked up

Cause, found reading the code: the fingerprint hashed the body for each answer and attempt again; a pool could be dropped between its look-up and its first connection, which then stayed open without an owner. Result: tests of forward and upstream pass with -race.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -23,7 +23,7 @@
 			return step{reason: DeadlinePassed, ran: true}
 		}
 		a.End(now, balance.Broken)
-		c.h.Suspects.Broke(c.fingerprint(), a.Target.ID, now)
+		c.h.Suspects.Broke(c.fingerprint, a.Target.ID, now)
 		return step{reason: AnswerBroken, ran: true}
 	}
 	pass := func() { c.pass(response, body) }
@@ -81,7 +81,7 @@
 
 // finished counts an answer that was passed on to its end.
 func (c *call) finished(status int) {
-	c.h.Suspects.Answered(c.fingerprint())
+	c.h.Suspects.Answered(c.fingerprint)
 	total := time.Since(c.arrived)
 	if c.firstByte == 0 {
 		c.firstByte = total
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -90,7 +90,7 @@
 	if c.attempts >= maxSends {
 		return false
 	}
-	if s.reason == AnswerBroken && c.h.Suspects.Crashes(c.fingerprint(), now) {
+	if s.reason == AnswerBroken && c.h.Suspects.Crashes(c.fingerprint, now) {
 		return false
 	}
 	if s.ran && (!c.route.Idempotent() || c.ran >= max(1, c.route.MaxAttempts)) {
@@ -177,7 +177,7 @@
 	a.End(now, balance.Broken)
 	c.attempts++
 	c.ran++
-	c.h.Suspects.Broke(c.fingerprint(), a.Target.ID, now)
+	c.h.Suspects.Broke(c.fingerprint, a.Target.ID, now)
 	return step{reason: AnswerBroken, ran: true}
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -27,6 +27,7 @@
 	customer    *routing.Customer
 	id          string
 	body        []byte
+	fingerprint uint64 // of a request that may come again under another id
 	cost        dialect.Cost
 	outputHint  int64
 	parts       []balance.Part
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -66,7 +66,8 @@
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
-	if c.h.Suspects.Crashes(c.fingerprint(), c.arrived) {
+	c.fingerprint = c.requestFingerprint()
+	if c.h.Suspects.Crashes(c.fingerprint, c.arrived) {
 		return refuse(CrashesTargets, afterCrashes)
 	}
 	c.service = c.config.Service(c.route.Service(position(c.id)))
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -94,7 +94,7 @@
 		return step{reason: DeadlinePassed, ran: true}
 	}
 	a.End(now, balance.Broken)
-	c.h.Suspects.Broke(c.fingerprint(), a.Target.ID, now)
+	c.h.Suspects.Broke(c.fingerprint, a.Target.ID, now)
 	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Err(err).Msg("Stream broken off.")
 	return step{reason: AnswerBroken, ran: true}
 }
--- a/pkg/forward/suspects.go
+++ b/pkg/forward/suspects.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// fingerprint is the same for the same request under another id.
-func (c *call) fingerprint() uint64 {
+// requestFingerprint is the same for the same request under another id.
+func (c *call) requestFingerprint() uint64 {
 	h := fnv.New64a()
 	for _, part := range []string{c.customerName(), c.r.Method, c.r.RequestURI, string(c.body)} {
 		_, _ = h.Write([]byte(part)) // never fails
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -21,6 +21,9 @@
 	maxStaleBody = 1 << 20
 	// pruneInterval is the time between two checks of all idle connections.
 	pruneInterval = 2 * time.Second
+	// forgetAfter drops the pool of an address without connections. A request that
+	// has just looked the pool up must find it in use.
+	forgetAfter = time.Minute
 )
 
 // Client sends requests to targets. It is safe for concurrent use.
@@ -67,6 +70,7 @@
 		p = &pool{}
 		c.pools[addr] = p
 	}
+	p.lookedUp = time.Now()
 	return p
 }
 
@@ -107,7 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, p := range c.pools {
-		if p.prune(now) {
+		if p.prune(now) && now.Sub(p.lookedUp) > forgetAfter {
 			delete(c.pools, addr)
 		}
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -10,6 +10,8 @@
 	mu   sync.Mutex
 	open int     // in use and idle
 	idle []*conn // the one used last is at the end
+
+	lookedUp time.Time // guarded by the client's mutex
 }
 
 // take returns an idle connection, or nil and whether a new one may be opened.
