Remove code that nothing calls, tell of log lines lost at the end

Found reading the whole change once more: Set.Report, Configuration.Services, Response.SetReadDeadline and State.Regained (with the field that fed it) had no caller; an option was set to its zero value; the error of closing the log was dropped.

--- a/cmd/peppertraild/platform.go
+++ b/cmd/peppertraild/platform.go
@@ -26,7 +26,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	out := telemetry.NewBoundedWriter(os.Stdout)
-	defer out.Close()
+	defer func() {
+		if err := out.Close(); err != nil {
+			fmt.Fprintln(os.Stderr, "peppertraild:", err)
+		}
+	}()
 	d, err := edge.New(context.Background(), settings, platform.Layout(), platform.Dialect(), platform.NewStore(settings.Store), out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "peppertraild:", err)
--- a/pkg/balance/set.go
+++ b/pkg/balance/set.go
@@ -64,15 +64,6 @@
 	return s.hosts
 }
 
-// Report takes over a load that a target reports outside an answer.
-func (s *Set) Report(id string, l Load, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t := s.byID[id]; t != nil {
-		t.observe(l, now)
-	}
-}
-
 // Status is what this host believes of a target.
 type Status struct {
 	Target
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -97,7 +97,6 @@
 	})
 	d.callers = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: nil,
 	}
 	return d, nil
 }
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -99,15 +99,6 @@
 // Service returns a service by name, nil if there is none.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
-// Services returns all services in no order.
-func (c *Configuration) Services() []*Service {
-	all := make([]*Service, 0, len(c.services))
-	for _, s := range c.services {
-		all = append(all, s)
-	}
-	return all
-}
-
 // Customer returns the holder of an API key, nil if nobody holds it.
 func (c *Configuration) Customer(key string) *Customer { return c.byKey[key] }
 
--- a/pkg/upstream/response.go
+++ b/pkg/upstream/response.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 )
 
 // Response is an answer whose body is still arriving.
@@ -60,11 +59,6 @@
 	return data, nil
 }
 
-// SetReadDeadline bounds the next reads.
-func (r *Response) SetReadDeadline(t time.Time) error {
-	return r.exchange.conn.SetReadDeadline(t)
-}
-
 // Close ends the exchange. The connection is reused if the whole answer was read.
 func (r *Response) Close() {
 	r.once.Do(func() {
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -44,8 +44,6 @@
 	Rows map[string]storage.PartRow // by key; must not be changed
 	// Changed holds the rows of the last step, deleted ones included.
 	Changed []storage.PartRow
-	// Regained is set on the first state after the store was out of reach.
-	Regained bool
 }
 
 // Watcher follows one table.
@@ -53,7 +51,6 @@
 	options  Options
 	rows     map[string]storage.PartRow
 	version  uint64
-	known    bool // a scan has succeeded
 	scanned  bool // the feed can go on from version
 	failing  bool
 	loggedAt time.Time
@@ -178,9 +175,7 @@
 }
 
 func (w *Watcher) apply(changed []storage.PartRow) {
-	regained := w.failing && w.known
-	w.known = true
-	w.options.Apply(State{Rows: w.rows, Changed: changed, Regained: regained})
+	w.options.Apply(State{Rows: w.rows, Changed: changed})
 }
 
 func (w *Watcher) succeeded() {
