Let a leaving home settle attempts of an entry daemon that was replaced

A leaving home asks the entry daemons of open attempts through the live set of the table. That set holds one row for each address, so an entry daemon that was killed and came back is not in it, and a fenced one is not either. The home got "not live" until its drain ended. In the moments before the new row was read, the new process answered for the old one, "none open", and the home released attempts that may have run.

Ruled out: fencing of host1 (its row was current to the end); a lost commit (grants and last commit only ran out of the same time).

Change: the address comes from the row of the entry daemon, live or not. The answer names the incarnations that the process had before; another one at the address means that the process has ended. A daemon that is not live and gives no answer counts as ended. Its attempts are billed at their bound, as on expiry.

--- a/pkg/cluster/tracker.go
+++ b/pkg/cluster/tracker.go
@@ -71,6 +71,15 @@
 	return changes
 }
 
+// addrs returns the address of each row.
+func (t *tracker) addrs() map[string]string {
+	addrs := make(map[string]string, len(t.holders))
+	for incarnation, h := range t.holders {
+		addrs[incarnation] = h.record.PeerAddr
+	}
+	return addrs
+}
+
 // live returns the live daemons in order of address, at most one per address.
 func (t *tracker) live() []Peer {
 	byAddr := map[string]trackedHolder{}
--- a/pkg/cluster/view.go
+++ b/pkg/cluster/view.go
@@ -39,6 +39,7 @@
 	mu      sync.RWMutex
 	peers   []Peer               // live by the table, not modified after it was set
 	changed map[string]time.Time // by incarnation, not modified after it was set
+	addrs   map[string]string    // by incarnation, also of daemons that are not live; not modified after it was set
 	rows    int                  // holder rows at the last scan
 	last    time.Time
 }
@@ -92,11 +93,12 @@
 	now := time.Now()
 	v.tracker.observe(v.decode(rows), now)
 	peers := v.withSelf(v.tracker.live())
-	changed := v.tracker.changes()
+	changed, addrs := v.tracker.changes(), v.tracker.addrs()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.peers = peers
 	v.changed = changed
+	v.addrs = addrs
 	v.rows = len(rows)
 	v.last = now
 	return nil
@@ -156,6 +158,15 @@
 	return "", false
 }
 
+// Registered returns the address in the row of a daemon, live or not. It
+// returns false for one whose row was not in the last scan.
+func (v *View) Registered(incarnation string) (addr string, ok bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	addr, ok = v.addrs[incarnation]
+	return addr, ok
+}
+
 // Home returns the live daemons of the region in the order in which they are
 // the home of the budget: the first is the home, the next takes over if it
 // cannot be reached. The result is empty if the region has no live daemon.
--- /dev/null
+++ b/pkg/daemon/entries_test.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/home"
+	"github.com/peppertrail/peppertrail/pkg/peer"
+)
+
+// oneRow is the row of one entry daemon.
+type oneRow struct {
+	incarnation string
+	live        bool
+}
+
+func (r oneRow) Registered(incarnation string) (string, bool) {
+	return "10.0.0.1:7000", incarnation == r.incarnation
+}
+
+func (r oneRow) Holder(incarnation string) (string, bool) {
+	return "10.0.0.1:7000", r.live && incarnation == r.incarnation
+}
+
+// Guards against a graceful stop that waits for attempts of an entry daemon
+// that was killed and restarted at its address, and against releasing them
+// because the new process has none open.
+func TestEntriesOfEndedProcess(t *testing.T) {
+	errTimeout := errors.New("timeout")
+	cases := []struct {
+		desc  string
+		entry string
+		live  bool
+		reply peer.AttemptsReply
+		err   error
+		open  int
+		gone  bool
+		fails bool
+	}{
+		{"running", "a~1", true, peer.AttemptsReply{Home: "a~1", Open: 2}, nil, 2, false, false},
+		{"running, nothing open", "a~1", true, peer.AttemptsReply{Home: "a~1"}, nil, 0, false, false},
+		{"restarted, row still live", "a~1", true, peer.AttemptsReply{Home: "a~2"}, nil, 0, true, false},
+		{"restarted, row replaced", "a~1", false, peer.AttemptsReply{Home: "a~2"}, nil, 0, true, false},
+		{"fenced and registered again", "a~1", false, peer.AttemptsReply{Home: "a~2", Former: []string{"a~1"}, Open: 1}, nil, 1, false, false},
+		{"nothing listens", "a~1", true, peer.AttemptsReply{}, errProcessGone, 0, true, false},
+		{"no answer, still live", "a~1", true, peer.AttemptsReply{}, errTimeout, 0, false, true},
+		{"no answer, fenced", "a~1", false, peer.AttemptsReply{}, errTimeout, 0, true, false},
+		{"never seen", "b~1", false, peer.AttemptsReply{}, nil, 0, false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			e := entries{
+				rows: oneRow{incarnation: "a~1", live: tc.live},
+				ask: func(context.Context, string, string) (peer.AttemptsReply, error) {
+					return tc.reply, tc.err
+				},
+			}
+			open, gone, err := e.open(t.Context(), tc.entry, "h~1")
+			assert.Equal(t, err != nil, tc.fails, "%v", err)
+			assert.Equal(t, open, tc.open)
+			assert.Equal(t, gone, tc.gone)
+		})
+	}
+}
+
+// Guards against a home that cannot stop because an entry daemon with attempts
+// there was killed and its host came back before the stop.
+func TestHomeStopsAfterEntryRestarted(t *testing.T) {
+	r := newRig(t)
+	r.install(t)
+	d := r.start(t, "h1", "--drain-timeout", "10s")
+	d.usable(t)
+	old := r.start(t, "h2")
+	waitFor(t, "h2 in the view of h1", func() bool {
+		_, live := d.session.Load().view.Holder(old.Incarnation())
+		return live
+	})
+	former := old.Incarnation()
+	assert.NilError(t, old.stop(t))
+	r.startAt(t, "h2", old.peerAddr)
+	reply, err := d.local.Reserve(t.Context(), home.ReserveRequest{
+		Customer: "regie", Budget: testBudget, Request: "r1", Fingerprint: "f", Attempt: 1, Bound: 10,
+		Target: "chef-0", Entry: former,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome, home.Granted)
+	assert.NilError(t, d.stop(t))
+}
--- a/pkg/daemon/evidence.go
+++ b/pkg/daemon/evidence.go
@@ -28,26 +28,39 @@
 
 var _ repair.Evidence = evidence{}
 
-// Ask implements repair.Evidence. A refused connection shows that the process
-// has ended: a daemon listens until its end, and a paused process still
-// accepts. It must come from the daemon's own host, so that the advertised
-// address may not be that of a proxy.
+// Ask implements repair.Evidence.
 func (e evidence) Ask(ctx context.Context, d lease.HolderRecord, holder string) (repair.Testimony, error) {
+	reply, err := e.daemon.askAttempts(ctx, d.PeerAddr, holder)
+	if errors.Is(err, errProcessGone) {
+		return repair.Testimony{Gone: true}, nil
+	}
+	if err != nil {
+		return repair.Testimony{}, fmt.Errorf("no answer from %s: %w", d.Incarnation, err)
+	}
+	return repair.Testimony{Home: reply.Home, Open: reply.Open}, nil
+}
+
+// askAttempts asks the daemon at a peer address for its attempts on grants of a
+// holder. A refused connection shows that the process has ended, which it
+// returns as errProcessGone: a daemon listens until its end, and a paused
+// process still accepts. It must come from the daemon's own host, so that the
+// advertised address may not be that of a proxy.
+func (d *Daemon) askAttempts(ctx context.Context, addr, holder string) (peer.AttemptsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := e.daemon.pool.Client(d.PeerAddr).Attempts(ctx, peer.AttemptsRequest{Holder: holder})
+	reply, err := d.pool.Client(addr).Attempts(ctx, peer.AttemptsRequest{Holder: holder})
 	if err == nil {
-		return repair.Testimony{Home: reply.Home, Open: reply.Open}, nil
+		return reply, nil
 	}
 	var dialer net.Dialer
-	conn, dialErr := dialer.DialContext(ctx, "tcp", d.PeerAddr)
+	conn, dialErr := dialer.DialContext(ctx, "tcp", addr)
 	if errors.Is(dialErr, syscall.ECONNREFUSED) {
-		return repair.Testimony{Gone: true}, nil
+		return peer.AttemptsReply{}, errProcessGone
 	}
 	if dialErr == nil {
 		_ = conn.Close()
 	}
-	return repair.Testimony{}, fmt.Errorf("no answer from %s: %w", d.Incarnation, err)
+	return peer.AttemptsReply{}, err
 }
 
 // testify answers another daemon's Ask.
@@ -59,7 +72,7 @@
 	if err != nil {
 		return peer.AttemptsReply{}, err
 	}
-	return peer.AttemptsReply{Home: status.Holder, Open: d.router.OpenAttempts(req.Holder)}, nil
+	return peer.AttemptsReply{Home: status.Holder, Former: d.former(), Open: d.router.OpenAttempts(req.Holder)}, nil
 }
 
 // askEntry implements home.Entries.
@@ -67,12 +80,8 @@
 	if entry == holder && d.router != nil {
 		return d.router.OpenAttempts(holder), false, nil
 	}
-	addr, live := d.session.Load().view.Holder(entry)
-	if !live {
-		return 0, false, fmt.Errorf("entry daemon %s is not live", entry)
-	}
-	t, err := evidence{d}.Ask(context.Background(), lease.HolderRecord{Incarnation: entry, PeerAddr: addr}, holder)
-	return t.Open, t.Gone, err
+	e := entries{rows: d.session.Load().view, ask: d.askAttempts}
+	return e.open(context.Background(), entry, holder)
 }
 
 // LastChange implements repair.Evidence.
--- a/pkg/daemon/rig_test.go
+++ b/pkg/daemon/rig_test.go
@@ -100,11 +100,17 @@
 
 // start runs a daemon. extra are further settings.
 func (r *rig) start(t *testing.T, host string, extra ...string) *running {
+	t.Helper()
+	return r.startAt(t, host, "127.0.0.1:0", extra...)
+}
+
+// startAt runs a daemon that other daemons reach at the given address.
+func (r *rig) startAt(t *testing.T, host, peerAddr string, extra ...string) *running {
 	t.Helper()
 	operator := r.operators()[0]
 	args := append([]string{
 		"--host", host, "--region", "m", "--failure-domain", "k", "--platform", r.url,
-		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", peerAddr,
 		"--bootstrap-operator", operator.Name + "=" + operator.PublicKey,
 		"--holder-ttl", "3s", "--renew-interval", "500ms", "--bundle-poll", "200ms",
 	}, extra...)
--- a/pkg/daemon/session.go
+++ b/pkg/daemon/session.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/cluster"
@@ -31,6 +32,7 @@
 	version   uint64 // of the holder row when it was registered; also the fencing number
 	committer *commit.Committer
 	view      *cluster.View
+	former    []string // incarnations of the sessions before
 	cancel    context.CancelFunc
 }
 
@@ -49,7 +51,7 @@
 		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s := &session{record: record, version: version, cancel: cancel}
+	s := &session{record: record, version: version, former: d.incarnations(), cancel: cancel}
 	s.view = cluster.NewView(cluster.Options{Table: d.platform, Self: record, TTL: d.config.HolderTTL, Homes: d.config.Homes, OnBadRow: d.badRow})
 	_ = s.view.Poll(ctx) // an unread view holds only this daemon, until the first scan
 	s.committer = commit.New(commit.Options{
@@ -145,6 +147,23 @@
 	return ""
 }
 
+// incarnations returns those of the current session and the ones before.
+func (d *Daemon) incarnations() []string {
+	s := d.session.Load()
+	if s == nil {
+		return nil
+	}
+	return append(slices.Clone(s.former), s.record.Incarnation)
+}
+
+// former returns the incarnations of the sessions before the current one.
+func (d *Daemon) former() []string {
+	if s := d.session.Load(); s != nil {
+		return s.former
+	}
+	return nil
+}
+
 // Fencing implements gateway.Identity. Revisions of the table only rise, so
 // the version of the holder row orders the registrations of the whole fleet.
 func (d *Daemon) Fencing() uint64 {
--- a/pkg/peer/attempts.go
+++ b/pkg/peer/attempts.go
@@ -9,8 +9,9 @@
 
 // AttemptsReply is a daemon's testimony about a holder.
 type AttemptsReply struct {
-	Home string `json:"home"` // incarnation that the daemon's own authority acts for
-	Open int    `json:"open"` // its attempts on the holder's grants that are not known to be settled
+	Home   string   `json:"home"`             // incarnation that the daemon's own authority acts for
+	Former []string `json:"former,omitempty"` // incarnations that the process had before, as a fenced daemon has
+	Open   int      `json:"open"`             // its attempts on the holder's grants that are not known to be settled
 }
 
 // Attempts asks the peer, with the errors of Reserve.
