Start shares anew after a lease has ended, take a host back that was paused

A host spends for 15 s after its last report; 20 s after it another host may close its share. A host that was paused for longer reported again and went on with the share it remembered. If the account row was out of reach (its partition of the store down) while the reports went through, it spent tokens that others had got. And a host that others had noted as ended stayed so for good: each new share was closed as spent as a whole.

Ruled out: the clocks (both count suspension); the report itself, which bounds the share of the same epoch only.

Change: a report that the table takes more than a lease after the one before ends the epoch. The former share is closed with what was used of it, by this host or by another one with more. A newer report takes a host of the list of ended processes.

--- a/pkg/escrow/ledger.go
+++ b/pkg/escrow/ledger.go
@@ -87,6 +87,15 @@
 	l.meter.add(now, spent)
 }
 
+// lapse ends the epoch of a process that did not report for a whole lease: other
+// hosts may have closed the share, or are about to. It returns what was used of
+// the share, which is final.
+func (l *ledger) lapse() (used int64) {
+	used = l.used()
+	l.lose()
+	return used
+}
+
 // lose starts a new epoch without a share.
 func (l *ledger) lose() {
 	l.epoch++
--- a/pkg/escrow/peers.go
+++ b/pkg/escrow/peers.go
@@ -77,6 +77,9 @@
 		return
 	}
 	k.peers[report.Incarnation] = report
+	if report.Host != k.options.Host {
+		delete(k.ended, report.Incarnation) // a paused process that runs again has new shares
+	}
 	for customer, u := range report.Customers {
 		if p := k.purses[customer]; p != nil && u.Lacking > 0 {
 			p.kick() // this host may hold what the other one lacks
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -23,8 +23,9 @@
 	left   chan struct{} // closed when everything was given back
 
 	prepaid     int64
-	need        int64         // largest reservation that waits
-	vainAt      time.Duration // when a reservation was last known to be in vain
+	need        int64            // largest reservation that waits
+	lapsed      map[string]int64 // used tokens by key of own shares whose lease had ended
+	vainAt      time.Duration    // when a reservation was last known to be in vain
 	vainNeed    int64
 	asks        int           // looks at the account since other hosts were asked
 	askedAt     time.Duration // of the last one
@@ -52,6 +53,17 @@
 	}
 }
 
+// lapse gives up the present share.
+func (p *purse) lapse() {
+	key := p.share().key()
+	used := p.ledger.lapse()
+	if p.lapsed == nil {
+		p.lapsed = make(map[string]int64)
+	}
+	p.lapsed[key] = used
+	p.kick()
+}
+
 func (p *purse) now() time.Duration { return p.keeper.options.Clock() }
 
 // share returns the key under which the account has this process's share.
@@ -365,7 +377,10 @@
 	account := p.account.clone()
 	closed := false
 	for key, s := range p.account.Shares {
-		if process, ended := p.keeper.ended[s.Incarnation]; ended {
+		if used, lapsed := p.lapsed[key]; lapsed {
+			account.close(key, used)
+			closed = true
+		} else if process, ended := p.keeper.ended[s.Incarnation]; ended {
 			account.close(key, process.maxSpent(p.ledger.customer, s))
 			closed = true
 		}
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -181,6 +181,12 @@
 		k.options.Log.Info().Int64("report", report.Number).Msg("Usage reported again.")
 	}
 	r.reachable, r.failures = true, 0
+	if last := k.reports.acked; last != nil && k.options.Clock()-last.sentAt > leaseTerm {
+		k.options.Log.Warn().Dur("silent", k.options.Clock()-last.sentAt).Msg("Lease had ended. Shares start anew.")
+		for _, p := range k.purses {
+			p.lapse()
+		}
+	}
 	k.reports.acked, k.reports.pending = k.reports.pending, nil
 	k.wake()
 }
--- a/pkg/escrow/world_test.go
+++ b/pkg/escrow/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	usages   = "usages"
 )
 
+var epochOfTests = time.Now()
+
 // world is a store with hosts that spend from it.
 type world struct {
 	t     *testing.T
@@ -27,6 +30,8 @@
 	nodes []*node
 	// told makes hosts tell each other of a lack at once.
 	told bool
+	// skipped is how far the clocks of store and hosts have jumped, in ns.
+	skipped atomic.Int64
 }
 
 // node is one process.
@@ -37,7 +42,25 @@
 }
 
 func newWorld(t *testing.T, hosts int) *world {
-	return &world{t: t, store: rowstore.New(nil), hosts: hosts}
+	w := &world{t: t, hosts: hosts}
+	w.store = rowstore.New(w.clock)
+	return w
+}
+
+// clock is the steady clock of the store and of all hosts.
+func (w *world) clock() time.Duration {
+	return time.Since(epochOfTests) + time.Duration(w.skipped.Load())
+}
+
+// skip lets time pass at once.
+func (w *world) skip(d time.Duration) { w.skipped.Add(int64(d)) }
+
+// closeSilent makes a host take back the shares of another one that is silent.
+func (w *world) closeSilent(n *node, host string) {
+	w.t.Helper()
+	reports, err := n.readReports(w.t.Context(), host)
+	assert.NilError(w.t, err)
+	n.takeSilent(reports)
 }
 
 // start runs a process and waits until it has loaded its budgets.
@@ -48,6 +71,7 @@
 	n.Keeper = NewKeeper(ctx, Options{
 		Rows: n.rows, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation,
 		Hosts:    func() int { return w.hosts },
+		Clock:    w.clock,
 		Announce: func(customer string) { w.tell(host, customer) },
 		Log:      &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 	})
