--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 )
@@ -71,8 +73,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for other hosts: %w", err)
 	}
+	server := relay.NewServer(d.direct, d.logs.Logger("relay"))
+	server.Handle(methodShare, d.changeShare)
 	go func() {
-		if err := relay.NewServer(d.direct, d.logs.Logger("relay")).Serve(ctx, l); err != nil {
+		if err := server.Serve(ctx, l); err != nil {
 			failed <- err
 		}
 	}()
@@ -85,3 +89,21 @@
 		d.gossip.Send(gossip.Message{Customer: customer})
 	}
 }
+
+// methodShare asks another host to change a share in an account.
+const methodShare = "budget.share"
+
+// changeShare changes an account for another host.
+func (d *Daemon) changeShare(ctx context.Context, params json.RawMessage) (any, error) {
+	var ask escrow.ShareAsk
+	if err := json.Unmarshal(params, &ask); err != nil {
+		return nil, fmt.Errorf("%s: %w", methodShare, err)
+	}
+	return d.budgets.ChangeShare(ctx, ask)
+}
+
+// askShare asks another host to change a share of this one.
+func (d *Daemon) askShare(ctx context.Context, addr string, ask escrow.ShareAsk) (answer escrow.ShareAnswer, err error) {
+	err = d.rows.Call(ctx, addr, methodShare, ask, &answer)
+	return answer, err
+}
--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -17,7 +17,8 @@
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
 	Epoch       int    `json:"epoch,omitempty"`
-	Amount      int64  `json:"amount"` // tokens
+	Amount      int64  `json:"amount"`        // tokens
+	Seq         int64  `json:"seq,omitempty"` // of the holder's change that was applied last
 }
 
 func (s Share) key() string { return fmt.Sprintf("%s.%d", s.Incarnation, s.Epoch) }
@@ -47,6 +48,45 @@
 	return total
 }
 
+// others returns what the shares but one hold, and have spent by the reports.
+func (a Account) others(customer, but string, reports map[string]UsageReport) others {
+	var o others
+	for key, s := range a.Shares {
+		if key == but {
+			continue
+		}
+		o.Amount += s.Amount
+		report, known := reports[s.Incarnation]
+		u, named := report.Customers[customer]
+		if !known || !named || u.Epoch != s.Epoch {
+			o.Unknown += s.Amount
+			continue
+		}
+		o.Spent += u.Spent
+		o.Usual += float64(u.Usual)
+		o.Squares += float64(u.Usual) * float64(u.Usual)
+		o.Peak = max(o.Peak, u.Peak)
+		o.Lack = o.Lack || u.Lacking > 0
+	}
+	return o
+}
+
+// closeEnded closes the shares of ended processes and of leases that have ended,
+// and reports whether there were any.
+func (a *Account) closeEnded(customer string, ended map[string]endedProcess, lapsed map[string]int64) bool {
+	closed := false
+	for key, s := range maps.Clone(a.Shares) {
+		if used, ok := lapsed[key]; ok {
+			a.close(key, used)
+			closed = true
+		} else if process, ok := ended[s.Incarnation]; ok {
+			a.close(key, process.maxSpent(customer, s))
+			closed = true
+		}
+	}
+	return closed
+}
+
 // clone returns a copy that shares nothing.
 func (a Account) clone() Account {
 	a.Shares = maps.Clone(a.Shares)
--- /dev/null
+++ b/pkg/escrow/ask_test.go
@@ -0,0 +1,114 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// holder is a host whose account is changed by a broker, with a share of 1,000
+// tokens of which it needs few.
+func holder(t *testing.T, ask func(ShareAsk) (ShareAnswer, error)) *purse {
+	t.Helper()
+	w := newWorld(t, directHosts+2)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	k := NewKeeper(ctx, Options{
+		Rows: w.store.Client(), AccountTable: accounts, UsageTable: usages, Host: "a", Incarnation: "a1",
+		Hosts: func() int { return w.hosts }, Clock: w.clock, Log: newDiscardLog(),
+		Ask: func(_ context.Context, _ string, a ShareAsk) (ShareAnswer, error) { return ask(a) },
+	})
+	p := newPurse(k, "regie")
+	p.prepaid, p.seen, p.ledger.amount, p.confirmed, p.seq = 10_000, true, 1_000, 1, 1
+	p.summary = &summary{others: others{Amount: 9_000, Spent: 9_000}, at: p.now()}
+	return p
+}
+
+// Guards against a holder that spends what it asked the broker to take back,
+// when the answer is lost.
+func TestLostAnswerBindsTheHolder(t *testing.T) {
+	var asks []ShareAsk
+	p := holder(t, func(a ShareAsk) (ShareAnswer, error) {
+		asks = append(asks, a)
+		return ShareAnswer{}, storage.ErrUnavailable
+	})
+	p.stepByBroker(t.Context(), "b")
+	assert.Equal(t, len(asks), 1)
+	released := asks[0].Share.Amount
+	assert.Assert(t, released < 1_000)
+	assert.Equal(t, p.ledger.held(), released)
+	// The next change must make sure that the lost one comes too late.
+	p.need = 900
+	p.stepByBroker(t.Context(), "b")
+	assert.Assert(t, asks[1].Write)
+	assert.Assert(t, asks[1].Share.Seq > asks[0].Share.Seq)
+	assert.Equal(t, p.ledger.held(), released)
+}
+
+// Guards against a holder that stays bound by an ask that was never carried out.
+func TestRefusedAskBindsNoOne(t *testing.T) {
+	p := holder(t, func(ShareAsk) (ShareAnswer, error) { return ShareAnswer{}, storage.ErrNotApplied })
+	p.stepByBroker(t.Context(), "b")
+	assert.Equal(t, p.ledger.held(), int64(1_000))
+	assert.Assert(t, !p.unsure)
+}
+
+// Guards against an answer from an old state of the account.
+func TestOldAnswerRaisesNoShare(t *testing.T) {
+	p := holder(t, func(a ShareAsk) (ShareAnswer, error) {
+		return ShareAnswer{Held: true, Share: Share{Amount: 5_000, Seq: 1}}, nil
+	})
+	p.confirmed, p.seq = 4, 4
+	p.stepByBroker(t.Context(), "b")
+	assert.Assert(t, p.ledger.held() <= 1_000, "%d", p.ledger.held())
+}
+
+// Guards against an account that a broker overdraws, whatever the asks and
+// their order, and against a late ask that undoes a newer one.
+func TestAsksStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const prepaid = 1_000
+		a := Account{Shares: make(map[string]Share)}
+		for range rapid.IntRange(1, 60).Draw(t, "asks") {
+			s := Share{
+				Host: "h", Incarnation: rapid.SampledFrom([]string{"p1", "p2", "p3"}).Draw(t, "process"),
+				Amount: rapid.Int64Range(0, 1_500).Draw(t, "amount"), Seq: rapid.Int64Range(1, 40).Draw(t, "seq"),
+			}
+			before, held := a.Shares[s.key()]
+			a.apply(ShareAsk{
+				Customer: "regie", Share: s, Held: rapid.Bool().Draw(t, "held"), Write: rapid.Bool().Draw(t, "write"),
+				Close: rapid.IntRange(0, 9).Draw(t, "close") == 0, Used: rapid.Int64Range(0, before.Amount).Draw(t, "used"),
+			}, prepaid)
+			assert.Assert(t, a.Allotted() <= prepaid)
+			after, still := a.Shares[s.key()]
+			if held && still {
+				assert.Assert(t, after.Seq >= before.Seq && (s.Seq > before.Seq || after == before))
+			}
+		}
+	})
+}
+
+// Guards against hosts that disagree on the broker of an account.
+func TestHostsAgreeOnBroker(t *testing.T) {
+	hosts := directHosts + 8
+	_, nodes := fleet(t, hosts, map[string]int64{"regie": 1_000_000, "depot": 1_000_000})
+	time.Sleep(feedInterval)
+	for _, customer := range []string{"regie", "depot"} {
+		brokers := make(map[string]int)
+		for _, n := range nodes {
+			n.mu.Lock()
+			broker, _ := n.brokerOf(customer)
+			n.mu.Unlock()
+			if broker == "" {
+				broker = n.options.Host
+			}
+			brokers[broker]++
+		}
+		assert.Equal(t, len(brokers), 1, "%v", brokers)
+	}
+}
--- a/pkg/escrow/keeper.go
+++ b/pkg/escrow/keeper.go
@@ -11,18 +11,21 @@
 	options Options
 	ctx     context.Context
 
-	mu       sync.Mutex
-	purses   map[string]*purse
-	reports  reports
-	reporter *reporter
-	peers    map[string]UsageReport  // of other processes, by incarnation
-	ended    map[string]endedProcess // by incarnation
-	started  time.Duration           // of this process, on its own clock
-	before   time.Duration           // store clock when this process started, or a little later; 0: not known
-	storeNow time.Duration           // at clockAt
-	clockAt  time.Duration
-	decided  chan struct{} // closed when something was decided, then replaced
-	leaving  bool
+	mu          sync.Mutex
+	purses      map[string]*purse
+	reports     reports
+	reporter    *reporter
+	restarted   bool                     // an earlier process of this host has reported
+	feedRead    bool                     // the reports of other hosts were read once
+	brokersDown map[string]time.Duration // by address, until when a host is not asked again
+	peers       map[string]UsageReport   // of other processes, by incarnation
+	ended       map[string]endedProcess  // by incarnation
+	started     time.Duration            // of this process, on its own clock
+	before      time.Duration            // store clock when this process started, or a little later; 0: not known
+	storeNow    time.Duration            // at clockAt
+	clockAt     time.Duration
+	decided     chan struct{} // closed when something was decided, then replaced
+	leaving     bool
 }
 
 // NewKeeper returns a keeper without budgets. Its work ends with ctx.
@@ -32,7 +35,7 @@
 	}
 	k := &Keeper{
 		options: o, ctx: ctx, purses: make(map[string]*purse), peers: make(map[string]UsageReport),
-		ended: make(map[string]endedProcess), decided: make(chan struct{}),
+		ended: make(map[string]endedProcess), decided: make(chan struct{}), brokersDown: make(map[string]time.Duration),
 		started: o.Clock(),
 	}
 	k.reporter = newReporter(k)
@@ -101,6 +104,8 @@
 	purses := make([]*purse, 0, len(k.purses))
 	for _, p := range k.purses {
 		purses = append(purses, p)
+		p.refuse(p.queue, errLeaving)
+		p.queue = nil
 		p.kick()
 	}
 	k.mu.Unlock()
--- a/pkg/escrow/keeper_test.go
+++ b/pkg/escrow/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -155,22 +156,41 @@
 
 // Guards against overspending while hosts are cut off, killed and started again
 // in any order, replies of the store are lost and transactions applied late, and
-// the budget is topped up meanwhile.
+// the budget is topped up meanwhile. With many hosts, asks to brokers and their
+// answers are lost, too.
 func TestNeverOverspentUnderFaults(t *testing.T) {
+	for _, tc := range []struct {
+		desc             string
+		hosts            int
+		brokers          bool
+		prepaid, atLeast int64
+	}{
+		{"each host changes the account", 4, false, 40_000, 10_000},
+		{"brokers change the account", directHosts + 4, true, 80_000, 20_000},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			w := newWorld(t, tc.hosts)
+			w.brokers = tc.brokers
+			spent, prepaid := underFaults(t, w, tc.prepaid)
+			assert.Assert(t, spent <= prepaid, "spent %d of %d", spent, prepaid)
+			assert.Assert(t, spent >= tc.atLeast, "spent only %d", spent)
+		})
+	}
+}
+
+// underFaults spends while faults come and go.
+func underFaults(t *testing.T, w *world, prepaid int64) (int64, int64) {
 	seed := rand.Uint64()
 	t.Logf("seed %d", seed)
 	random := rand.New(rand.NewPCG(seed, 1))
-	const hosts = 4
-	w := newWorld(t, hosts)
-	prepaid := int64(40_000)
 	var mu sync.Mutex // guards spent
 	spent := int64(0)
-	nodes := make([]*node, hosts)
-	launch := func(i, number int) {
-		nodes[i] = w.start(string(rune('a'+i)), incarnation(number), map[string]int64{"regie": prepaid})
-	}
+	nodes := make([]*node, w.hosts)
 	for i := range nodes {
-		launch(i, i)
+		nodes[i] = w.launch(fmt.Sprintf("host-%02d", i), incarnation(i), map[string]int64{"regie": prepaid})
+	}
+	for i, n := range nodes {
+		w.eventually(fmt.Sprintf("budgets of host %d loaded", i), n.Loaded)
 	}
 	var callers sync.WaitGroup
 	call := func(n *node) {
@@ -185,8 +205,8 @@
 		}
 	}
 	for step := range 40 {
-		i := random.IntN(hosts)
-		switch random.IntN(6) {
+		i := random.IntN(w.hosts)
+		switch random.IntN(7) {
 		case 0:
 			nodes[i].rows.SetFaults(rowstore.Faults{Cut: true})
 		case 1:
@@ -196,20 +216,21 @@
 		case 3:
 			nodes[i].cancel()
 			callers.Wait() // a killed process has no requests
-			launch(i, 100+step)
+			nodes[i] = w.start(fmt.Sprintf("host-%02d", i), incarnation(100+step), map[string]int64{"regie": prepaid})
 		case 4:
 			prepaid += 1_000
 			for _, n := range nodes {
 				n.SetBudgets(map[string]int64{"regie": prepaid})
 			}
+		case 5:
+			w.lossPercent.Store(int32(20 * random.IntN(4)))
 		default:
 			nodes[i].rows.SetFaults(rowstore.Faults{})
 		}
-		call(nodes[random.IntN(hosts)])
+		call(nodes[random.IntN(w.hosts)])
 	}
 	callers.Wait()
-	assert.Assert(t, spent <= prepaid, "spent %d of %d", spent, prepaid)
-	assert.Assert(t, spent >= 10_000, "spent only %d", spent)
+	return spent, prepaid
 }
 
 // Guards against a refusal while other hosts hold what a request lacks and can
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"context"
 	"time"
 
 	"github.com/phuslu/log"
@@ -55,6 +56,10 @@
 	// Announce is called when a request lacks tokens that other hosts hold. It
 	// must not block. Nil: other hosts read of it in the next report.
 	Announce func(customer string)
+	// Ask asks the host at an address to change a share (Keeper.ChangeShare). An
+	// error that is storage.ErrNotApplied says that nothing was done. Nil: every
+	// host changes the accounts itself.
+	Ask func(ctx context.Context, addr string, ask ShareAsk) (ShareAnswer, error)
 	// Clock is a steady clock that also counts while the machine is suspended;
 	// nil: the one of the system.
 	Clock func() time.Duration
--- a/pkg/escrow/peers.go
+++ b/pkg/escrow/peers.go
@@ -11,20 +11,47 @@
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
+const (
+	// feedLookback is how many versions back the first read of the feed begins:
+	// some seconds, in which every host that spends has reported.
+	feedLookback = 3000
+	// idleFeedInterval replaces feedInterval at a host that changes no account:
+	// it only needs to know which hosts there are.
+	idleFeedInterval = 4 * time.Second
+)
+
 // followPeers reads the usage reports of other hosts. There is no scan: every
 // host reports again within idleInterval.
 func (k *Keeper) followPeers(ctx context.Context) {
-	since, known := uint64(0), false
+	since, known, lookback := uint64(0), false, uint64(feedLookback)
 	for ctx.Err() == nil {
-		var err error
-		if known {
-			since, err = k.readFeed(ctx, since)
-		} else {
-			since, err = k.newestVersion(ctx)
+		if !known {
+			newest, err := k.newestVersion(ctx)
+			if err != nil {
+				pause.For(ctx, feedInterval)
+				continue
+			}
+			since, known = newest-min(newest, lookback), true
+		}
+		next, err := k.readFeed(ctx, since)
+		if errors.Is(err, storage.ErrHistoryGone) {
+			known, lookback = false, 0
+			continue
+		}
+		since = next
+		pause.For(ctx, k.feedPause())
+	}
+}
+
+func (k *Keeper) feedPause() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range k.purses {
+		if p.summary == nil {
+			return feedInterval
 		}
-		known = err == nil || (known && !errors.Is(err, storage.ErrHistoryGone))
-		pause.For(ctx, feedInterval)
 	}
+	return idleFeedInterval
 }
 
 // newestVersion returns the version from which the feed is read.
@@ -54,6 +81,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.feedRead = true
 	for _, row := range page.Rows {
 		k.takePeer(row)
 	}
@@ -123,6 +151,9 @@
 		}
 	}
 	for _, p := range k.purses {
+		if p.summary != nil {
+			continue // the broker looks after the account
+		}
 		for _, s := range p.account.Shares {
 			_, ended := k.ended[s.Incarnation]
 			report, known := k.peers[s.Incarnation]
@@ -176,6 +207,14 @@
 		if !p.seen {
 			return nil
 		}
+		if p.summary != nil {
+			for incarnation := range k.ended {
+				if !p.cleared[incarnation] {
+					open[incarnation] = struct{}{}
+				}
+			}
+			continue
+		}
 		for _, s := range p.account.Shares {
 			open[s.Incarnation] = struct{}{}
 		}
@@ -221,6 +260,7 @@
 			k.mu.Lock()
 			for incarnation, r := range reports {
 				if incarnation != k.options.Incarnation {
+					k.restarted = true
 					k.ended[incarnation] = endedProcess{report: r, by: k.before}
 				}
 			}
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -12,8 +12,13 @@
 	// stays in the account for hosts whose demand rises.
 	spendable = 0.95
 	// standby is the part of the unspent budget that all hosts hold evenly, since
-	// a customer may turn to another host at any time.
-	standby = 0.08
+	// a customer may turn to another host at any time. It rises to evenStandby for
+	// a customer whose requests go to all hosts alike: at most hosts the demand of
+	// the last seconds is chance.
+	standby     = 0.08
+	evenStandby = 0.75
+	// someSpread is the part of the hosts with demand up to which standby holds.
+	someSpread = 0.5
 	// A share is filled up below lowMark and cut back above highMark of its target.
 	lowMark  = 0.75
 	highMark = 1.5
@@ -34,8 +39,9 @@
 	strandable = 0.025
 	evenStrand = 0.3
 	// burst is the multiple of the measured demand that a host may spend when it
-	// is cut off.
-	burst = 5
+	// is cut off, and peakTerm the time for which it may spend a largest request.
+	burst    = 5
+	peakTerm = 2 * time.Second
 )
 
 // position is what a host knows of one customer's budget.
@@ -55,46 +61,70 @@
 
 // others is what is known of the shares of other processes.
 type others struct {
-	amount  int64 // all shares
-	spent   int64 // by shares with a report
-	unknown int64 // amount of shares without a report
-	usual   float64
-	peak    int64
-	lack    bool // a request of another host waits in vain
+	Amount  int64   `json:"amount"`  // all shares
+	Spent   int64   `json:"spent"`   // by shares with a report
+	Unknown int64   `json:"unknown"` // amount of shares without a report
+	Usual   float64 `json:"usual"`
+	Squares float64 `json:"squares"` // sum of the squares of Usual of each share
+	Peak    int64   `json:"peak"`
+	Lack    bool    `json:"lack,omitempty"` // a request of another host waits in vain
 }
 
 // unspent returns the tokens that no host has spent, as far as known. Shares
 // without a report count as spent.
 func (p position) unspent() int64 {
-	return max(0, p.prepaid-p.settled-p.used-p.others.spent-p.others.unknown)
+	return max(0, p.prepaid-p.settled-p.used-p.others.Spent-p.others.Unknown)
 }
 
 // free returns the tokens that no host holds.
 func (p position) free() int64 {
-	return max(0, p.prepaid-p.settled-p.amount-p.others.amount)
+	return max(0, p.prepaid-p.settled-p.amount-p.others.Amount)
 }
 
 func (p position) even() float64 { return 1 / float64(max(1, p.hosts)) }
 
-func (p position) anyPeak() int64 { return max(p.peak, p.others.peak) }
+func (p position) anyPeak() int64 { return max(p.peak, p.others.Peak) }
 
 // demandShare returns this host's part of the usual demand.
 func (p position) demandShare() float64 {
-	if total := p.usual + p.others.usual; total > 0 {
+	if total := p.usual + p.others.Usual; total > 0 {
 		return p.usual / total
 	}
 	return p.even()
 }
 
+// spread returns the part of the hosts among which the demand is spread, from 0
+// to 1, by the inverse participation ratio.
+func (p position) spread() float64 {
+	total, squares := p.usual+p.others.Usual, p.usual*p.usual+p.others.Squares
+	if squares <= 0 {
+		return 0
+	}
+	return min(1, total*total/squares*p.even())
+}
+
+// evenPart returns the part of the unspent budget that all hosts hold evenly.
+func (p position) evenPart() float64 {
+	return standby + (evenStandby-standby)*max(0, p.spread()-someSpread)/(1-someSpread)
+}
+
+// expected returns the demand to plan with, which is at least the even part of
+// a demand that is spread evenly.
+func (p position) expected() float64 {
+	even := (p.usual + p.others.Usual) * p.even()
+	return max(p.demand, even*max(0, p.spread()-someSpread)/(1-someSpread))
+}
+
 // target returns the unspent tokens that the host should hold.
 func (p position) target() int64 {
 	term := cover
-	if p.others.lack {
+	if p.others.Lack {
 		term = scarceCover
 	}
 	unspent := float64(p.unspent())
-	share := int64(unspent * (standby*p.even() + (spendable-standby)*p.demandShare()))
-	covered := int64(p.demand*term.Seconds()) + peaks*p.anyPeak()
+	evenly := p.evenPart()
+	share := int64(unspent * (evenly*p.even() + (spendable-evenly)*p.demandShare()))
+	covered := int64(p.expected()*term.Seconds()) + peaks*p.anyPeak()
 	return max(min(covered, share), int64(standby*p.even()*unspent), p.need)
 }
 
@@ -113,7 +143,7 @@
 
 // sliceTerm returns the time of demand that a ceiling allows for.
 func (p position) sliceTerm() time.Duration {
-	demand := p.usual + p.others.usual
+	demand := p.usual + p.others.Usual
 	if demand <= 0 {
 		return mostSlice
 	}
@@ -123,14 +153,14 @@
 
 // usage returns the customer's entry in the next report.
 func (p position) usage(epoch int) Usage {
-	wanted := p.demand*p.sliceTerm().Seconds() + p.typical
+	wanted := p.expected()*p.sliceTerm().Seconds() + p.typical
 	allowed := strandable * float64(p.prepaid) * (evenStrand*p.even() + (1-evenStrand)*p.demandShare())
 	slice := max(int64(min(wanted, allowed)), p.need, p.prepaid/minShares)
 	return Usage{
 		Epoch:   epoch,
 		Spent:   p.used,
 		Ceiling: p.used + slice,
-		Rate:    max(int64(burst*p.demand), p.prepaid/minShares),
+		Rate:    max(int64(burst*p.expected()), int64(float64(p.anyPeak())/peakTerm.Seconds()), p.prepaid/minShares),
 		Usual:   int64(p.usual),
 		Peak:    p.peak,
 	}
--- a/pkg/escrow/plan_test.go
+++ b/pkg/escrow/plan_test.go
@@ -19,10 +19,10 @@
 	p.settled = rapid.Int64Range(0, p.prepaid).Draw(t, "settled")
 	p.amount = rapid.Int64Range(0, p.prepaid-p.settled).Draw(t, "amount")
 	p.used = rapid.Int64Range(0, p.amount).Draw(t, "used")
-	p.others.amount = rapid.Int64Range(0, p.prepaid-p.settled-p.amount).Draw(t, "others")
-	p.others.spent = rapid.Int64Range(0, p.others.amount).Draw(t, "others spent")
-	p.others.usual = rapid.Float64Range(0, 500_000).Draw(t, "others usual")
-	p.others.lack = rapid.Bool().Draw(t, "lack")
+	p.others.Amount = rapid.Int64Range(0, p.prepaid-p.settled-p.amount).Draw(t, "others")
+	p.others.Spent = rapid.Int64Range(0, p.others.Amount).Draw(t, "others spent")
+	p.others.Usual = rapid.Float64Range(0, 500_000).Draw(t, "others usual")
+	p.others.Lack = rapid.Bool().Draw(t, "lack")
 	return p
 }
 
@@ -32,7 +32,7 @@
 		p := drawPosition(t)
 		next := p.nextAmount()
 		assert.Assert(t, next >= p.used)
-		assert.Assert(t, p.settled+p.others.amount+next <= p.prepaid)
+		assert.Assert(t, p.settled+p.others.Amount+next <= p.prepaid)
 	})
 }
 
@@ -46,10 +46,10 @@
 // Guards against a host that keeps its whole share while another one lacks tokens.
 func TestShareShrinksForOthers(t *testing.T) {
 	p := position{prepaid: 1_000_000, amount: 500_000, used: 100_000, demand: 20_000, usual: 20_000, hosts: 2}
-	p.others.amount, p.others.usual = 500_000, 20_000
-	p.others.spent = 499_000
+	p.others.Amount, p.others.Usual = 500_000, 20_000
+	p.others.Spent = 499_000
 	before := p.nextAmount()
-	p.others.lack = true
+	p.others.Lack = true
 	assert.Assert(t, p.nextAmount() < before)
 	assert.Assert(t, p.nextAmount() >= p.used+int64(p.demand*scarceCover.Seconds()))
 }
@@ -68,7 +68,7 @@
 	lost := int64(0)
 	for range hosts {
 		p := position{prepaid: prepaid, amount: 400_000, used: 100_000, demand: 100_000 / hosts, usual: 100_000 / hosts, typical: 1_500, hosts: hosts}
-		p.others.usual = 100_000 - p.usual // every host knows the demand at the others
+		p.others.Usual = 100_000 - p.usual // every host knows the demand at the others
 		lost += p.usage(0).Ceiling - p.used
 	}
 	assert.Assert(t, lost <= 3*prepaid/100, "%d", lost)
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -37,6 +37,14 @@
 	triedAt     time.Duration
 	reachable   bool
 	collided    bool
+
+	queue     []*brokered     // changes of other hosts' shares that wait
+	summary   *summary        // nil while this host changes the account itself
+	seq       int64           // of the last change of this host's share
+	confirmed int64           // of the last one that is known to be applied; 0: no share
+	unsure    bool            // an earlier change may still be applied
+	stranded  bool            // this host changes the account for want of a broker
+	cleared   map[string]bool // ended processes of this host that the broker knows of
 }
 
 func newPurse(k *Keeper, customer string) *purse {
@@ -57,6 +65,7 @@
 func (p *purse) lapse() {
 	key := p.share().key()
 	used := p.ledger.lapse()
+	p.confirmed, p.unsure = 0, false
 	if p.lapsed == nil {
 		p.lapsed = make(map[string]int64)
 	}
@@ -72,38 +81,30 @@
 	return Share{Host: o.Host, Incarnation: o.Incarnation, Epoch: p.ledger.epoch}
 }
 
-// position collects what is known of the budget.
-func (p *purse) position() position {
+// position collects what is known of the budget if the account is as given.
+func (p *purse) position(account Account) position {
 	now := p.now()
 	pos := position{
-		prepaid: p.prepaid, settled: p.account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
+		prepaid: p.prepaid, settled: account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
 		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usualRate(), peak: int64(p.ledger.meter.peak), typical: p.ledger.meter.typical,
 		need: p.need, hosts: p.keeper.options.Hosts(),
 	}
-	pos.others.lack = p.heardLackAt > 0 && now-p.heardLackAt < heardTerm
-	own := p.share().key()
-	for key, s := range p.account.Shares {
-		if key == own {
-			continue
-		}
-		pos.others.amount += s.Amount
-		report, known := p.keeper.peers[s.Incarnation]
-		u, named := report.Customers[p.ledger.customer]
-		if !known || !named || u.Epoch != s.Epoch {
-			pos.others.unknown += s.Amount
-			continue
-		}
-		pos.others.spent += u.Spent
-		pos.others.usual += float64(u.Usual)
-		pos.others.peak = max(pos.others.peak, u.Peak)
-		pos.others.lack = pos.others.lack || u.Lacking > 0
+	if p.summary != nil {
+		pos.settled, pos.others = p.summary.settled, p.summary.others
+	} else {
+		pos.others = account.others(p.ledger.customer, p.share().key(), p.keeper.peers)
 	}
+	pos.others.Lack = pos.others.Lack || p.heardLack()
 	return pos
 }
 
+func (p *purse) heardLack() bool {
+	return p.heardLackAt > 0 && p.now()-p.heardLackAt < heardTerm
+}
+
 // usage returns the entry of the next report.
 func (p *purse) usage() Usage {
-	u := p.position().usage(p.ledger.epoch)
+	u := p.position(p.account).usage(p.ledger.epoch)
 	if p.vainAt > 0 && p.now()-p.vainAt < lackTerm {
 		u.Lacking = p.vainNeed
 	}
@@ -212,8 +213,8 @@
 // refusal decides whether a reservation that is above the limit can succeed by
 // waiting.
 func (p *purse) refusal(now, start time.Duration, tokens int64) error {
-	pos := p.position()
-	left := pos.prepaid - pos.settled - pos.used - pos.others.spent
+	pos := p.position(p.account)
+	left := pos.prepaid - pos.settled - pos.used - pos.others.Spent
 	if p.seen && now-p.seenAt <= freshView && tokens > left {
 		return fmt.Errorf("%w: %d of %d tokens are left, %d are asked for", ErrExhausted, max(0, left), pos.prepaid, tokens)
 	}
@@ -226,7 +227,7 @@
 		}
 		return &UnreachableError{Why: "the table does not answer and the share is used up", RetryAfter: afterShare}
 	case p.vainAt >= start && p.vainNeed >= tokens:
-		why := fmt.Sprintf("other hosts hold %d of %d unspent tokens, %d are free, this host has %d of %d", pos.others.amount-pos.others.spent, pos.unspent(), pos.free(), pos.amount-pos.used, pos.amount)
+		why := fmt.Sprintf("other hosts hold %d of %d unspent tokens, %d are free, this host has %d of %d", pos.others.Amount-pos.others.Spent, pos.unspent(), pos.free(), pos.amount-pos.used, pos.amount)
 		return &UnreachableError{Why: why, RetryAfter: afterShare}
 	}
 	return nil
@@ -240,6 +241,7 @@
 
 // run changes the share as needed until everything was given back or ctx ends.
 func (p *purse) run(ctx context.Context) {
+	p.keeper.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if left := p.step(ctx); left {
 			close(p.left)
@@ -272,7 +274,9 @@
 	p.keeper.mu.Lock()
 	defer p.keeper.mu.Unlock()
 	gap := minGap
-	if p.collided {
+	if p.stranded {
+		gap = rand.N(strandedGap)
+	} else if p.collided {
 		gap = rand.N(minGap) // hosts that collided do not meet again
 	}
 	return p.triedAt + gap - p.now()
@@ -281,6 +285,9 @@
 // step reads or changes the account if needed. It returns true once everything
 // was given back.
 func (p *purse) step(ctx context.Context) (left bool) {
+	if broker := p.chooseBroker(); broker != "" {
+		return p.stepByBroker(ctx, broker)
+	}
 	change, read := p.decide()
 	switch {
 	case read:
@@ -295,12 +302,33 @@
 	return p.submit(ctx, *change)
 }
 
+// chooseBroker returns the broker of the account. Without one the account itself
+// is read again.
+func (p *purse) chooseBroker() (broker string) {
+	p.keeper.mu.Lock()
+	defer p.keeper.mu.Unlock()
+	broker, p.stranded = p.keeper.brokerOf(p.ledger.customer)
+	if broker == "" && p.summary != nil {
+		p.summary, p.seen = nil, false
+	}
+	return broker
+}
+
 // change is a new state of the account row.
 type change struct {
 	account Account
 	version uint64 // that the row must have
 	share   Share  // of this process; Amount 0: closed
 	held    bool   // the account has the share
+	served  []*brokered
+}
+
+// offer notes that the share may become the given amount.
+func (p *purse) offer(amount int64) {
+	if p.unsure && p.ledger.offered != nil {
+		amount = min(amount, *p.ledger.offered)
+	}
+	p.ledger.offered = &amount
 }
 
 // decide plans the next change of the account, if one is needed, or whether the
@@ -314,26 +342,33 @@
 	if p.keeper.leaving && p.ledger.reserved > 0 {
 		return nil, false
 	}
-	account, closed := p.closeEnded()
-	pos := p.position()
-	pos.settled, pos.others = account.Settled, p.othersWithout(pos.others, account)
+	account := p.account.clone()
+	closed := account.closeEnded(p.ledger.customer, p.keeper.ended, p.lapsed)
+	served, changed, read := p.serveQueue(&account)
+	if read {
+		return nil, true
+	}
+	pos := p.position(account)
 	share := p.share()
 	amount := pos.nextAmount()
 	if p.keeper.leaving {
 		amount = 0
 	}
 	_, held := account.Shares[share.key()]
-	if amount == p.ledger.amount && !closed && (held || amount == 0) && !(p.keeper.leaving && held) {
+	if amount == p.ledger.amount && !closed && !changed && !p.unsure && (held || amount == 0) && !(p.keeper.leaving && held) {
+		p.answer(served)
 		return nil, p.needUnmet(pos)
 	}
-	share.Amount = amount
-	if p.keeper.leaving {
+	p.seq++
+	share.Amount, share.Seq = amount, p.seq
+	switch {
+	case p.keeper.leaving:
 		account.close(share.key(), p.ledger.used())
-	} else {
+	case held || amount > 0 || p.unsure:
 		account.Shares[share.key()] = share
 	}
-	p.ledger.offered = &share.Amount
-	return &change{account: account, version: p.version, share: share, held: !p.keeper.leaving}, false
+	p.offer(share.Amount)
+	return &change{account: account, version: p.version, share: share, held: !p.keeper.leaving, served: served}, false
 }
 
 // needUnmet handles a reservation that waits although no change helps. It
@@ -368,24 +403,7 @@
 	if p.keeper.options.Announce == nil || p.asks >= maxAsks {
 		return false
 	}
-	return pos.others.amount-pos.others.spent-pos.others.unknown >= p.need
-}
-
-// closeEnded returns the account without the shares of processes that have
-// ended, and whether there were any.
-func (p *purse) closeEnded() (Account, bool) {
-	account := p.account.clone()
-	closed := false
-	for key, s := range p.account.Shares {
-		if used, lapsed := p.lapsed[key]; lapsed {
-			account.close(key, used)
-			closed = true
-		} else if process, ended := p.keeper.ended[s.Incarnation]; ended {
-			account.close(key, process.maxSpent(p.ledger.customer, s))
-			closed = true
-		}
-	}
-	return account, closed
+	return pos.others.Amount-pos.others.Spent-pos.others.Unknown >= p.need
 }
 
 // logClosed says what became of the shares of ended processes.
@@ -402,23 +420,6 @@
 	}
 }
 
-// othersWithout corrects what other shares hold by those that are closed.
-func (p *purse) othersWithout(o others, account Account) others {
-	for key, s := range p.account.Shares {
-		if _, open := account.Shares[key]; open {
-			continue
-		}
-		o.amount -= s.Amount
-		if u, named := p.keeper.peers[s.Incarnation].Customers[p.ledger.customer]; named && u.Epoch == s.Epoch {
-			o.spent -= u.Spent
-			o.usual -= float64(u.Usual)
-		} else {
-			o.unknown -= s.Amount
-		}
-	}
-	return o
-}
-
 func (p *purse) hasLeft() bool {
 	p.keeper.mu.Lock()
 	defer p.keeper.mu.Unlock()
@@ -460,13 +461,19 @@
 	p.account, p.version = account, version
 	p.seen, p.seenAt = true, p.now()
 	if own, held := account.Shares[p.share().key()]; held {
-		p.ledger.amount = own.Amount
+		p.ledger.amount, p.confirmed = own.Amount, own.Seq
 	} else if p.ledger.amount > 0 {
-		p.keeper.options.Log.Warn().Str("customer", p.ledger.customer).Int64("held", p.ledger.amount).Int64("used", p.ledger.used()).Msg("Share was closed by another host.")
-		p.ledger.lose()
+		p.lose()
 	}
 }
 
+// lose gives up a share that another host has closed.
+func (p *purse) lose() {
+	p.keeper.options.Log.Warn().Str("customer", p.ledger.customer).Int64("held", p.ledger.amount).Int64("used", p.ledger.used()).Msg("Share was closed by another host.")
+	p.ledger.lose()
+	p.confirmed, p.unsure = 0, false
+}
+
 // submit writes a change and resends it until it is decided. It returns true
 // once everything was given back.
 func (p *purse) submit(ctx context.Context, c change) (left bool) {
@@ -482,9 +489,12 @@
 		p.keeper.mu.Lock()
 		p.triedAt = p.now()
 		p.fail(err)
-		if !unknown {
+		if !unknown && !p.unsure {
 			p.ledger.offered = nil
 		}
+		p.refuse(c.served, err)
+		c.served = nil
+		p.keeper.forgiveBrokers()
 		p.keeper.mu.Unlock()
 		pause.For(ctx, resend)
 		if !unknown {
@@ -511,14 +521,21 @@
 	defer p.keeper.mu.Unlock()
 	p.triedAt = p.now()
 	p.keeper.setClock(outcome.Now, sentAt)
-	p.ledger.offered = nil
 	p.collided = !outcome.Applied
+	if outcome.Applied {
+		p.unsure = false
+	}
+	if !p.unsure {
+		p.ledger.offered = nil
+	}
 	if outcome.Applied {
 		p.logClosed(p.account, c.account)
 		p.account, p.version, p.seenAt = c.account, outcome.Version, p.now()
-		p.ledger.amount = c.share.Amount
+		p.ledger.amount, p.confirmed = c.share.Amount, c.share.Seq
+		p.answer(c.served)
 	} else {
 		p.conflict(outcome.Current, c)
+		p.queue = append(c.served, p.queue...)
 	}
 	p.answered()
 	if c.held {
@@ -568,10 +585,11 @@
 
 func (p *purse) status() Status {
 	now := p.now()
+	pos := p.position(p.account)
 	s := Status{
 		Customer: p.ledger.customer, Prepaid: p.prepaid, Held: p.ledger.amount,
 		Spent: p.ledger.spent, Reserved: p.ledger.reserved, Limit: p.ledger.limit(now, p.keeper.reports),
-		Settled: p.account.Settled, Allotted: p.account.Allotted(), Shares: len(p.account.Shares),
+		Settled: pos.settled, Allotted: pos.settled + pos.amount + pos.others.Amount, Brokered: p.summary != nil,
 		Demand: int64(p.ledger.meter.rate(now)), Reachable: p.reachable,
 		Unknown: p.ledger.offered != nil || p.keeper.reports.pending != nil,
 	}
--- a/pkg/escrow/status.go
+++ b/pkg/escrow/status.go
@@ -12,7 +12,7 @@
 	Limit     int64         `json:"limit"`     // of spent and reserved tokens now
 	Settled   int64         `json:"settled"`   // spent from closed shares, as last seen
 	Allotted  int64         `json:"allotted"`  // spent or held by any host, as last seen
-	Shares    int           `json:"shares"`    // of all hosts
+	Brokered  bool          `json:"brokered"`  // another host changes the account for this one
 	Demand    int64         `json:"demand"`    // tokens per second
 	ReportAge time.Duration `json:"report_ns"` // since the last report that the table has taken
 	Reachable bool          `json:"reachable"` // the account answers
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -60,6 +60,16 @@
 	return max(0, storeNow-time.Duration(r.StampMs)*time.Millisecond)
 }
 
+// only returns the report with the entry of one customer.
+func (r UsageReport) only(customer string) UsageReport {
+	u, named := r.Customers[customer]
+	r.Customers = nil
+	if named {
+		r.Customers = map[string]Usage{customer: u}
+	}
+	return r
+}
+
 func (r UsageReport) encode() []byte { return mustEncode(r) }
 
 func decodeUsage(value []byte) (UsageReport, error) {
--- a/pkg/escrow/world_test.go
+++ b/pkg/escrow/world_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,9 +29,14 @@
 	t     *testing.T
 	store *rowstore.Store
 	hosts int
+	mu    sync.Mutex // guards nodes
 	nodes []*node
 	// told makes hosts tell each other of a lack at once.
 	told bool
+	// brokers lets hosts change accounts by way of each other.
+	brokers bool
+	// lossPercent of the asks to brokers, and of their answers, are lost.
+	lossPercent atomic.Int32
 	// skipped is how far the clocks of store and hosts have jumped, in ns.
 	skipped atomic.Int64
 }
@@ -66,22 +73,58 @@
 // start runs a process and waits until it has loaded its budgets.
 func (w *world) start(host, incarnation string, budgets map[string]int64) *node {
 	w.t.Helper()
+	n := w.launch(host, incarnation, budgets)
+	w.eventually("budgets of "+host+" loaded", n.Loaded)
+	return n
+}
+
+func newDiscardLog() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
+
+// launch runs a process.
+func (w *world) launch(host, incarnation string, budgets map[string]int64) *node {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	n := &node{rows: w.store.Client(), cancel: cancel}
-	n.Keeper = NewKeeper(ctx, Options{
-		Rows: n.rows, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation,
+	o := Options{
+		Rows: n.rows, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation, Addr: host,
 		Hosts:    func() int { return w.hosts },
 		Clock:    w.clock,
 		Announce: func(customer string) { w.tell(host, customer) },
-		Log:      &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-	})
+		Log:      newDiscardLog(),
+	}
+	if w.brokers {
+		o.Ask = w.ask
+	}
+	n.Keeper = NewKeeper(ctx, o)
 	n.SetBudgets(budgets)
 	n.Start()
+	w.mu.Lock()
 	w.nodes = append(w.nodes, n)
-	w.eventually("budgets of "+host+" loaded", n.Loaded)
+	w.mu.Unlock()
 	return n
 }
 
+// ask carries an ask to the host at an address.
+func (w *world) ask(ctx context.Context, addr string, ask ShareAsk) (ShareAnswer, error) {
+	w.mu.Lock()
+	var to *node
+	for _, n := range w.nodes {
+		if n.options.Host == addr {
+			to = n // the last process of the host
+		}
+	}
+	w.mu.Unlock()
+	if to == nil || to.ctx.Err() != nil || w.lost() {
+		return ShareAnswer{}, storage.ErrUnavailable
+	}
+	answer, err := to.ChangeShare(ctx, ask)
+	if w.lost() || ctx.Err() != nil {
+		return ShareAnswer{}, storage.ErrUnavailable
+	}
+	return answer, err
+}
+
+func (w *world) lost() bool { return rand.Int32N(100) < w.lossPercent.Load() }
+
 // tell passes a lack on to the other hosts.
 func (w *world) tell(host, customer string) {
 	if !w.told {
--- a/pkg/relay/links.go
+++ b/pkg/relay/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -16,23 +17,42 @@
 
 // links are kept connections to other hosts.
 type links struct {
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	mu       sync.Mutex
+	conns    map[string]*jsonrpc2.Conn
+	answered map[string]time.Time // last answer of each peer
 }
 
-// call makes one call. A connection on which a call has no answer is closed.
+// call makes one call. A connection on which no call has an answer while this
+// one waits in vain is closed.
 func (l *links) call(ctx context.Context, peer, method string, params, result any) error {
 	conn, err := l.get(ctx, peer)
 	if err != nil {
 		return err
 	}
+	start := time.Now()
 	err = conn.Call(ctx, method, params, result)
-	if ctx.Err() != nil || err == jsonrpc2.ErrClosed {
+	if err == jsonrpc2.ErrClosed || (ctx.Err() != nil && !l.answeredSince(peer, start)) {
 		l.drop(peer, conn)
 	}
+	var remote *jsonrpc2.Error
+	if err == nil || errors.As(err, &remote) {
+		l.noteAnswer(peer)
+	}
 	return err
 }
 
+func (l *links) answeredSince(peer string, start time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answered[peer].After(start)
+}
+
+func (l *links) noteAnswer(peer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answered[peer] = time.Now()
+}
+
 func (l *links) get(ctx context.Context, peer string) (*jsonrpc2.Conn, error) {
 	l.mu.Lock()
 	conn := l.conns[peer]
@@ -68,6 +88,7 @@
 	defer l.mu.Unlock()
 	if l.conns[peer] == conn {
 		delete(l.conns, peer)
+		delete(l.answered, peer)
 	}
 }
 
--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -42,7 +42,7 @@
 
 // New returns the two ways to the store. peers returns the addresses of other hosts.
 func New(direct storage.Rows, peers func() []string, logger *log.Logger) *Rows {
-	return &Rows{direct: direct, peers: peers, log: logger, links: links{conns: make(map[string]*jsonrpc2.Conn)}}
+	return &Rows{direct: direct, peers: peers, log: logger, links: links{conns: make(map[string]*jsonrpc2.Conn), answered: make(map[string]time.Time)}}
 }
 
 // Transact implements storage.Rows.
@@ -67,6 +67,15 @@
 		func(ctx context.Context) (storage.RowPage, error) { return r.direct.Feed(ctx, table, since, wait) })
 }
 
+// Call calls a method that another host has added to its server. An error is
+// storage.ErrNotApplied or storage.ErrUnavailable, wrapped.
+func (r *Rows) Call(ctx context.Context, peer, method string, params, result any) error {
+	if err := r.links.call(ctx, peer, method, params, result); err != nil {
+		return fromWire(peer, err)
+	}
+	return nil
+}
+
 // do makes a call directly, then by way of other hosts. The error says that
 // nothing was done only if that holds for every way that was tried.
 func do[T any](ctx context.Context, r *Rows, wait time.Duration, method string, params any, direct func(context.Context) (T, error)) (T, error) {
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -19,13 +19,21 @@
 
 // Server answers other hosts with this host's way to the store.
 type Server struct {
-	rows storage.Rows
-	log  *log.Logger
+	rows    storage.Rows
+	log     *log.Logger
+	methods map[string]Method
 }
 
+// Method answers calls of other hosts that are not about the store. An error
+// that is storage.ErrNotApplied reaches the caller as that.
+type Method func(ctx context.Context, params json.RawMessage) (result any, err error)
+
+// Handle adds a method. Call it before Serve.
+func (s *Server) Handle(method string, m Method) { s.methods[method] = m }
+
 // NewServer returns a server. rows must reach the store without another host.
 func NewServer(rows storage.Rows, logger *log.Logger) *Server {
-	return &Server{rows: rows, log: logger}
+	return &Server{rows: rows, log: logger, methods: make(map[string]Method)}
 }
 
 // Serve accepts connections until ctx ends.
@@ -81,6 +89,11 @@
 		defer cancel()
 		return s.rows.Feed(ctx, p.Table, p.Since, p.Wait)
 	}
+	if m, ok := s.methods[method]; ok {
+		ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+		defer cancel()
+		return m(ctx, params)
+	}
 	var p rangeParams
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
--- a/pkg/standin/rowstore/client.go
+++ b/pkg/standin/rowstore/client.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return storage.RowOutcome{}, err
 	}
+	if err := c.store.limiter.admit(ctx, partOf(txn)); err != nil {
+		return storage.RowOutcome{}, err
+	}
 	if !f.LoseReplies {
 		return c.store.apply(txn), nil
 	}
--- /dev/null
+++ b/pkg/standin/rowstore/limits.go
@@ -0,0 +1,84 @@
+package rowstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// Limits are the rates that a store takes. Zero: any.
+type Limits struct {
+	WritesPerSecond     int // further transactions are refused
+	PartWritesPerSecond int // transactions on one part wait for each other, at most maxPartWait
+}
+
+// maxPartWait is the longest that a transaction waits for others on its part.
+const maxPartWait = time.Second
+
+// limiter keeps transactions within the limits.
+type limiter struct {
+	mu      sync.Mutex
+	limits  Limits
+	second  time.Time
+	writes  int                  // since second
+	free    map[string]time.Time // when each part is free
+	refused int
+}
+
+// SetLimits replaces the limits.
+func (s *Store) SetLimits(l Limits) {
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	s.limiter.limits, s.limiter.free = l, make(map[string]time.Time)
+}
+
+// Refused returns how many transactions were above the limits.
+func (s *Store) Refused() int {
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	return s.limiter.refused
+}
+
+// admit waits for a transaction's turn. The error is storage.ErrNotApplied, wrapped.
+func (l *limiter) admit(ctx context.Context, part string) error {
+	wait, ok := l.turn(time.Now(), part)
+	if !ok {
+		return fmt.Errorf("too many calls: %w", storage.ErrNotApplied)
+	}
+	if wait <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, ctx.Err())
+	}
+}
+
+func (l *limiter) turn(now time.Time, part string) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.second) >= time.Second {
+		l.second, l.writes = now, 0
+	}
+	l.writes++
+	if l.limits.WritesPerSecond > 0 && l.writes > l.limits.WritesPerSecond {
+		l.refused++
+		return 0, false
+	}
+	if l.limits.PartWritesPerSecond == 0 {
+		return 0, true
+	}
+	wait := max(0, l.free[part].Sub(now))
+	if wait > maxPartWait {
+		l.refused++
+		return 0, false
+	}
+	took := time.Second / time.Duration(l.limits.PartWritesPerSecond)
+	l.free[part] = now.Add(wait + took)
+	return wait + took, true
+}
--- a/pkg/standin/rowstore/store.go
+++ b/pkg/standin/rowstore/store.go
@@ -21,6 +21,7 @@
 	version uint64
 	changed chan struct{} // closed at each change, then replaced
 	clock   func() time.Duration
+	limiter limiter
 	Stats   Stats
 }
 
