--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -64,7 +64,7 @@
 		}
 		o.Spent += u.Spent
 		o.Usual += float64(u.Usual)
-		o.Squares += float64(u.Usual) * float64(u.Usual)
+		o.Squares += float64(u.Square)
 		o.Peak = max(o.Peak, u.Peak)
 		o.Lack = o.Lack || u.Lacking > 0
 	}
--- a/pkg/escrow/brokered.go
+++ b/pkg/escrow/brokered.go
@@ -148,6 +148,9 @@
 			event = k.options.Log.Debug() // said for another account
 		}
 		event.Err(err).Str("peer", broker).Str("customer", p.ledger.customer).Msg("Broker of an account does not answer.")
+		if _, stranded := k.brokerOf(p.ledger.customer); stranded {
+			p.fail(err)
+		}
 	}
 	k.mu.Unlock()
 	pause.For(ctx, firstResend)
--- a/pkg/escrow/brokers.go
+++ b/pkg/escrow/brokers.go
@@ -42,6 +42,17 @@
 	return (k.restarted && k.feedRead) || k.options.Clock()-k.started >= peersWait
 }
 
+// reportGap returns the shortest time between two reports of this host.
+func reportGap(hosts int) time.Duration {
+	return max(minGap, time.Duration(hosts)*time.Second/reportsPerSecond)
+}
+
+// changeGap returns the shortest time between two changes of one account by its
+// broker.
+func changeGap(accounts int) time.Duration {
+	return max(minGap, time.Duration(accounts)*time.Second/changesPerSecond)
+}
+
 // brokerOf returns the address of the host that changes a customer's account
 // for the others, or "" if this host does that itself. It then tells whether
 // that is for want of a broker.
@@ -49,22 +60,10 @@
 	if k.options.Ask == nil {
 		return "", false
 	}
-	type host struct{ name, addr string }
-	now := k.estimate()
-	hosts := []host{{name: k.options.Host}}
-	for _, r := range k.peers {
-		if r.Addr != "" && r.Host != k.options.Host && r.age(now) <= leaseTerm {
-			hosts = append(hosts, host{r.Host, r.Addr})
-		}
-	}
-	hosts = slices.CompactFunc(sorted(hosts, func(a, b host) int { return cmp.Compare(a.name, b.name) }),
-		func(a, b host) bool { return a.name == b.name })
+	hosts := k.ranking(customer)
 	if len(hosts) <= directHosts {
 		return "", false
 	}
-	hosts = sorted(hosts, func(a, b host) int {
-		return cmp.Compare(rendezvous.Score(customer, b.name), rendezvous.Score(customer, a.name))
-	})
 	clock := k.options.Clock()
 	for _, h := range hosts[:maxBrokers] {
 		if h.name == k.options.Host {
@@ -77,9 +76,41 @@
 	return "", true
 }
 
-func sorted[T any](all []T, compare func(a, b T) int) []T {
-	slices.SortFunc(all, compare)
-	return all
+// rankTerm is how long a ranking is kept.
+const rankTerm = 500 * time.Millisecond
+
+// candidate is a host that may change an account for others.
+type candidate struct {
+	name, addr string
+	score      uint64
+}
+
+// ranking is the order of the hosts for one customer.
+type ranking struct {
+	hosts []candidate
+	at    time.Duration
+}
+
+// ranking returns the hosts that report, the first choice first.
+func (k *Keeper) ranking(customer string) []candidate {
+	clock := k.options.Clock()
+	if r, ok := k.rankings[customer]; ok && clock-r.at < rankTerm {
+		return r.hosts
+	}
+	addrs := map[string]string{k.options.Host: ""}
+	now := k.estimate()
+	for _, r := range k.peers {
+		if r.Addr != "" && r.Host != k.options.Host && r.age(now) <= leaseTerm {
+			addrs[r.Host] = r.Addr
+		}
+	}
+	hosts := make([]candidate, 0, len(addrs))
+	for name, addr := range addrs {
+		hosts = append(hosts, candidate{name, addr, rendezvous.Score(customer, name)})
+	}
+	slices.SortFunc(hosts, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	k.rankings[customer] = ranking{hosts: hosts, at: clock}
+	return hosts
 }
 
 // forgiveBrokers makes hosts be asked again: this host does no better than they.
--- a/pkg/escrow/keeper.go
+++ b/pkg/escrow/keeper.go
@@ -17,6 +17,7 @@
 	reporter    *reporter
 	restarted   bool                     // an earlier process of this host has reported
 	feedRead    bool                     // the reports of other hosts were read once
+	rankings    map[string]ranking       // by customer
 	brokersDown map[string]time.Duration // by address, until when a host is not asked again
 	peers       map[string]UsageReport   // of other processes, by incarnation
 	ended       map[string]endedProcess  // by incarnation
@@ -35,7 +36,7 @@
 	}
 	k := &Keeper{
 		options: o, ctx: ctx, purses: make(map[string]*purse), peers: make(map[string]UsageReport),
-		ended: make(map[string]endedProcess), decided: make(chan struct{}), brokersDown: make(map[string]time.Duration),
+		ended: make(map[string]endedProcess), decided: make(chan struct{}), brokersDown: make(map[string]time.Duration), rankings: make(map[string]ranking),
 		started: o.Clock(),
 	}
 	k.reporter = newReporter(k)
--- a/pkg/escrow/meter.go
+++ b/pkg/escrow/meter.go
@@ -22,6 +22,7 @@
 type meter struct {
 	fast, slow float64
 	usual      float64
+	noise      float64 // variance of usual that comes from few large requests, estimated
 	peak       float64 // largest reservation, decaying
 	typical    float64 // mean reservation
 	start, at  time.Duration
@@ -41,7 +42,9 @@
 	m.decay(now)
 	m.fast += float64(tokens) / fastDecay.Seconds()
 	m.slow += float64(tokens) / slowDecay.Seconds()
-	m.usual += float64(tokens) / usualDecay.Seconds()
+	rise := float64(tokens) / usualDecay.Seconds()
+	m.usual += rise
+	m.noise += rise * rise
 }
 
 // rate returns the demand of the last seconds.
@@ -53,6 +56,13 @@
 // usualRate returns the demand of a longer time.
 func (m *meter) usualRate() float64 { return m.corrected(m.usual, usualDecay) }
 
+// usualSquare returns the square of the usual demand without what is chance: the
+// sum over many hosts is that of their true demands.
+func (m *meter) usualSquare() float64 {
+	factor := m.corrected(1, usualDecay)
+	return factor * factor * (m.usual*m.usual - m.noise)
+}
+
 // corrected makes up for the time before the meter started, which an average
 // that decays would count as time without demand.
 func (m *meter) corrected(average float64, decay time.Duration) float64 {
@@ -72,5 +82,6 @@
 	m.fast *= math.Exp(-passed / fastDecay.Seconds())
 	m.slow *= math.Exp(-passed / slowDecay.Seconds())
 	m.usual *= math.Exp(-passed / usualDecay.Seconds())
+	m.noise *= math.Exp(-2 * passed / usualDecay.Seconds())
 	m.peak *= math.Exp(-passed / slowDecay.Seconds())
 }
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -17,6 +17,10 @@
 	idleInterval = 4 * time.Second
 	// minGap is the shortest time between two calls of one kind.
 	minGap = 30 * time.Millisecond
+	// reportsPerSecond is what all hosts together write at most, and
+	// changesPerSecond all brokers. The store takes at least 800 calls a second.
+	reportsPerSecond = 500
+	changesPerSecond = 200
 	// callTimeout bounds one call.
 	callTimeout = 1200 * time.Millisecond
 	// Pauses between the submissions of a transaction without an answer.
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -52,6 +52,7 @@
 	used    int64   // of the own share, open reservations included
 	demand  float64 // of the last seconds, tokens per second
 	usual   float64 // of a longer time
+	square  float64 // of usual, without chance
 	peak    int64   // largest recent reservation
 	typical float64 // mean reservation
 	need    int64   // largest reservation that waits; 0: none
@@ -65,7 +66,7 @@
 	Spent   int64   `json:"spent"`   // by shares with a report
 	Unknown int64   `json:"unknown"` // amount of shares without a report
 	Usual   float64 `json:"usual"`
-	Squares float64 `json:"squares"` // sum of the squares of Usual of each share
+	Squares float64 `json:"squares"` // sum of Usage.Square
 	Peak    int64   `json:"peak"`
 	Lack    bool    `json:"lack,omitempty"` // a request of another host waits in vain
 }
@@ -96,11 +97,11 @@
 // spread returns the part of the hosts among which the demand is spread, from 0
 // to 1, by the inverse participation ratio.
 func (p position) spread() float64 {
-	total, squares := p.usual+p.others.Usual, p.usual*p.usual+p.others.Squares
-	if squares <= 0 {
+	total, squares := p.usual+p.others.Usual, p.square+p.others.Squares
+	if total <= 0 {
 		return 0
 	}
-	return min(1, total*total/squares*p.even())
+	return min(1, p.even()/max(squares/(total*total), p.even()))
 }
 
 // evenPart returns the part of the unspent budget that all hosts hold evenly.
@@ -162,6 +163,7 @@
 		Ceiling: p.used + slice,
 		Rate:    max(int64(burst*p.expected()), int64(float64(p.anyPeak())/peakTerm.Seconds()), p.prepaid/minShares),
 		Usual:   int64(p.usual),
+		Square:  int64(p.square),
 		Peak:    p.peak,
 	}
 }
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -86,7 +86,7 @@
 	now := p.now()
 	pos := position{
 		prepaid: p.prepaid, settled: account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
-		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usualRate(), peak: int64(p.ledger.meter.peak), typical: p.ledger.meter.typical,
+		demand: p.ledger.meter.rate(now), usual: p.ledger.meter.usualRate(), square: p.ledger.meter.usualSquare(), peak: int64(p.ledger.meter.peak), typical: p.ledger.meter.typical,
 		need: p.need, hosts: p.keeper.options.Hosts(),
 	}
 	if p.summary != nil {
@@ -274,6 +274,9 @@
 	p.keeper.mu.Lock()
 	defer p.keeper.mu.Unlock()
 	gap := minGap
+	if p.summary == nil && p.keeper.options.Hosts() > directHosts {
+		gap = changeGap(len(p.keeper.purses))
+	}
 	if p.stranded {
 		gap = rand.N(strandedGap)
 	} else if p.collided {
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -49,7 +49,7 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		pause.For(ctx, r.sentAt+minGap-r.keeper.options.Clock())
+		pause.For(ctx, r.sentAt+reportGap(r.keeper.options.Hosts())-r.keeper.options.Clock())
 	}
 }
 
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -36,6 +36,7 @@
 	Ceiling int64 `json:"c,omitempty"` // Spent stays below it during the short term
 	Rate    int64 `json:"r,omitempty"` // tokens per second by which Ceiling rises afterwards
 	Usual   int64 `json:"d,omitempty"` // measured demand, tokens per second
+	Square  int64 `json:"q,omitempty"` // of the true demand, estimated; may be below 0
 	Peak    int64 `json:"p,omitempty"` // largest recent request, in tokens
 	Lacking int64 `json:"l,omitempty"` // tokens that a request waits for in vain
 }
--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -20,6 +20,10 @@
 	probeTimeout = 300 * time.Millisecond
 	// relayTimeout bounds a call by way of one other host, beside its own wait.
 	relayTimeout = 500 * time.Millisecond
+	// throttleTerm is how long the store may refuse calls for their number before
+	// other hosts are asked: until then it is taken to refuse all hosts alike, and
+	// a relayed call would be one more.
+	throttleTerm = time.Second
 	// maxRelays is the number of other hosts that one call is sent by.
 	maxRelays = 2
 )
@@ -36,6 +40,9 @@
 	down     bool
 	probedAt time.Time
 	last     string // the host that relayed last
+	// throttledAt is when the store first refused a call for their number since
+	// it last took one; zero: it has not.
+	throttledAt time.Time
 }
 
 var _ storage.Rows = (*Rows)(nil)
@@ -83,6 +90,9 @@
 	err := errNotTried
 	if use, timeout := r.useDirect(); use {
 		result, err = callDirect(ctx, timeout, wait, direct)
+		if r.isThrottled(err) {
+			return result, err
+		}
 		r.note(err)
 		if err == nil || errors.Is(err, storage.ErrHistoryGone) {
 			return result, err
@@ -143,6 +153,23 @@
 	return true, probeTimeout
 }
 
+// isThrottled reports whether a call was refused for the number of calls, and
+// only lately so.
+func (r *Rows) isThrottled(err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.throttledAt = time.Time{}
+	}
+	if !errors.Is(err, storage.ErrThrottled) {
+		return false
+	}
+	if r.throttledAt.IsZero() {
+		r.throttledAt = time.Now()
+	}
+	return time.Since(r.throttledAt) < throttleTerm
+}
+
 // note remembers whether the direct way works.
 func (r *Rows) note(err error) {
 	failed := err != nil && !errors.Is(err, storage.ErrHistoryGone)
--- a/pkg/relay/rows_test.go
+++ b/pkg/relay/rows_test.go
@@ -102,3 +102,21 @@
 	_, err = call(t, r, 0, "one")
 	assert.NilError(t, err)
 }
+
+// Guards against relays that add to the calls of a store that refuses too many
+// of them, and against a host that asks no other one although it alone is refused.
+func TestThrottledCallsAreRelayedOnlyAfterAWhile(t *testing.T) {
+	store := rowstore.New(nil)
+	direct := store.Client()
+	relay, peer := host(t, store)
+	relay.SetFaults(rowstore.Faults{})
+	r := New(direct, func() []string { return []string{peer} }, quietLog())
+	direct.SetFaults(rowstore.Faults{Throttle: true})
+	_, err := call(t, r, 0, "one")
+	assert.ErrorIs(t, err, storage.ErrThrottled)
+	assert.Equal(t, store.Get(key).Version, uint64(0))
+	time.Sleep(throttleTerm)
+	_, err = call(t, r, 0, "one")
+	assert.NilError(t, err)
+	assert.Equal(t, string(store.Get(key).Value), "one")
+}
--- a/pkg/standin/rowstore/client.go
+++ b/pkg/standin/rowstore/client.go
@@ -13,6 +13,7 @@
 type Faults struct {
 	Cut         bool          // calls hang until their context ends
 	Refuse      bool          // calls are refused without effect
+	Throttle    bool          // calls are refused for their number
 	RefusedPart string        // calls to this part are refused without effect
 	LoseReplies bool          // transactions are applied, their replies lost
 	ApplyLate   time.Duration // with LoseReplies: transactions are applied that much later
@@ -43,6 +44,9 @@
 	c.mu.Lock()
 	f := c.faults
 	c.mu.Unlock()
+	if f.Throttle {
+		return f, storage.ErrThrottled
+	}
 	if f.Refuse || (f.RefusedPart != "" && f.RefusedPart == part) {
 		return f, fmt.Errorf("refused: %w", storage.ErrNotApplied)
 	}
--- a/pkg/storage/rows.go
+++ b/pkg/storage/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -13,6 +14,9 @@
 // ErrNotApplied means that the store refused a call and has not performed it.
 var ErrNotApplied = errors.New("call not performed")
 
+// ErrThrottled is an ErrNotApplied for the number of calls.
+var ErrThrottled = fmt.Errorf("too many calls: %w", ErrNotApplied)
+
 // RowKey names a row. Rows of one part can change in one transaction.
 type RowKey struct {
 	Table string
