Serve asks at any host that is asked, and at once after a start

Cause: a host that does not answer an ask in 400 ms is passed over for 2 s, and the second choice is asked. That one took the first for the broker, so that the ask lay in its queue until it timed out, and the asker changed the row itself.

Ruled out: the pauses between changes (asks that were served took up to 200 ms); stale accounts (none of the timed-out asks was at an account that was read).

Change: a host with asks in its queue is the broker, and a new process with asks waits no longer.

Figures: TestSecondChoiceServesToo fails before with a timeout.

--- a/pkg/escrow/ask_test.go
+++ b/pkg/escrow/ask_test.go
@@ -112,3 +112,18 @@
 		assert.Equal(t, len(brokers), 1, "%v", brokers)
 	}
 }
+
+// Guards against asks that wait in vain at a host which takes another one for the
+// broker, as after a timeout of the first choice.
+func TestSecondChoiceServesToo(t *testing.T) {
+	_, nodes := fleet(t, directHosts+4, map[string]int64{"regie": 1_000_000})
+	time.Sleep(feedInterval)
+	for i, n := range nodes[:4] {
+		ctx, cancel := context.WithTimeout(t.Context(), askTimeout)
+		ask := ShareAsk{Customer: "regie", Share: Share{Host: "other", Incarnation: incarnation(100 + i), Amount: 10, Seq: 1}}
+		answer, err := n.ChangeShare(ctx, ask)
+		cancel()
+		assert.NilError(t, err)
+		assert.Assert(t, answer.Held && answer.Share.Amount == 10)
+	}
+}
--- a/pkg/escrow/brokers.go
+++ b/pkg/escrow/brokers.go
@@ -26,20 +26,22 @@
 	peersPoll = 20 * time.Millisecond
 )
 
-// awaitPeers waits until the other hosts are known, as far as they matter.
-func (k *Keeper) awaitPeers(ctx context.Context) {
-	for k.options.Ask != nil && ctx.Err() == nil && !k.peersKnown() {
+// awaitPeers waits until the other hosts are known, as far as they matter, or one
+// of them asks for a change.
+func (p *purse) awaitPeers(ctx context.Context) {
+	for p.keeper.options.Ask != nil && ctx.Err() == nil && !p.peersKnown() {
 		pause.For(ctx, peersPoll)
 	}
 }
 
-func (k *Keeper) peersKnown() bool {
+func (p *purse) peersKnown() bool {
+	k := p.keeper
 	if k.Hosts() > directHosts {
 		return true
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return (k.restarted && k.feedRead) || k.options.Clock()-k.started >= peersWait
+	return len(p.queue) > 0 || (k.restarted && k.feedRead) || k.options.Clock()-k.started >= peersWait
 }
 
 // reportGap returns the shortest time between two reports of this host.
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -241,7 +241,7 @@
 
 // run changes the share as needed until everything was given back or ctx ends.
 func (p *purse) run(ctx context.Context) {
-	p.keeper.awaitPeers(ctx)
+	p.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if left := p.step(ctx); left {
 			close(p.left)
@@ -306,11 +306,14 @@
 }
 
 // chooseBroker returns the broker of the account. Without one the account itself
-// is read again.
+// is read again. A host that others ask is the broker, whatever it knows of them.
 func (p *purse) chooseBroker() (broker string) {
 	p.keeper.mu.Lock()
 	defer p.keeper.mu.Unlock()
 	broker, p.stranded = p.keeper.brokerOf(p.ledger.customer)
+	if len(p.queue) > 0 {
+		broker, p.stranded = "", false
+	}
 	if broker == "" && p.summary != nil {
 		p.summary, p.seen = nil, false
 	}
