Never put a target's failure behind a part of a stream

Ruled out: the stand-in (its 500 is an answer of its own); event splitting.

Change: once events are out, a whole answer of another target is a failure, and no kept failure is passed on. The connection is broken off instead.

Figures: TestFailureIsNoPartOfAStream failed before each of the two changes.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -26,6 +26,11 @@
 		c.h.Suspects.Broke(c.fingerprint, a.Target.ID, now)
 		return step{reason: AnswerBroken, ran: true}
 	}
+	if c.started {
+		// The caller has a part of a stream, which this answer does not continue.
+		a.End(now, balance.Failed)
+		return step{reason: TargetFailed, ran: true}
+	}
 	pass := func() { c.pass(response, body) }
 	switch {
 	case isPromise(response.Status):
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -58,9 +58,10 @@
 	}
 }
 
-// settleFor passes on a target's failure if there is one, and refuses otherwise.
+// settleFor passes on a target's failure if there is one and no part of another
+// answer is out, and refuses otherwise.
 func (c *call) settleFor(passed func(), r Reason) *Refusal {
-	if passed == nil {
+	if passed == nil || c.started {
 		return c.unanswered(r)
 	}
 	passed()
--- a/pkg/forward/stream_test.go
+++ b/pkg/forward/stream_test.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// Guards against the answer of a target that failed being put behind the events of
+// the one before, as if it was a part of the stream.
+func TestFailureIsNoPartOfAStream(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound, http.StatusNoContent} {
+		r := newRig(t, 2)
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			r.replicas[0].SetFaults(replica.Faults{CutAfter: 2})
+			r.replicas[1].SetFaults(replica.Faults{Status: status})
+			got := r.ask(id, "/resumable/x")
+			if got.status == http.StatusOK {
+				assert.Assert(t, got.err != nil, "a stream that looks whole: %q", got.body)
+				assert.Equal(t, got.body, events(id, 2))
+			}
+		}
+	}
+}
+
 // Guards against a stream that is run again, or looks whole, after it broke off.
 func TestBrokenStreamIsNotRunAgain(t *testing.T) {
 	r := newRig(t, 2)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,7 +13,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{1332775925179130254, "the failure of a second target was put behind the events of the first"},
+}
 
 // Size of a run unless the environment says otherwise.
 const (
