--- a/pkg/escrow/brokered.go
+++ b/pkg/escrow/brokered.go
@@ -139,7 +139,6 @@
 		if !p.unsure {
 			p.ledger.offered = nil
 		}
-		p.fail(err)
 	} else {
 		down := p.now() < k.brokersDown[broker]
 		k.brokersDown[broker] = p.now() + brokerPause
@@ -148,10 +147,8 @@
 			event = k.options.Log.Debug() // said for another account
 		}
 		event.Err(err).Str("peer", broker).Str("customer", p.ledger.customer).Msg("Broker of an account does not answer.")
-		if _, stranded := k.brokerOf(p.ledger.customer); stranded {
-			p.fail(err)
-		}
 	}
+	p.fail(err)
 	k.mu.Unlock()
 	pause.For(ctx, firstResend)
 }
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -28,6 +28,9 @@
 	maxResend   = 400 * time.Millisecond
 	// reserveWait is the longest wait of a reservation for the table.
 	reserveWait = 250 * time.Millisecond
+	// answerLimit is how long a report may be without an answer before requests no
+	// longer wait for the table. It answers in some 10 ms.
+	answerLimit = 300 * time.Millisecond
 	// freshView is the age up to which the account as last seen is planned with
 	// when a request lacks tokens.
 	freshView = 300 * time.Millisecond
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -183,11 +183,18 @@
 // ceiling to rise while the table does not answer.
 const maxCeilingWait = shortTerm
 
+// tableAnswers reports whether waiting for the table may help a request.
+func (p *purse) tableAnswers(now time.Duration) bool {
+	pending := p.keeper.reports.pending
+	overdue := pending != nil && now-pending.sentAt > answerLimit
+	return p.reachable && p.keeper.reporter.reachable && !overdue
+}
+
 // ceilingWait returns how long to wait for the ceiling if that takes no large
 // part of the request's time. The wait ends with the tokens in hand, so that the
 // caller need not come back for them.
 func (p *purse) ceilingWait(ctx context.Context, now, start time.Duration, tokens int64) (time.Duration, bool) {
-	if p.keeper.leaving || (p.reachable && p.keeper.reporter.reachable) || ctx.Err() != nil {
+	if p.keeper.leaving || p.tableAnswers(now) || ctx.Err() != nil {
 		return 0, false
 	}
 	wait, ok := p.ledger.available(now, p.keeper.reports, tokens)
@@ -221,7 +228,7 @@
 	switch {
 	case p.keeper.leaving:
 		return &UnreachableError{Why: "the host is leaving", RetryAfter: afterSlowTable}
-	case !p.reachable || !p.keeper.reporter.reachable:
+	case !p.tableAnswers(now):
 		if wait, ok := p.ledger.available(now, p.keeper.reports, tokens); ok {
 			return &UnreachableError{Why: "the table does not answer, the ceiling will rise", RetryAfter: wait}
 		}
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -105,7 +105,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.h.Log.Info().Str("request", c.id).Str("route", route).Str("customer", c.customerName()).Int64("cost", c.spent()).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).
+	c.h.Log.Info().Str("request", c.id).Str("route", route).Str("customer", c.customerName()).Int64("cost", c.spent()).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).Str("stopped_by", string(c.stopped)).
 		Bool("may_have_run", c.ran > 0).Strs("targets", c.trail).Int64("events", c.events).Dur("after", time.Since(c.arrived)).Msg("Request not answered by a target.")
 	if c.started {
 		panic(http.ErrAbortHandler)
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -37,6 +37,7 @@
 	for {
 		attempt, err := c.pick()
 		if err != nil {
+			c.stopped = stopNoTarget
 			return c.settleFor(passed, NoTarget)
 		}
 		c.trail = append(c.trail, attempt.Target.ID)
@@ -51,7 +52,7 @@
 		if s.passed != nil {
 			passed = s.passed
 		}
-		if !c.mayTryAgain(s, unsent) {
+		if c.stopped = c.stops(s, unsent); c.stopped != "" {
 			return c.settleFor(passed, s.reason)
 		}
 		c.h.Observer.Retried(s.reason)
@@ -79,27 +80,6 @@
 	})
 }
 
-// mayTryAgain decides whether the request is sent to another target.
-func (c *call) mayTryAgain(s step, unsent int) bool {
-	now := time.Now()
-	if c.ctx.Err() != nil || c.left(now) < minLeft || unsent >= maxUnsent {
-		return false
-	}
-	if s.reason == TargetUnreached || s.reason == ConnectionLimit {
-		return true // nothing was sent
-	}
-	if c.attempts >= maxSends {
-		return false
-	}
-	if s.reason == AnswerBroken && c.h.Suspects.Crashes(c.fingerprint, now) {
-		return false
-	}
-	if s.ran && (!c.route.Idempotent() || c.ran >= max(1, c.route.MaxAttempts)) {
-		return false
-	}
-	return c.h.limit(c.service.Name).Allow(now)
-}
-
 // unanswered returns the answer to a request that no target has answered.
 func (c *call) unanswered(r Reason) *Refusal {
 	switch {
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -34,6 +34,7 @@
 	reservation *escrow.Reservation
 
 	attempts  int      // sent to a target
+	stopped   stop     // why the request was not sent again; "": it was not sent at all, or answered
 	ran       int      // attempts that may have run
 	excluded  []string // ids of targets that were tried
 	events    int64    // passed on to the caller
