Bound direct reads of the store, so that another host can be asked in time

Its log: three failed reads of the configuration between 13.8 and 20.75 s, each of about 3 s, while other hosts had the store. A scan has 3 s; a call on a silent direct connection took all of it, and no other host was asked.

Ruled out: a lost feed position (the host took version 40 at once when a read came through); throttling (no 429 in its log then).

Change: reads on the direct way are bounded by 1 s. Writes are not: a write whose outcome is unknown would be sent twice.

--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -18,6 +18,9 @@
 	probeInterval = time.Second
 	// probeTimeout bounds such a call.
 	probeTimeout = 300 * time.Millisecond
+	// readTimeout bounds a read on the direct way, so that time is left for the
+	// others. Writes take all their time: sent twice, they cost the store twice.
+	readTimeout = time.Second
 	// relayTimeout bounds a call by way of one other host, beside its own wait.
 	relayTimeout = 500 * time.Millisecond
 	// throttleTerm is how long the store may refuse calls for their number before
@@ -89,6 +92,9 @@
 	var result T
 	err := errNotTried
 	if use, timeout := r.useDirect(); use {
+		if timeout == 0 && method != methodTransact {
+			timeout = readTimeout
+		}
 		result, err = callDirect(ctx, timeout, wait, direct)
 		if r.isThrottled(err) {
 			return result, err
--- a/pkg/relay/rows_test.go
+++ b/pkg/relay/rows_test.go
@@ -120,3 +120,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(store.Get(key).Value), "one")
 }
+
+// Guards against a read that spends all its time on a silent direct way, although
+// another host has the store: a configuration came too late by that.
+func TestSilentDirectWayLeavesTimeForRelays(t *testing.T) {
+	store := rowstore.New(nil)
+	store.Put(key, []byte("value"))
+	direct := store.Client()
+	_, peer := host(t, store)
+	r := New(direct, func() []string { return []string{peer} }, quietLog())
+	direct.SetFaults(rowstore.Faults{Cut: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	page, err := r.Range(ctx, key.Table, key.Part, "")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page.Rows[0].Value), "value")
+}
