--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -11,6 +11,10 @@
 // and more with time. Whoever finds the share of an ended process counts as spent
 // what the last report allowed it until then, and frees the rest.
 //
+// In a large fleet one host, the broker, changes an account for all others, which
+// ask it (ShareAsk). Rows take some 200 changes a second, and hosts that each
+// wrote them would collide.
+//
 // The package answers these loads: every host loses the store and all other
 // hosts for some ten seconds while a customer sends several times its usual
 // (shares cover that time at a multiple of the measured demand); all processes
