--- a/pkg/rendezvous/score.go
+++ b/pkg/rendezvous/score.go
@@ -2,7 +2,12 @@
 // process, so that daemons agree on a choice without a message.
 package rendezvous
 
-import "hash/fnv"
+// Constants of 64-bit FNV-1a, which is the same in every process, unlike
+// hash/maphash.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
 
 // Multipliers and shifts of the finalizer of splitmix64. FNV alone leaves
 // the high bits of similar inputs correlated, which skews the ranking.
@@ -17,12 +22,23 @@
 // Score returns the rank of a candidate for a key. The candidate with the
 // highest score is the first choice.
 func Score(key, candidate string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key)) // never fails
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(candidate))
-	x := h.Sum64()
+	return Mix(add(add(add(fnvOffset, key), "\x00"), candidate))
+}
+
+// Hash returns the hash of a text.
+func Hash(s string) uint64 { return Mix(add(fnvOffset, s)) }
+
+// Mix spreads the bits of a hash.
+func Mix(x uint64) uint64 {
 	x = (x ^ x>>mixShift1) * mixMultiplier1
 	x = (x ^ x>>mixShift2) * mixMultiplier2
 	return x ^ x>>mixShift3
 }
+
+// add continues a hash with a text.
+func add(h uint64, s string) uint64 {
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * fnvPrime
+	}
+	return h
+}
