Let the tests of the bundle store use the common fake table

Change: faketable calls OnPut before a put and has Remove, Value and Revision. The table of the bundle tests embeds it and keeps its hooks, its count of commits and its check for versions that are written twice.

--- a/pkg/bundle/race_rapid_test.go
+++ b/pkg/bundle/race_rapid_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -19,7 +20,7 @@
 	Required int  // sign-offs for the version after it
 	Watch    bool // a watcher polls or is pushed to instead
 	Push     uint64
-	Fault    fault
+	Fault    faketable.Fault
 }
 
 func genRaceAction(t *rapid.T) raceAction {
@@ -29,7 +30,7 @@
 		Required: rapid.IntRange(1, 2).Draw(t, "required"),
 		Watch:    rapid.IntRange(0, 4).Draw(t, "watch") == 0,
 		Push:     rapid.Uint64Range(0, 4).Draw(t, "push"),
-		Fault:    rapid.SampledFrom([]fault{noFault, lostReply, lostCall}).Draw(t, "fault"),
+		Fault:    rapid.SampledFrom([]faketable.Fault{faketable.NoFault, faketable.LostReply, faketable.LostCall}).Draw(t, "fault"),
 	}
 }
 
@@ -63,9 +64,9 @@
 		for i := 0; i < len(actions); i++ {
 			a := actions[i]
 			remaining := 1
-			table.fault = func() fault { // one fault per step, so that resubmission ends
+			table.Fault = func() faketable.Fault { // one fault per step, so that resubmission ends
 				if remaining == 0 {
-					return noFault
+					return faketable.NoFault
 				}
 				remaining--
 				return a.Fault
@@ -78,7 +79,7 @@
 			run(a)
 			table.beforeCommit = nil
 		}
-		table.fault = func() fault { return noFault }
+		table.Fault = func() faketable.Fault { return faketable.NoFault }
 		if len(table.violations) > 0 {
 			t.Fatalf("written twice: %v", table.violations)
 		}
@@ -167,9 +168,9 @@
 	table := newFakeTable()
 	bring(t, testStore(table, "setup"), sample(0))
 	n := 0
-	table.fault = func() fault { // called under the table's lock
+	table.Fault = func() faketable.Fault { // called under the table's lock
 		n++
-		return []fault{noFault, lostReply, noFault, lostCall}[n%4]
+		return []faketable.Fault{faketable.NoFault, faketable.LostReply, faketable.NoFault, faketable.LostCall}[n%4]
 	}
 	w := NewWatcher(WatcherConfig{Store: testStore(table, "watch")})
 	const rounds = 5
--- a/pkg/bundle/store_test.go
+++ b/pkg/bundle/store_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -105,10 +106,10 @@
 func TestLostReplyIsResolved(t *testing.T) {
 	table := newFakeTable()
 	s := testStore(table, "s")
-	faults := []fault{lostReply, lostCall, noFault, lostReply, lostReply, noFault}
-	table.fault = func() fault {
+	faults := []faketable.Fault{faketable.LostReply, faketable.LostCall, faketable.NoFault, faketable.LostReply, faketable.LostReply, faketable.NoFault}
+	table.Fault = func() faketable.Fault {
 		if len(faults) == 0 {
-			return noFault
+			return faketable.NoFault
 		}
 		f := faults[0]
 		faults = faults[1:]
@@ -116,7 +117,7 @@
 	}
 	bring(t, s, sample(0))
 	assert.Equal(t, table.commits, 6)
-	assert.Equal(t, table.revision, uint64(2))
+	assert.Equal(t, table.Revision(), uint64(2))
 }
 
 // Guards against an outage being reported as a refusal.
@@ -124,10 +125,10 @@
 	ctx := context.Background()
 	table := newFakeTable()
 	s := testStore(table, "s")
-	table.fault = func() fault { return lostCall }
+	table.Fault = func() faketable.Fault { return faketable.LostCall }
 	_, err := s.Submit(ctx, proposalBy(t, sample(0), "alice"))
 	assert.ErrorIs(t, err, storage.ErrUnavailable)
-	table.down = true
+	table.SetDown(true)
 	_, err = s.Current(ctx)
 	assert.ErrorIs(t, err, storage.ErrUnavailable)
 }
@@ -143,7 +144,7 @@
 	open.Customers[0].MaxPriority = 1
 	_, err := s.Submit(ctx, proposalBy(t, open, "carol"))
 	assert.NilError(t, err)
-	table.set(ProposalKey("bad"), `{"x":1}`)
+	table.Set(ProposalKey("bad"), `{"x":1}`)
 	list, err := s.Proposals(ctx)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, list.Unreadable, []string{"proposal/bad"})
@@ -178,7 +179,7 @@
 	table := newFakeTable()
 	s := testStore(table, "s")
 	bring(t, s, sample(0))
-	delete(table.rows, HeadKey)
+	table.Remove(HeadKey)
 	other := sample(0)
 	other.Customers[0].MaxPriority = 9
 	progress, err := s.Submit(ctx, proposalBy(t, other, "alice"))
--- a/pkg/standin/faketable/table.go
+++ b/pkg/standin/faketable/table.go
@@ -32,6 +32,8 @@
 	decided  map[string]storage.Outcome
 	down     bool
 	Fault    func() Fault // called under the table's lock for each commit
+	// OnPut is called under the table's lock before a put is applied. Nil: nothing.
+	OnPut func(before storage.Row, p storage.Put)
 }
 
 // New returns an empty table without faults.
@@ -72,6 +74,9 @@
 		t.revision++
 		outcome = storage.Outcome{Committed: true, Revision: t.revision}
 		for _, p := range txn.Puts {
+			if t.OnPut != nil {
+				t.OnPut(t.row(p.Key), p)
+			}
 			t.rows[p.Key] = storage.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.revision}
 		}
 		for _, key := range txn.Deletes {
@@ -127,6 +132,27 @@
 	t.rows[key] = storage.Row{Key: key, Value: []byte(value), Version: t.revision}
 }
 
+// Remove removes a row directly, as an operator by hand would.
+func (t *Table) Remove(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.rows, key)
+}
+
+// Value returns the value of a row, nil if it is absent.
+func (t *Table) Value(key string) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[key].Value
+}
+
+// Revision returns the number of changes so far.
+func (t *Table) Revision() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision
+}
+
 // SetDown makes every call fail until it is called with false.
 func (t *Table) SetDown(down bool) {
 	t.mu.Lock()
