Simplify what brokers added to the budget keeper

Cause, found on reading the change: two types of one ended process (for the wire and inside), three loops over the reports for the hosts that are live, and a copy of the broker's answer under another name with a time that seenAt has already. And a loop: if a store has lost the history that was just asked for, the feed was opened again without a pause.

Change: one EndedProcess, one liveHosts, the answer itself is kept. A host with two incarnations in its lease is now one address for relays.

--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -73,7 +73,7 @@
 
 // closeEnded closes the shares of ended processes and of leases that have ended,
 // and reports whether there were any.
-func (a *Account) closeEnded(customer string, ended map[string]endedProcess, lapsed map[string]int64) bool {
+func (a *Account) closeEnded(customer string, ended map[string]EndedProcess, lapsed map[string]int64) bool {
 	closed := false
 	for key, s := range maps.Clone(a.Shares) {
 		if used, ok := lapsed[key]; ok {
--- a/pkg/escrow/ask_test.go
+++ b/pkg/escrow/ask_test.go
@@ -25,7 +25,7 @@
 	})
 	p := newPurse(k, "regie")
 	p.prepaid, p.seen, p.ledger.amount, p.confirmed, p.seq = 10_000, true, 1_000, 1, 1
-	p.summary = &summary{others: others{Amount: 9_000, Spent: 9_000}, at: p.now()}
+	p.summary, p.seenAt = &ShareAnswer{Others: others{Amount: 9_000, Spent: 9_000}}, p.now()
 	return p
 }
 
--- a/pkg/escrow/broker.go
+++ b/pkg/escrow/broker.go
@@ -23,12 +23,6 @@
 	Ended []EndedProcess `json:"ended,omitempty"`
 }
 
-// EndedProcess is the last report of a process that spends nothing any more.
-type EndedProcess struct {
-	Report UsageReport   `json:"report"`
-	By     time.Duration `json:"by_ns"` // store clock at which it had ended
-}
-
 // ShareAnswer is the account as the holder of a share needs it.
 type ShareAnswer struct {
 	Held    bool   `json:"held"` // the account has the share
@@ -86,10 +80,10 @@
 
 // apply carries out an ask and reports whether the account has changed.
 func (a *Account) apply(ask ShareAsk, prepaid int64) bool {
-	ended := make(map[string]endedProcess, len(ask.Ended))
+	ended := make(map[string]EndedProcess, len(ask.Ended))
 	for _, e := range ask.Ended {
 		if e.Report.Host == ask.Share.Host {
-			ended[e.Report.Incarnation] = endedProcess{report: e.Report, by: e.By}
+			ended[e.Report.Incarnation] = e
 		}
 	}
 	changed := a.closeEnded(ask.Customer, ended, ask.Lapsed)
--- a/pkg/escrow/brokered.go
+++ b/pkg/escrow/brokered.go
@@ -20,13 +20,6 @@
 	strandedGap = time.Second
 )
 
-// summary is an account as told by its broker.
-type summary struct {
-	settled int64
-	others  others
-	at      time.Duration
-}
-
 // stepByBroker changes the share by way of the account's broker, if needed. It
 // returns true once everything was given back.
 func (p *purse) stepByBroker(ctx context.Context, broker string) (left bool) {
@@ -57,7 +50,7 @@
 		return ask, false
 	}
 	amount := p.ledger.amount
-	fresh := p.summary != nil && now-p.summary.at <= summaryTerm
+	fresh := p.summary != nil && now-p.seenAt <= summaryTerm
 	if p.summary != nil && !k.leaving {
 		amount = p.position(p.account).nextAmount()
 	}
@@ -70,8 +63,8 @@
 	}
 	ask.Share.Amount = amount
 	for incarnation, e := range k.ended {
-		if e.report.Host == k.options.Host && !p.cleared[incarnation] {
-			ask.Ended = append(ask.Ended, EndedProcess{Report: e.report.only(p.ledger.customer), By: e.by})
+		if e.Report.Host == k.options.Host && !p.cleared[incarnation] {
+			ask.Ended = append(ask.Ended, EndedProcess{Report: e.Report.only(p.ledger.customer), By: e.By})
 		}
 	}
 	needed = amount != p.ledger.amount || !fresh || p.unsure || len(p.lapsed) > 0 || len(ask.Ended) > 0 ||
@@ -95,7 +88,7 @@
 	defer p.keeper.mu.Unlock()
 	p.triedAt = p.now()
 	p.seen, p.seenAt, p.collided = true, p.triedAt, false
-	p.summary = &summary{settled: answer.Settled, others: answer.Others, at: p.triedAt}
+	p.summary = &answer
 	for _, e := range ask.Ended {
 		p.clear(e.Report.Incarnation)
 	}
--- a/pkg/escrow/brokers.go
+++ b/pkg/escrow/brokers.go
@@ -99,17 +99,12 @@
 	if r, ok := k.rankings[customer]; ok && clock-r.at < rankTerm {
 		return r.hosts
 	}
-	addrs := map[string]string{k.options.Host: ""}
-	now := k.estimate()
-	for _, r := range k.peers {
-		if r.Addr != "" && r.Host != k.options.Host && r.age(now) <= leaseTerm {
-			addrs[r.Host] = r.Addr
+	var hosts []candidate
+	for name, addr := range k.liveHosts() {
+		if addr != "" || name == k.options.Host {
+			hosts = append(hosts, candidate{name, addr, rendezvous.Score(customer, name)})
 		}
 	}
-	hosts := make([]candidate, 0, len(addrs))
-	for name, addr := range addrs {
-		hosts = append(hosts, candidate{name, addr, rendezvous.Score(customer, name)})
-	}
 	slices.SortFunc(hosts, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	k.rankings[customer] = ranking{hosts: hosts, at: clock}
 	return hosts
--- a/pkg/escrow/keeper.go
+++ b/pkg/escrow/keeper.go
@@ -20,7 +20,7 @@
 	rankings    map[string]ranking       // by customer
 	brokersDown map[string]time.Duration // by address, until when a host is not asked again
 	peers       map[string]UsageReport   // of other processes, by incarnation
-	ended       map[string]endedProcess  // by incarnation
+	ended       map[string]EndedProcess  // by incarnation
 	started     time.Duration            // of this process, on its own clock
 	before      time.Duration            // store clock when this process started, or a little later; 0: not known
 	storeNow    time.Duration            // at clockAt
@@ -36,7 +36,7 @@
 	}
 	k := &Keeper{
 		options: o, ctx: ctx, purses: make(map[string]*purse), peers: make(map[string]UsageReport),
-		ended: make(map[string]endedProcess), decided: make(chan struct{}), brokersDown: make(map[string]time.Duration), rankings: make(map[string]ranking),
+		ended: make(map[string]EndedProcess), decided: make(chan struct{}), brokersDown: make(map[string]time.Duration), rankings: make(map[string]ranking),
 		started: o.Clock(),
 	}
 	k.reporter = newReporter(k)
@@ -135,30 +135,35 @@
 func (k *Keeper) Hosts() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	hosts := map[string]struct{}{k.options.Host: {}}
-	now := k.estimate()
-	for _, r := range k.peers {
-		if r.age(now) <= leaseTerm {
-			hosts[r.Host] = struct{}{}
-		}
-	}
-	return len(hosts)
+	return len(k.liveHosts())
 }
 
 // PeerAddrs returns the addresses of the other hosts that report to the table.
 func (k *Keeper) PeerAddrs() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.estimate()
 	var addrs []string
-	for _, r := range k.peers {
-		if r.Addr != "" && r.Host != k.options.Host && r.age(now) <= leaseTerm {
-			addrs = append(addrs, r.Addr)
+	for host, addr := range k.liveHosts() {
+		if addr != "" && host != k.options.Host {
+			addrs = append(addrs, addr)
 		}
 	}
 	return addrs
 }
 
+// liveHosts returns the addresses of the hosts that report to the table by name,
+// "" for one without an address. This host is one of them.
+func (k *Keeper) liveHosts() map[string]string {
+	hosts := map[string]string{k.options.Host: k.options.Addr}
+	now := k.estimate()
+	for _, r := range k.peers {
+		if r.Host != k.options.Host && r.age(now) <= leaseTerm {
+			hosts[r.Host] = r.Addr
+		}
+	}
+	return hosts
+}
+
 // setClock notes the store's clock from the answer to a call that was sent at
 // sentAt. The estimate is never ahead of the store, since the answer took some
 // time. The start of this process is never put too early, for the same reason.
@@ -179,16 +184,3 @@
 	close(k.decided)
 	k.decided = make(chan struct{})
 }
-
-// endedProcess is a process that spends nothing any more.
-type endedProcess struct {
-	report UsageReport // its last one
-	// by is a time on the store's clock at which the process had ended, or its
-	// lease had.
-	by time.Duration
-}
-
-// maxSpent returns how much of a share the process may have spent.
-func (e endedProcess) maxSpent(customer string, s Share) int64 {
-	return e.report.MaxSpent(customer, s.Epoch, s.Amount, e.report.age(e.by))
-}
--- a/pkg/escrow/peers.go
+++ b/pkg/escrow/peers.go
@@ -36,6 +36,7 @@
 		next, err := k.readFeed(ctx, since)
 		if errors.Is(err, storage.ErrHistoryGone) {
 			known, lookback = false, 0
+			pause.For(ctx, firstResend)
 			continue
 		}
 		since = next
@@ -174,7 +175,7 @@
 	now := k.estimate()
 	for incarnation, r := range reports {
 		if r.age(now) > leaseTerm+reclaimMargin {
-			k.ended[incarnation] = endedProcess{report: r, by: now}
+			k.ended[incarnation] = EndedProcess{Report: r, By: now}
 		} else if known := k.peers[incarnation]; known.Number < r.Number {
 			k.peers[incarnation] = r
 		}
@@ -221,7 +222,7 @@
 	}
 	var closed []string
 	for incarnation, e := range k.ended {
-		if _, isOpen := open[incarnation]; !isOpen && e.report.Host == k.options.Host {
+		if _, isOpen := open[incarnation]; !isOpen && e.Report.Host == k.options.Host {
 			closed = append(closed, incarnation)
 		}
 	}
@@ -261,7 +262,7 @@
 			for incarnation, r := range reports {
 				if incarnation != k.options.Incarnation {
 					k.restarted = true
-					k.ended[incarnation] = endedProcess{report: r, by: k.before}
+					k.ended[incarnation] = EndedProcess{Report: r, By: k.before}
 				}
 			}
 			for _, p := range k.purses {
--- a/pkg/escrow/purse.go
+++ b/pkg/escrow/purse.go
@@ -36,7 +36,7 @@
 	collided    bool
 
 	queue     []*brokered     // changes of other hosts' shares that wait
-	summary   *summary        // nil while this host changes the account itself
+	summary   *ShareAnswer    // of the broker at seenAt; nil while this host changes the account itself
 	seq       int64           // of the last change of this host's share
 	confirmed int64           // of the last one that is known to be applied; 0: no share
 	unsure    bool            // an earlier change may still be applied
@@ -87,7 +87,7 @@
 		need: p.need, hosts: p.keeper.options.Hosts(),
 	}
 	if p.summary != nil {
-		pos.settled, pos.others = p.summary.settled, p.summary.others
+		pos.settled, pos.others = p.summary.Settled, p.summary.Others
 	} else {
 		pos.others = account.others(p.ledger.customer, p.share().key(), p.keeper.peers)
 	}
--- a/pkg/escrow/purse_change.go
+++ b/pkg/escrow/purse_change.go
@@ -109,8 +109,8 @@
 			continue
 		}
 		p.keeper.options.Log.Info().Str("customer", p.ledger.customer).Str("holder", s.Host).Int64("held", s.Amount).
-			Int64("reported_spent", process.report.Customers[p.ledger.customer].Spent).
-			Int64("counted_as_spent", process.maxSpent(p.ledger.customer, s)).Dur("report_age", process.report.age(process.by)).
+			Int64("reported_spent", process.Report.Customers[p.ledger.customer].Spent).
+			Int64("counted_as_spent", process.maxSpent(p.ledger.customer, s)).Dur("report_age", process.Report.age(process.By)).
 			Msg("Share of an ended process is closed.")
 	}
 }
