Soak and platform tests: one wait, one state of a process

Cause: the soak had a waiting loop beside that of the platform tests, and a copy of four of a host's fields under another type.

Change: rig.Await serves both; the host embeds its state.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -11,21 +11,6 @@
 	"github.com/peppertrail/peppertrail/platform/rig"
 )
 
-// hostState is what is done to a daemon's process at a moment.
-type hostState struct {
-	process                 int
-	forced, paused, stopped bool
-}
-
-// disturbed tells whether callers may lose a connection to the process.
-func (s hostState) disturbed() bool { return s.forced || s.paused || s.stopped }
-
-func (h *host) state() hostState {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return hostState{process: h.process, forced: h.forced, paused: h.paused, stopped: h.stopped}
-}
-
 // fault is one kind of trouble. It returns at once; what lasts ends by itself or
 // with heal.
 type fault struct {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -50,13 +50,27 @@
 // host is a daemon and what is done to it now.
 type host struct {
 	*rig.Daemon
-	mu      sync.Mutex
-	busy    bool              // a fault of the process is under way
-	process int               // counts processes
-	forced  bool              // this process was or will be killed
-	stopped bool              // this process was told to stop
-	served  map[int]time.Time // first answer of this process, by version of the configuration
-	paused  bool              // SIGSTOP
+	mu sync.Mutex
+	hostState
+	busy   bool              // a fault of the process is under way
+	served map[int]time.Time // first answer of this process, by version of the configuration
+}
+
+// hostState is what is done to a daemon's process at a moment.
+type hostState struct {
+	process int  // counts processes, and pauses of them
+	forced  bool // this process was or will be killed
+	stopped bool // this process was told to stop
+	paused  bool // it is suspended, or was until a moment ago
+}
+
+// disturbed tells whether callers may lose a connection to the process.
+func (s hostState) disturbed() bool { return s.forced || s.paused || s.stopped }
+
+func (h *host) state() hostState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hostState
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -102,11 +116,8 @@
 
 func (w *world) await(what string, limit time.Duration, done func() bool) {
 	w.t.Helper()
-	for deadline := time.Now().Add(limit); !done(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			w.t.Errorf("not within %v: %s", limit, what)
-			return
-		}
+	if !rig.Await(limit, done) {
+		w.t.Errorf("not within %v: %s", limit, what)
 	}
 }
 
