edge: count calls to the store and their bytes by table

Cause: in two incidents hosts applied configurations and drains late while their links were full, and neither logs nor metrics told which table the traffic belonged to. Result: TestStoreTrafficIsCountedByTable passes.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -92,12 +92,13 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	d := &Daemon{
-		settings: s, layout: l, directStore: store, logs: logs, log: logs.Logger("edge"),
+		settings: s, layout: l, logs: logs, log: logs.Logger("edge"),
 		client: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), metrics: newMetrics(),
 		decodedTargets: make(map[string]balance.Target),
 	}
 	d.client.OnDial = d.metrics.countDial
-	d.store = relay.New(store, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
+	d.directStore = newMeteredRows(store, d.metrics.registry)
+	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
 	d.budgets = escrow.NewManager(ctx, escrow.Options{
 		Rows: d.store, AccountTable: l.AccountTable, UsageTable: l.UsageTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.HostCount, AnnounceShortage: d.announceShortage, RequestShare: d.requestShareChange, Log: logs.Logger("budget"),
 	})
