--- a/pkg/escrow/cluster_test.go
+++ b/pkg/escrow/cluster_test.go
@@ -47,8 +47,9 @@
 // testProcess is one process of a host.
 type testProcess struct {
 	*Manager
-	rows   *rowstore.Client
-	cancel context.CancelFunc
+	rows    *rowstore.Client
+	traffic *receivedRows // counts what Manager receives through rows
+	cancel  context.CancelFunc
 }
 
 func newTestCluster(t *testing.T, hosts int) *testCluster {
@@ -88,8 +89,9 @@
 func (c *testCluster) launch(host, incarnation string, budgets map[string]int64) *testProcess {
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n := &testProcess{rows: c.store.Client(), cancel: cancel}
+	n.traffic = &receivedRows{Rows: n.rows}
 	o := Options{
-		Rows: n.rows, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation, Addr: host,
+		Rows: n.traffic, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation, Addr: host,
 		Hosts:            func() int { return c.hosts },
 		Clock:            c.clock,
 		AnnounceShortage: func(customer string) { c.announceShortage(host, customer) },
--- a/pkg/relay/rows_test.go
+++ b/pkg/relay/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -140,3 +141,38 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(page.Rows[0].Value), "value")
 }
+
+// slowFeed delays the feed of one table until the call ends, like a large reply over a
+// slow link.
+type slowFeed struct {
+	storage.Rows
+	table string
+}
+
+func (s slowFeed) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+	if table != s.table {
+		return s.Rows.Feed(ctx, table, since, wait)
+	}
+	<-ctx.Done()
+	return storage.RowPage{}, fmt.Errorf("%w: %w", storage.ErrUnavailable, ctx.Err())
+}
+
+// Guards against one large read that reaches its time limit and makes the host treat the store as unreachable for all tables.
+func TestTimedOutReadKeepsCallsForOtherTablesDirect(t *testing.T) {
+	store := rowstore.New(nil)
+	store.Put(key, []byte("value"))
+	r := New(slowFeed{Rows: store.Client(), table: "reports"}, func() []string { return nil }, discardLog())
+	ended := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err := r.Feed(ctx, "reports", 0, 100*time.Millisecond)
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_, err := r.Range(t.Context(), key.Table, key.Part, "") // answered while the feed call is open
+	assert.NilError(t, err)
+	assert.ErrorIs(t, <-ended, storage.ErrUnavailable)
+	_, err = r.Range(t.Context(), key.Table, key.Part, "")
+	assert.NilError(t, err)
+}
