relay: keep direct calls while the store answers some of them

Cause: one direct call that reached its time limit made the host treat the store as unreachable for all tables. Reads of usage reports over a full link did so every few seconds; each time all other calls had to go through other hosts or failed until a probe. Change: a call without an answer does not end direct access if another direct call was answered since it began. It is still relayed itself. Refusals count as before.

--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -46,6 +46,7 @@
 	mu         sync.Mutex
 	directDown bool
 	probedAt   time.Time // time of the last probe or of the last change of directDown
+	answeredAt time.Time // time of the last successful direct call
 	lastRelay  string    // address of the host that last relayed a call
 	// throttledAt is the time at which the store refused a direct call because the call
 	// rate is too high, for the first time since the last successful direct call; zero:
@@ -101,11 +102,12 @@
 		if timeout == 0 && method != methodTransact {
 			timeout = readTimeout
 		}
+		start := time.Now()
 		result, err = callDirect(ctx, timeout, wait, direct)
 		if r.recentlyThrottled(err) {
 			return result, err
 		}
-		r.recordDirectResult(err)
+		r.recordDirectResult(err, start)
 		if err == nil || errors.Is(err, storage.ErrHistoryGone) {
 			return result, err
 		}
@@ -187,12 +189,18 @@
 	return time.Since(r.throttledAt) < throttleGracePeriod
 }
 
-// recordDirectResult records whether direct calls succeed.
-func (r *Rows) recordDirectResult(err error) {
+// recordDirectResult records whether direct calls succeed, after a call that began at
+// start. A call without an answer does not count while others are answered: its reply
+// may be too large for its time limit, and the other calls must not wait for a probe.
+func (r *Rows) recordDirectResult(err error, start time.Time) {
 	failed := err != nil && !errors.Is(err, storage.ErrHistoryGone)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if failed == r.directDown {
+	if !failed {
+		r.answeredAt = time.Now()
+	}
+	unanswered := errors.Is(err, storage.ErrUnavailable)
+	if failed == r.directDown || (unanswered && r.answeredAt.After(start)) {
 		return
 	}
 	r.directDown = failed
