escrow: know the hosts of the fleet from small rows of their own

Cause: a host knew others only from their usage reports. It reads these seconds late over a full link, and a report older than 15 s counts as that of an ended host, even if the reason is that this host could not read. It then has no relay and no broker. Change: each host writes a row of about 100 bytes every 4 s (6.8 s with 340 hosts) and follows the rows of the others. The rows age against the store's clock at the last read, so a host that cannot read keeps the hosts that it knows. Ended hosts leave after 15 s as before.

--- a/pkg/edge/layout.go
+++ b/pkg/edge/layout.go
@@ -15,5 +15,6 @@
 	DecodeTarget        func(id string, value []byte) (balance.Target, error)
 	AccountTable        string // table of the customers' budget accounts
 	UsageTable          string // table of the usage reports of hosts
+	HostTable           string // table of the rows by which hosts know each other
 	ReadyPath           string // path of the readiness check, requested by the load balancer
 }
--- a/pkg/escrow/broker_selection.go
+++ b/pkg/escrow/broker_selection.go
@@ -43,7 +43,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(p.queue) > 0 || (m.hasPredecessor && m.feedRead) || m.options.Clock()-m.startedAt >= peerDiscoveryTimeout
+	return len(p.queue) > 0 || (m.hasPredecessor && m.membership.read) || m.options.Clock()-m.startedAt >= peerDiscoveryTimeout
 }
 
 // minReportInterval returns the minimum time between two usage reports of this
@@ -96,7 +96,7 @@
 	at    time.Duration // when the order was computed, on the local clock
 }
 
-// rankHosts returns the hosts that report to the table, ordered by rendezvous
+// rankHosts returns the running hosts, ordered by rendezvous
 // score for the customer, the highest first.
 func (m *Manager) rankHosts(customer string) []brokerCandidate {
 	clock := m.options.Clock()
--- a/pkg/escrow/cluster_test.go
+++ b/pkg/escrow/cluster_test.go
@@ -20,6 +20,7 @@
 const (
 	accounts = "accounts"
 	usages   = "usages"
+	hostRows = "hosts"
 )
 
 var testClockStart = time.Now()
@@ -91,7 +92,7 @@
 	n := &testProcess{rows: c.store.Client(), cancel: cancel}
 	n.traffic = &receivedRows{Rows: n.rows}
 	o := Options{
-		Rows: n.traffic, AccountTable: accounts, UsageTable: usages, Host: host, Incarnation: incarnation, Addr: host,
+		Rows: n.traffic, AccountTable: accounts, UsageTable: usages, HostTable: hostRows, Host: host, Incarnation: incarnation, Addr: host,
 		Hosts:            func() int { return c.hosts },
 		Clock:            c.clock,
 		AnnounceShortage: func(customer string) { c.announceShortage(host, customer) },
--- /dev/null
+++ b/pkg/escrow/host_row.go
@@ -0,0 +1,30 @@
+package escrow
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// HostRow announces one running process to all hosts. The key of the row is the name
+// of the host. It is small, since every host reads the rows of all others.
+type HostRow struct {
+	Incarnation string `json:"incarnation"`    // unique name of the process
+	Addr        string `json:"addr,omitempty"` // address at which other hosts reach the host of the process; empty: none
+	StoreTimeMs int64  `json:"t"`              // store clock when the row was written, or slightly before, in milliseconds
+}
+
+func (r HostRow) encode() []byte { return mustEncode(r) }
+
+func decodeHostRow(value []byte) (HostRow, error) {
+	var r HostRow
+	if err := json.Unmarshal(value, &r); err != nil {
+		return r, fmt.Errorf("host row: %w", err)
+	}
+	return r, nil
+}
+
+// age returns the age of the row on the store's clock.
+func (r HostRow) age(storeTime time.Duration) time.Duration {
+	return max(0, storeTime-time.Duration(r.StoreTimeMs)*time.Millisecond)
+}
--- a/pkg/escrow/manager.go
+++ b/pkg/escrow/manager.go
@@ -16,8 +16,8 @@
 	pools           map[string]*tokenPool // by customer
 	ownReports      ownReports            // usage reports of this process that limit what it may use
 	reporter        *reporter
-	hasPredecessor  bool                     // an earlier process of this host has written a usage report
-	feedRead        bool                     // the reports of other hosts were read at least once
+	hasPredecessor  bool // an earlier process of this host has written a usage report
+	membership      membership
 	rankings        map[string]ranking       // order of the broker candidates, by customer
 	brokerRetryAt   map[string]time.Duration // by broker address; the broker is not asked before this time
 	peerReports     map[string]UsageReport   // last reports of other processes, by incarnation
@@ -38,16 +38,18 @@
 	}
 	m := &Manager{
 		options: o, ctx: ctx, pools: make(map[string]*tokenPool), peerReports: make(map[string]UsageReport),
-		endedProcesses: make(map[string]EndedProcess), stateChanged: make(chan struct{}), brokerRetryAt: make(map[string]time.Duration), rankings: make(map[string]ranking),
+		endedProcesses: make(map[string]EndedProcess), membership: membership{rows: make(map[string]HostRow)}, stateChanged: make(chan struct{}), brokerRetryAt: make(map[string]time.Duration), rankings: make(map[string]ranking),
 		startedAt: o.Clock(),
 	}
 	m.reporter = newReporter(m)
 	return m
 }
 
-// Start starts to write usage reports, to read those of other hosts and to
-// reclaim the shares of ended processes.
+// Start starts to announce this host, to write usage reports, to read what other
+// hosts write and to reclaim the shares of ended processes.
 func (m *Manager) Start() {
+	go m.announceHost(m.ctx)
+	go m.followMembership(m.ctx)
 	go m.reporter.run(m.ctx)
 	go m.loadPredecessors(m.ctx)
 	go m.followReports(m.ctx)
@@ -139,15 +141,14 @@
 	return all
 }
 
-// Hosts returns the number of hosts that report to the table, including this
-// one.
+// Hosts returns the number of running hosts, including this one.
 func (m *Manager) Hosts() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.liveHosts())
 }
 
-// PeerAddrs returns the addresses of the other hosts that report to the table.
+// PeerAddrs returns the addresses of the other running hosts.
 func (m *Manager) PeerAddrs() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -160,16 +161,16 @@
 	return addrs
 }
 
-// liveHosts returns the hosts that report to the table, including this one:
-// their addresses by host name, "" for a host without an address.
+// liveHosts returns the running hosts, including this one: their addresses by host
+// name, "" for a host without an address.
 func (m *Manager) liveHosts() map[string]string {
-	hosts := map[string]string{m.options.Host: m.options.Addr}
-	now := m.estimatedStoreTime()
-	for _, r := range m.peerReports {
-		if r.Host != m.options.Host && r.age(now) <= leaseDuration {
-			hosts[r.Host] = r.Addr
+	hosts := make(map[string]string, len(m.membership.rows)+1)
+	for host, r := range m.membership.rows {
+		if m.membership.live(r) {
+			hosts[host] = r.Addr
 		}
 	}
+	hosts[m.options.Host] = m.options.Addr
 	return hosts
 }
 
--- /dev/null
+++ b/pkg/escrow/membership.go
@@ -0,0 +1,192 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/pause"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+const (
+	// hostRowInterval is the time between two writes of the own host row.
+	// hostRowsPerSecond limits the writes of all hosts together, which go to one part
+	// of the table and are read by every host.
+	hostRowInterval   = 4 * time.Second
+	hostRowsPerSecond = 50
+	// hostRowTTL is the age at which a host counts as ended.
+	hostRowTTL = leaseDuration
+	// firstMembershipPause and maxMembershipPause bound the time between two reads of
+	// the host rows. It is short at first, as many hosts may start together.
+	firstMembershipPause = 200 * time.Millisecond
+	maxMembershipPause   = 2 * time.Second
+)
+
+// hostRowParts are the parts to which a host may write its row. The second and third
+// are used while the store's partition of the first is down.
+var hostRowParts = []string{"0", "1", "2"}
+
+// membership knows the hosts of the fleet from their rows. It is separate from the
+// usage reports, whose volume on one host's link would grow with the number of hosts.
+// The manager's mutex protects its fields.
+type membership struct {
+	rows   map[string]HostRow // by host
+	readAt time.Duration      // store clock at the last read; rows do not age while the store cannot be read
+	read   bool               // the rows were read at least once
+}
+
+// live reports whether a row is recent, as of the last read.
+func (s *membership) live(r HostRow) bool { return r.age(s.readAt) <= hostRowTTL }
+
+// runs reports whether a process of a host announced itself recently.
+func (s *membership) runs(host, incarnation string) bool {
+	r, known := s.rows[host]
+	return known && r.Incarnation == incarnation && s.live(r)
+}
+
+// apply stores changed rows and drops those that are no longer recent.
+func (s *membership) apply(rows []storage.PartRow, storeTime time.Duration) error {
+	var failed error
+	for _, row := range rows {
+		if row.Deleted {
+			continue // the row of another part may be in use
+		}
+		r, err := decodeHostRow(row.Value)
+		if err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		if known, ok := s.rows[row.Key]; !ok || known.StoreTimeMs <= r.StoreTimeMs {
+			s.rows[row.Key] = r
+		}
+	}
+	s.readAt, s.read = max(s.readAt, storeTime), true
+	for host, r := range s.rows {
+		if !s.live(r) {
+			delete(s.rows, host)
+		}
+	}
+	return failed
+}
+
+// followMembership reads the host rows, then follows their changes.
+func (m *Manager) followMembership(ctx context.Context) {
+	version, scanned, wait := uint64(0), false, firstMembershipPause
+	for ctx.Err() == nil {
+		next, err := m.readMembership(ctx, version, scanned)
+		switch {
+		case err == nil:
+			version, scanned = next, true
+			pause.For(ctx, wait)
+			wait = min(2*wait, maxMembershipPause)
+		case errors.Is(err, storage.ErrHistoryGone):
+			scanned = false
+		default:
+			m.options.Log.Debug().Err(err).Msg("Host rows could not be read. The known hosts stay in use and the read is repeated.")
+			pause.For(ctx, maxResendDelay)
+		}
+	}
+}
+
+// readMembership reads all host rows, or those changed since a version. It returns the
+// version after which the next read starts.
+func (m *Manager) readMembership(ctx context.Context, since uint64, scanned bool) (version uint64, err error) {
+	if scanned {
+		return m.readMembershipPage(ctx, feedWait, func(ctx context.Context) (storage.RowPage, error) {
+			return m.options.Rows.Feed(ctx, m.options.HostTable, since, feedWait)
+		})
+	}
+	return m.scanMembership(ctx)
+}
+
+// scanMembership reads the host rows of all parts. A part that is down is left out:
+// its hosts write their rows to another part, which the feed returns.
+func (m *Manager) scanMembership(ctx context.Context) (version uint64, err error) {
+	scanned := false
+	for _, part := range hostRowParts {
+		partVersion, partErr := m.scanMembershipPart(ctx, part)
+		if partErr != nil {
+			err = errors.Join(err, partErr)
+			continue
+		}
+		if !scanned {
+			version, scanned = partVersion, true // the feed returns later changes of all parts
+		}
+	}
+	if scanned {
+		return version, nil
+	}
+	return 0, err
+}
+
+// scanMembershipPart reads the host rows of one part. It returns the version of its
+// first page.
+func (m *Manager) scanMembershipPart(ctx context.Context, part string) (version uint64, err error) {
+	for from, more := "", true; more; {
+		pageVersion, err := m.readMembershipPage(ctx, 0, func(ctx context.Context) (storage.RowPage, error) {
+			page, err := m.options.Rows.Range(ctx, m.options.HostTable, part, from)
+			if more = page.More && len(page.Rows) > 0; more {
+				from = page.Rows[len(page.Rows)-1].Key + "\x00"
+			}
+			return page, err
+		})
+		if err != nil {
+			return 0, err
+		}
+		if version == 0 {
+			version = pageVersion
+		}
+	}
+	return version, nil
+}
+
+func (m *Manager) readMembershipPage(ctx context.Context, wait time.Duration, read func(context.Context) (storage.RowPage, error)) (version uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	sentAt := m.options.Clock()
+	page, err := read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordStoreTime(page.Now, sentAt)
+	if err := m.membership.apply(page.Rows, page.Now); err != nil {
+		m.options.Log.Error().Err(err).Msg("Host row cannot be decoded. Ignoring it.")
+	}
+	return page.Version, nil
+}
+
+// announceHost writes the own host row periodically.
+func (m *Manager) announceHost(ctx context.Context) {
+	for partIndex := 0; ctx.Err() == nil; {
+		row, known := m.ownHostRow()
+		if !known {
+			pause.For(ctx, peerDiscoveryPoll)
+			continue
+		}
+		key := storage.RowKey{Table: m.options.HostTable, Part: hostRowParts[partIndex], Key: m.options.Host}
+		if err := m.putRow(ctx, key, row.encode()); err != nil {
+			m.options.Log.Debug().Err(err).Msg("Host row could not be written. The write is repeated.")
+			partIndex = (partIndex + 1) % len(hostRowParts)
+			pause.For(ctx, maxResendDelay)
+			continue
+		}
+		pause.For(ctx, max(hostRowInterval, time.Duration(m.Hosts())*time.Second/hostRowsPerSecond))
+	}
+}
+
+// ownHostRow returns the row to write, and false while the store's clock is unknown.
+func (m *Manager) ownHostRow() (HostRow, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0
+}
+
+func (m *Manager) putRow(ctx context.Context, key storage.RowKey, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := m.options.Rows.Transact(ctx, storage.RowTxn{Puts: []storage.PartRow{{RowKey: key, Value: value}}})
+	return err
+}
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -64,6 +64,7 @@
 	Rows         storage.Rows
 	AccountTable string // table of account rows; the part is the customer
 	UsageTable   string // table of usage reports; each host writes to several parts
+	HostTable    string // table of host rows, from which the hosts know each other
 	Host         string // name of this host
 	// Incarnation is the unique name of this process.
 	Incarnation string
--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -87,7 +87,6 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.feedRead = true
 	for _, row := range page.Rows {
 		m.storePeerReport(row)
 	}
--- a/pkg/forward/fixture_test.go
+++ b/pkg/forward/fixture_test.go
@@ -69,7 +69,7 @@
 	r := &fixture{t: t, observer: countingObserver{refused: map[Reason]int{}, retried: map[Reason]int{}}}
 	discardLog := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	r.budgets = escrow.NewManager(t.Context(), escrow.Options{
-		Rows: rowstore.New(nil).Client(), AccountTable: "accounts", UsageTable: "usages", Host: "h1", Incarnation: "h1-1",
+		Rows: rowstore.New(nil).Client(), AccountTable: "accounts", UsageTable: "usages", HostTable: "hosts", Host: "h1", Incarnation: "h1-1",
 		Hosts: func() int { return 1 }, Log: discardLog,
 	})
 	r.budgets.Start()
