escrow: send usage to the broker instead of every host

Cause: every host read the usage reports of all others, traffic that grows with the square of the fleet. At 81 hosts it was 575 of the 821 MB that they received from the store in 36 s and filled links of 10 Mbit/s, on which configuration, registrations and callers wait. A read that reached its time limit began again at the same version and became larger, so a host that had been cut off did not catch up. Change: in a fleet of more than 16 hosts a share request carries the usage of its share, and the broker, which alone plans with it, keeps it; nobody reads all reports. Reports are still written, as the proof of what a process may have spent, and read when a host has ended. In smaller fleets a failed read continues with the newest reports, which are complete in themselves. While a new broker does not know the usage of some shares, holders do not return tokens unless one is short of them. TestReportsAreReadAgainAfterTooLargeReply fails without the change (10 s) and passes.

--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -51,18 +51,17 @@
 }
 
 // summarizeOthers sums up all shares except the one with exceptKey: their
-// amounts from the account, and their used tokens and demand from the usage
-// reports, which are given by incarnation.
-func (a Account) summarizeOthers(customer, exceptKey string, reports map[string]UsageReport) otherShares {
+// amounts from the account, and their used tokens and demand from their last known
+// usage.
+func (a Account) summarizeOthers(exceptKey string, usageOf func(Share) (Usage, bool)) otherShares {
 	var o otherShares
 	for key, s := range a.Shares {
 		if key == exceptKey {
 			continue
 		}
 		o.Amount += s.Amount
-		report, known := reports[s.Incarnation]
-		u, listed := report.Customers[customer]
-		if !known || !listed || u.Epoch != s.Epoch {
+		u, known := usageOf(s)
+		if !known {
 			o.Unreported += s.Amount
 			continue
 		}
--- a/pkg/escrow/broker_client.go
+++ b/pkg/escrow/broker_client.go
@@ -65,6 +65,8 @@
 		Close: m.leaving, Used: p.ledger.used(), ExpiredShares: maps.Clone(p.expiredShares),
 	}
 	request.Share.Amount = amount
+	usage := p.usage()
+	request.Usage = &usage
 	for incarnation, e := range m.endedProcesses {
 		if e.Report.Host == m.options.Host && !p.reportedEnded[incarnation] {
 			request.EndedProcesses = append(request.EndedProcesses, EndedProcess{Report: e.Report.forCustomer(p.ledger.customer), EndedBy: e.EndedBy})
--- a/pkg/escrow/broker_server.go
+++ b/pkg/escrow/broker_server.go
@@ -18,6 +18,7 @@
 	ForceWrite     bool   `json:"write,omitempty"` // write the row even without a change, because an earlier request may still be applied
 	Close          bool   `json:"close,omitempty"` // close the share and settle Used tokens
 	Used           int64  `json:"used,omitempty"`  // tokens used from the share
+	Usage          *Usage `json:"usage,omitempty"` // what the next usage report would list for the share; nil: unknown
 	// ExpiredShares are former shares of the holder whose lease has expired,
 	// by Share.key, with the tokens used from each.
 	ExpiredShares map[string]int64 `json:"lapsed,omitempty"`
@@ -138,12 +139,13 @@
 
 // reply sends each requesting holder its share and a summary of the account.
 func (p *tokenPool) reply(served []*queuedRequest) {
+	p.recordHolderUsage(served)
 	for _, q := range served {
 		key := q.request.Share.key()
 		share, held := p.account.Shares[key]
 		q.reply = ShareReply{
 			Held: held, Share: share, Settled: p.account.Settled,
-			Others: p.account.summarizeOthers(q.request.Customer, key, p.manager.peerReports),
+			Others: p.account.summarizeOthers(key, p.usageOf),
 		}
 		q.reply.Others.Shortage = q.reply.Others.Shortage || p.peerShortage()
 		q.done <- nil
--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -31,7 +31,11 @@
 //
 // In a large fleet one host, the broker, changes an account for all others,
 // which send it share requests (ShareRequest). An account row takes about 200
-// changes per second, and the writes of many hosts would conflict.
+// changes per second, and the writes of many hosts would conflict. Each request
+// carries what its host has used, so no host reads the reports of all others.
+//
+// Hosts know each other from small rows of their own (HostRow), which they renew
+// every few seconds.
 //
 // The package is designed for these failures:
 //
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -44,7 +44,7 @@
 	// share fits the demand.
 	reviewInterval = time.Second
 	// feedInterval is the time between two reads of the usage reports of other
-	// hosts.
+	// hosts in a fleet of at most maxDirectHosts hosts.
 	feedInterval = time.Second
 	// peerShortageTerm is how long this host plans its share with
 	// shortageCoverTime after another host announced a shortage.
--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -11,22 +10,26 @@
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
-const (
-	// feedLookback is how many versions of the store before the current one
-	// the first read of the feed starts. These versions cover a few seconds, in
-	// which every host that spends has reported.
-	feedLookback = 3000
-	// idleFeedInterval replaces feedInterval on a host that changes no
-	// account: it only needs to know which hosts are alive.
-	idleFeedInterval = 4 * time.Second
-)
+// feedLookback is how many versions of the store before the current one the first
+// read of the feed starts. These versions cover a few seconds, in which every host
+// that spends has reported.
+const feedLookback = 3000
 
-// followReports reads the usage reports of other hosts from the feed. It does
-// not scan the table, since every host reports again within
-// idleReportInterval.
+// followReports reads the usage reports of other hosts from the feed while every host
+// changes the accounts itself. In a larger fleet the reports would fill the link of a
+// weak host; there the holders of shares send their usage to the broker.
+//
+// It does not scan the table, and after a failed read it continues with the newest
+// version: every host reports again within idleReportInterval, and repeating a read
+// that was too large for its time limit would read even more.
 func (m *Manager) followReports(ctx context.Context) {
 	version, started, lookback := uint64(0), false, uint64(feedLookback)
 	for ctx.Err() == nil {
+		if !m.readsReports() {
+			started, lookback = false, 0
+			pause.For(ctx, feedInterval)
+			continue
+		}
 		if !started {
 			newest, err := m.currentFeedVersion(ctx)
 			if err != nil {
@@ -35,26 +38,24 @@
 			}
 			version, started = newest-min(newest, lookback), true
 		}
-		next, err := m.readFeed(ctx, version)
-		if errors.Is(err, storage.ErrHistoryGone) {
+		page, err := m.readFeed(ctx, version)
+		switch {
+		case err != nil:
+			m.options.Log.Debug().Err(err).Uint64("version", version).Msg("Usage reports of other hosts could not be read. Continuing with the newest ones.")
 			started, lookback = false, 0
 			pause.For(ctx, firstResendDelay)
-			continue
+		default:
+			version = max(version, page.Version)
+			if !page.More {
+				pause.For(ctx, feedInterval)
+			}
 		}
-		version = next
-		pause.For(ctx, m.nextFeedDelay())
 	}
 }
 
-func (m *Manager) nextFeedDelay() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.pools {
-		if p.brokerReply == nil {
-			return feedInterval
-		}
-	}
-	return idleFeedInterval
+// readsReports reports whether this host reads the usage reports of all others.
+func (m *Manager) readsReports() bool {
+	return m.options.RequestShare == nil || m.Hosts() <= maxDirectHosts
 }
 
 // currentFeedVersion returns the current version of the feed. It also records
@@ -76,21 +77,20 @@
 // feedWait is how long a read of the feed waits for a new report.
 const feedWait = 500 * time.Millisecond
 
-// readFeed stores the usage reports that the feed contains after a version. It
-// returns the version after which the next read starts.
-func (m *Manager) readFeed(ctx context.Context, since uint64) (uint64, error) {
+// readFeed stores the usage reports that the feed contains after a version.
+func (m *Manager) readFeed(ctx context.Context, since uint64) (storage.RowPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
 	defer cancel()
 	page, err := m.options.Rows.Feed(ctx, m.options.UsageTable, since, feedWait)
 	if err != nil {
-		return since, err
+		return page, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, row := range page.Rows {
 		m.storePeerReport(row)
 	}
-	return max(since, page.Version), nil
+	return page, nil
 }
 
 func (m *Manager) storePeerReport(row storage.PartRow) {
@@ -146,9 +146,9 @@
 	}
 }
 
-// hostsNotReporting returns the other hosts with a share whose process has no
-// known report, or whose last report is older than leaseDuration and
-// reclaimMargin together. It also drops reports older than peerReportTTL.
+// hostsNotReporting returns the other hosts with a share whose process does not
+// announce itself and has no known report within leaseDuration and reclaimMargin
+// together. It also drops reports older than peerReportTTL.
 func (m *Manager) hostsNotReporting() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -166,7 +166,7 @@
 		for _, s := range p.account.Shares {
 			_, ended := m.endedProcesses[s.Incarnation]
 			report, known := m.peerReports[s.Incarnation]
-			if s.Host == m.options.Host || ended || (known && report.age(now) <= leaseDuration+reclaimMargin) {
+			if s.Host == m.options.Host || ended || m.membership.runs(s.Host, s.Incarnation) || (known && report.age(now) <= leaseDuration+reclaimMargin) {
 				continue
 			}
 			notReporting[s.Host] = struct{}{}
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -69,6 +69,7 @@
 	meanRequest    float64 // mean size of a reservation in tokens
 	largestWaiting int64   // tokens of the largest reservation that waits for a larger share; 0: none
 	hosts          int     // number of known hosts, including this one
+	brokered       bool    // others is the summary of a broker
 	others         otherShares
 }
 
@@ -150,12 +151,15 @@
 }
 
 // nextAmount returns the share that the host should hold, in tokens. It never
-// takes more than is free.
+// takes more than is free. A new broker does not know yet what other holders have
+// used; without a shortage the share is not reduced until it does.
 func (v budgetView) nextAmount() int64 {
 	desired, remaining := v.desiredUnspent(), v.amount-v.used
 	switch {
 	case float64(remaining) < refillThreshold*float64(desired) || remaining < v.largestWaiting:
 		return v.amount + max(0, min(v.free(), desired-remaining))
+	case v.brokered && v.others.Unreported > 0 && !v.others.Shortage:
+		return v.amount
 	case float64(remaining) > returnThreshold*float64(desired):
 		return v.amount - (remaining - desired)
 	}
--- a/pkg/escrow/plan_test.go
+++ b/pkg/escrow/plan_test.go
@@ -22,7 +22,9 @@
 	v.others.Amount = rapid.Int64Range(0, v.prepaid-v.settled-v.amount).Draw(t, "others amount")
 	v.others.Used = rapid.Int64Range(0, v.others.Amount).Draw(t, "others used")
 	v.others.LongTermDemand = rapid.Float64Range(0, 500_000).Draw(t, "others long-term demand")
+	v.others.Unreported = rapid.Int64Range(0, v.others.Amount-v.others.Used).Draw(t, "others unreported")
 	v.others.Shortage = rapid.Bool().Draw(t, "shortage")
+	v.brokered = rapid.Bool().Draw(t, "brokered")
 	return v
 }
 
@@ -57,6 +59,17 @@
 	assert.Assert(t, v.nextAmount() >= v.used+int64(v.recentDemand*shortageCoverTime.Seconds()))
 }
 
+// Guards against hosts that return most of their tokens to a new broker, to which the usage of other shares is unknown.
+func TestShareIsNotReducedWhileBrokerLacksUsage(t *testing.T) {
+	v := budgetView{prepaid: 1_000_000, amount: 50_000, used: 10_000, recentDemand: 1_000, longTermDemand: 1_000, hosts: 20, brokered: true}
+	v.others.Amount, v.others.Unreported = 900_000, 900_000
+	assert.Equal(t, v.nextAmount(), v.amount)
+	v.others.Shortage = true
+	assert.Assert(t, v.nextAmount() < v.amount)
+	v.others.Shortage, v.others.Unreported, v.others.Used = false, 0, 900_000
+	assert.Assert(t, v.nextAmount() < v.amount)
+}
+
 // Guards against the first host of a fleet taking the whole budget because all
 // the demand so far is its own.
 func TestFirstHostLeavesTokensFree(t *testing.T) {
--- a/pkg/escrow/report_traffic_test.go
+++ b/pkg/escrow/report_traffic_test.go
@@ -9,19 +9,23 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // receivedRows counts the bytes of the rows that a host receives from the store.
 type receivedRows struct {
 	storage.Rows
-	received atomic.Int64
+	received  atomic.Int64
+	feedLimit atomic.Int64 // a feed call that returns more bytes fails like one that reaches its time limit; 0: no limit
 }
 
-func (r *receivedRows) count(rows []storage.PartRow) {
+func (r *receivedRows) count(rows []storage.PartRow) (total int64) {
 	for _, row := range rows {
-		r.received.Add(int64(len(row.Table) + len(row.Part) + len(row.Key) + len(row.Value)))
+		total += int64(len(row.Table) + len(row.Part) + len(row.Key) + len(row.Value))
 	}
+	r.received.Add(total)
+	return total
 }
 
 func (r *receivedRows) Transact(ctx context.Context, txn storage.RowTxn) (storage.RowOutcome, error) {
@@ -38,7 +42,9 @@
 
 func (r *receivedRows) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
 	page, err := r.Rows.Feed(ctx, table, since, wait)
-	r.count(page.Rows)
+	if total, limit := r.count(page.Rows), r.feedLimit.Load(); limit > 0 && total > limit {
+		return storage.RowPage{}, fmt.Errorf("%w: reply is too large for the link", storage.ErrUnavailable)
+	}
 	return page, err
 }
 
@@ -69,3 +75,45 @@
 	}
 	return total
 }
+
+// Guards against a read of reports that is repeated from the same version for ever because its reply is too large for its time limit.
+func TestReportsAreReadAgainAfterTooLargeReply(t *testing.T) {
+	c := newTestCluster(t, 2)
+	budgets := map[string]int64{"customer": 1_000_000}
+	slow := c.start("host-0", incarnation(0), budgets)
+	peer := c.start("host-1", incarnation(1), budgets)
+	usedByPeer := func() int64 {
+		slow.mu.Lock()
+		defer slow.mu.Unlock()
+		return slow.peerReports[incarnation(1)].Customers["customer"].Used
+	}
+	slow.rows.SetFaults(rowstore.Faults{Cut: true})
+	for range 20 {
+		peer.spend(t, "customer", 100)
+		time.Sleep(reportInterval / 4)
+	}
+	slow.traffic.feedLimit.Store(600)
+	slow.rows.SetFaults(rowstore.Faults{})
+	c.eventually("last report of the peer read", func() bool { return usedByPeer() == 2000 })
+}
+
+// Guards against a broker that plans shares without knowing what their holders use.
+func TestBrokerKnowsUsageOfHolders(t *testing.T) {
+	c, processes := startFleet(t, maxDirectHosts+4, map[string]int64{"regie": 1_000_000})
+	for _, n := range processes {
+		n.spend(t, "regie", 100)
+	}
+	c.eventually("usage of all shares known to the broker", func() bool {
+		for _, n := range processes {
+			n.mu.Lock()
+			p := n.pools["regie"]
+			broker := p.brokerReply == nil && len(p.holderUsage) > 0
+			others := p.view(p.account).others
+			n.mu.Unlock()
+			if broker && others.Unreported == 0 && others.Used == int64(100*(len(processes)-1)) {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -37,13 +37,14 @@
 	reachable         bool             // the last call for the account succeeded
 	conflicted        bool             // the last change was not applied, because the row had another version
 
-	queue         []*queuedRequest // share requests of other hosts
-	brokerReply   *ShareReply      // broker's reply at loadedAt; nil while this host changes the account itself
-	lastSeq       int64            // sequence number of the last change of the own share
-	confirmedSeq  int64            // sequence number of the last change known to be applied; 0: no share
-	inDoubt       bool             // an earlier change of the own share may still be applied
-	noBroker      bool             // this host changes the account because no broker answers
-	reportedEnded map[string]bool  // ended processes of this host that the broker knows of, by incarnation
+	queue         []*queuedRequest       // share requests of other hosts
+	holderUsage   map[string]holderUsage // usage that holders have sent to this host as the broker, by Share.key
+	brokerReply   *ShareReply            // broker's reply at loadedAt; nil while this host changes the account itself
+	lastSeq       int64                  // sequence number of the last change of the own share
+	confirmedSeq  int64                  // sequence number of the last change known to be applied; 0: no share
+	inDoubt       bool                   // an earlier change of the own share may still be applied
+	noBroker      bool                   // this host changes the account because no broker answers
+	reportedEnded map[string]bool        // ended processes of this host that the broker knows of, by incarnation
 }
 
 func newTokenPool(m *Manager, customer string) *tokenPool {
@@ -91,9 +92,9 @@
 		largestWaiting: p.largestWaiting, hosts: p.manager.options.Hosts(),
 	}
 	if p.brokerReply != nil {
-		view.settled, view.others = p.brokerReply.Settled, p.brokerReply.Others
+		view.settled, view.others, view.brokered = p.brokerReply.Settled, p.brokerReply.Others, true
 	} else {
-		view.others = account.summarizeOthers(p.ledger.customer, p.ownShare().key(), p.manager.peerReports)
+		view.others = account.summarizeOthers(p.ownShare().key(), p.usageOf)
 	}
 	view.others.Shortage = view.others.Shortage || p.peerShortage()
 	return view
@@ -216,6 +217,9 @@
 	if broker == "" && p.brokerReply != nil {
 		p.brokerReply, p.loaded = nil, false
 	}
+	if broker != "" {
+		p.holderUsage = nil // the holders send their usage to the other broker
+	}
 	return broker
 }
 
