watch, relay: let a read continue while its reply arrives

A read had to end within a fixed time. A configuration of some 100 KB over a link of 10 Mbit/s that callers fill took longer; what had arrived was discarded and the next read began again. Evidence: in the trace reads of the configuration end with "GET /api/rows-feed ... table=op ...: context deadline exceeded" while the reply is read. The cut ends at 30.8 s; half of the 49 hosts read the configuration again only after 34.4 s.

--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/peppertrail/peppertrail/pkg/idle"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
@@ -17,9 +18,10 @@
 	// probeInterval is the time between two probes of the store while direct calls
 	// fail.
 	probeInterval = time.Second
-	// probeTimeout bounds a probe.
+	// probeTimeout bounds the time without data in a probe.
 	probeTimeout = 300 * time.Millisecond
-	// readTimeout bounds a direct read, so that time is left to relay it. A direct
+	// readTimeout bounds the time without data in a direct read, so that time is left to
+	// relay it. A direct
 	// write is bounded only by the caller's deadline unless it is a probe, because a
 	// write that is sent twice costs the store twice.
 	readTimeout = time.Second
@@ -150,7 +152,7 @@
 func callDirect[T any](ctx context.Context, timeout, wait time.Duration, direct func(context.Context) (T, error)) (T, error) {
 	if timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout+wait)
+		ctx, cancel = idle.WithTimeout(ctx, timeout+wait)
 		defer cancel()
 	}
 	return direct(ctx)
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -9,16 +9,20 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/peppertrail/peppertrail/pkg/idle"
 	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 const (
-	// feedResponseMargin is added to the wait time of a feed call for the transfer
-	// of the response.
+	// feedResponseMargin is added to the wait time of a feed call for the response. The
+	// transfer of a large response may take longer as long as data arrives.
 	feedResponseMargin = 800 * time.Millisecond
-	// scanTimeout bounds a scan of the whole table.
+	// scanTimeout bounds the time without data while a page of a scan is read.
 	scanTimeout = 3 * time.Second
+	// maxCallTime bounds a call whose response arrives very slowly. A new call may get a
+	// better connection.
+	maxCallTime = 10 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, before
 	// random jitter is added.
 	minRetryDelay = 50 * time.Millisecond
@@ -93,7 +97,7 @@
 	if !w.scanned {
 		return w.scan(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.options.Wait+feedResponseMargin)
+	ctx, cancel := callContext(ctx, w.options.Wait+feedResponseMargin)
 	defer cancel()
 	page, err := w.options.Rows.Feed(ctx, w.options.Table, w.version, w.options.Wait)
 	if err != nil {
@@ -130,12 +134,10 @@
 // scan replaces the copy. A scan that is older than the copy comes from a store
 // that serves stale reads and is discarded.
 func (w *Watcher) scan(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
-	defer cancel()
 	rows := make(map[string]storage.PartRow)
 	from, version := "", uint64(0)
 	for {
-		page, err := w.options.Rows.Range(ctx, w.options.Table, "", from)
+		page, err := w.scanPage(ctx, from)
 		if err != nil {
 			return err
 		}
@@ -159,6 +161,23 @@
 	return nil
 }
 
+func (w *Watcher) scanPage(ctx context.Context, from string) (storage.RowPage, error) {
+	ctx, cancel := callContext(ctx, scanTimeout)
+	defer cancel()
+	return w.options.Rows.Range(ctx, w.options.Table, "", from)
+}
+
+// callContext returns the context of one call, which ends when no data arrives for
+// timeout, or after maxCallTime.
+func callContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancelCall := context.WithTimeout(ctx, maxCallTime)
+	ctx, cancelIdle := idle.WithTimeout(ctx, timeout)
+	return ctx, func() {
+		cancelIdle()
+		cancelCall()
+	}
+}
+
 // replace replaces the copy with the rows of a scan and returns the rows that
 // differ. A row of the copy that is newer than the scanned one is kept.
 func (w *Watcher) replace(rows map[string]storage.PartRow) []storage.PartRow {
