forward, upstream: log and count how streams of targets are framed and end

Callers received broken streams as complete ones. The lines of a request told neither what marks the end of the body (length, chunks or the connection) nor how many bytes followed the last complete event, so a stream whose end of connection is taken for its end looked like one that the target itself framed as complete.

Both lines of a stream now have framing and trailing_bytes, and peppertrail_edge_target_streams_total counts streams by framing and end. Nothing else changes; the tests of forward, upstream and edge pass.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/peppertrail/peppertrail/pkg/forward"
+	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
 
 // latencyBucketsSeconds are the upper bounds of the latency histograms.
@@ -24,6 +25,7 @@
 	responses       *prometheus.CounterVec
 	timeToFirstByte *prometheus.HistogramVec
 	responseTime    *prometheus.HistogramVec
+	streams         *prometheus.CounterVec
 	dials           prometheus.Counter
 }
 
@@ -35,9 +37,10 @@
 		responses:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_answers_total", Help: "Answers of targets, by service and status."}, []string{"service", "status"}),
 		timeToFirstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "peppertrail_edge_first_byte_seconds", Help: "Time from the request to the first byte for the caller.", Buckets: latencyBucketsSeconds}, []string{"service"}),
 		responseTime:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "peppertrail_edge_answer_seconds", Help: "Time from the request to the end of the answer.", Buckets: latencyBucketsSeconds}, []string{"service"}),
+		streams:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_target_streams_total", Help: "Event streams of targets, by what marks the end of the body and how they ended."}, []string{"framing", "end"}),
 		dials:           prometheus.NewCounter(prometheus.CounterOpts{Name: "peppertrail_edge_target_connections_total", Help: "Connections opened to targets."}),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.dials, collectors.NewGoCollector())
+	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, collectors.NewGoCollector())
 	for _, r := range forward.Reasons() {
 		m.retries.WithLabelValues(string(r))
 	}
@@ -65,3 +68,8 @@
 	m.timeToFirstByte.WithLabelValues(service).Observe(timeToFirstByte.Seconds())
 	m.responseTime.WithLabelValues(service).Observe(responseTime.Seconds())
 }
+
+// StreamEnded implements forward.Observer.
+func (m *metrics) StreamEnded(framing upstream.Framing, end forward.StreamEnd) {
+	m.streams.WithLabelValues(string(framing), string(end)).Inc()
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -177,6 +177,7 @@
 		return c.handleNotRun(a, response)
 	}
 	c.possibleRuns++
+	c.framing, c.trailingBytes = response.Framing, 0
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		return c.forwardStream(a, response)
 	}
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -10,6 +10,7 @@
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/routing"
+	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
 
 // call is the state of one request while this host handles it.
@@ -42,13 +43,15 @@
 	headerSent   bool       // the response header has been sent to the caller
 
 	// The fields below are only used for logs and metrics.
-	lastAttemptAt   time.Time     // when the last attempt started
-	targetLoad      float64       // load of the last target when it was chosen, in requests
-	targetRank      int           // position of the last target among the candidates in the order of their affinity to the prompt; 0 is the first
-	timeToFirstByte time.Duration // from the receipt of the request to the response header
-	lastEventAt     time.Time     // when events were last written to the caller
-	longestPause    time.Duration // longest time between two writes of events
-	attemptOutcomes []string      // id of each target tried, with the reason why the attempt failed
+	lastAttemptAt   time.Time        // when the last attempt started
+	targetLoad      float64          // load of the last target when it was chosen, in requests
+	targetRank      int              // position of the last target among the candidates in the order of their affinity to the prompt; 0 is the first
+	timeToFirstByte time.Duration    // from the receipt of the request to the response header
+	lastEventAt     time.Time        // when events were last written to the caller
+	longestPause    time.Duration    // longest time between two writes of events
+	attemptOutcomes []string         // id of each target tried, with the reason why the attempt failed
+	framing         upstream.Framing // framing of the last response body
+	trailingBytes   int              // bytes of the last event stream after its last complete event
 }
 
 // requestPath returns the path as it is written in the request line, undecoded.
--- a/pkg/forward/fixture_test.go
+++ b/pkg/forward/fixture_test.go
@@ -42,11 +42,12 @@
 	observer     countingObserver
 }
 
-// countingObserver counts refusals and retries by reason.
+// countingObserver counts refusals and retries by reason, and event streams by result.
 type countingObserver struct {
 	mu      sync.Mutex
 	refused map[Reason]int
 	retried map[Reason]int
+	streams map[streamResult]int
 }
 
 func (o *countingObserver) Refused(r Reason, _ int) {
@@ -63,10 +64,22 @@
 
 func (o *countingObserver) Answered(string, int, time.Duration, time.Duration) {}
 
+func (o *countingObserver) StreamEnded(framing upstream.Framing, end StreamEnd) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.streams[streamResult{framing, end}]++
+}
+
+// streamResult is how the event stream of a target was framed and ended.
+type streamResult struct {
+	framing upstream.Framing
+	end     StreamEnd
+}
+
 // newFixture returns a handler whose targets are replicas with the ids t0, t1 and so on.
 func newFixture(t *testing.T, replicas int) *fixture {
 	t.Helper()
-	r := &fixture{t: t, observer: countingObserver{refused: map[Reason]int{}, retried: map[Reason]int{}}}
+	r := &fixture{t: t, observer: countingObserver{refused: map[Reason]int{}, retried: map[Reason]int{}, streams: map[streamResult]int{}}}
 	discardLog := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	r.budgets = escrow.NewManager(t.Context(), escrow.Options{
 		Rows: rowstore.New(nil).Client(), AccountTable: "accounts", UsageTable: "usages", HostTable: "hosts", Host: "h1", Incarnation: "h1-1",
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -51,6 +51,9 @@
 	// was sent to the caller, total the time until the response was sent
 	// completely. For a response that is not an event stream they are equal.
 	Answered(service string, status int, firstByte, total time.Duration)
+	// StreamEnded is called for each event stream of a target, with the framing of its
+	// body and how it ended.
+	StreamEnded(framing upstream.Framing, end StreamEnd)
 }
 
 // Handler forwards the requests of callers to targets. It is safe for concurrent use.
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -102,7 +102,7 @@
 	}
 	c.h.Observer.Answered(c.service.Name, status, c.timeToFirstByte, total)
 	c.h.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("customer", c.customerName()).Strs("targets", c.attemptOutcomes).Int("status", status).
-		Int64("cost", c.usedTokens()).Int64("prompt", c.cost.Prompt).Int64("events", c.events).Float64("load", c.targetLoad).Int("rank", c.targetRank).
+		Int64("cost", c.usedTokens()).Int64("prompt", c.cost.Prompt).Int64("events", c.events).Str("framing", string(c.framing)).Int("trailing_bytes", c.trailingBytes).Float64("load", c.targetLoad).Int("rank", c.targetRank).
 		Dur("sent", c.lastAttemptAt.Sub(c.receivedAt)).Dur("first_byte", c.timeToFirstByte).Dur("pause", c.longestPause).Dur("total", total).Msg("Forwarded the response of a target.")
 }
 
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -25,6 +25,7 @@
 		n, err := response.Read(buffer)
 		if n > 0 {
 			if writeErr := c.forwardEvents(response, splitter.add(buffer[:n])); writeErr != nil {
+				c.h.Observer.StreamEnded(response.Framing, StreamCancelled)
 				a.End(time.Now(), balance.Cancelled)
 				return c.handleCallerDisconnect(writeErr)
 			}
@@ -85,6 +86,8 @@
 // handleStreamEnd handles the end of a target's event stream, complete or not.
 func (c *call) handleStreamEnd(a *balance.Attempt, response *upstream.Response, splitter *eventSplitter, err error) attemptResult {
 	now := time.Now()
+	c.trailingBytes = len(splitter.remainder())
+	c.h.Observer.StreamEnded(response.Framing, c.streamEnd(err))
 	if errors.Is(err, io.EOF) {
 		a.End(now, balance.Served)
 		c.sendStreamHeader(response)
@@ -100,6 +103,19 @@
 	}
 	a.End(now, balance.Broken)
 	c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
-	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Err(err).Msg("Event stream of a target ended before it was complete.")
+	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Int("trailing_bytes", c.trailingBytes).Err(err).Msg("Event stream of a target ended before it was complete.")
 	return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 }
+
+// streamEnd returns how an event stream ended whose last read returned err.
+func (c *call) streamEnd(err error) StreamEnd {
+	switch {
+	case errors.Is(err, io.EOF) && c.trailingBytes == 0:
+		return StreamComplete
+	case errors.Is(err, io.EOF):
+		return StreamMidEvent
+	case c.ctx.Err() != nil:
+		return StreamCancelled
+	}
+	return StreamInterrupted
+}
--- a/pkg/upstream/response.go
+++ b/pkg/upstream/response.go
@@ -13,6 +13,8 @@
 	Status int
 	Header http.Header
 	Length int64 // length of the body in bytes; -1: unknown
+	// Framing says what marks the end of the body.
+	Framing Framing
 	// WillClose reports that the target closes the connection after the response.
 	WillClose bool
 
@@ -28,6 +30,7 @@
 		Status:    response.StatusCode,
 		Header:    response.Header,
 		Length:    response.ContentLength,
+		Framing:   framingOf(response),
 		WillClose: response.Close,
 		exchange:  e,
 		body:      response.Body,
