Add failing tests of streams that end early but look complete

The caller gets the incomplete event and a regular end. The stand-in for targets can now frame streams by the end of the connection and end them early.

Two tests of streams framed by their connection pass and stay as a guard: whole streams are forwarded, reset ones are not complete.

--- /dev/null
+++ b/pkg/forward/stream_end_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/replica"
+)
+
+// streamFramings are the ways in which targets frame an event stream.
+var streamFramings = map[string]replica.Faults{
+	"chunks":     {},
+	"connection": {FrameByClose: true},
+}
+
+// Guards against a stream that ends within an event and reaches the caller as complete.
+func TestStreamEndingWithinAnEventIsNotComplete(t *testing.T) {
+	for name, faults := range streamFramings {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, 2)
+			faults.AbortAfterEvents, faults.AbortMidEvent, faults.AbortRegularly = 3, true, true
+			r.setFaults(faults)
+			got := r.post("r1", "/stream/x")
+			assert.Assert(t, got.err != nil, "the caller sees no error on an incomplete stream: %q", got.body)
+			assert.Equal(t, got.body, eventStream("r1", 3))
+			assert.Equal(t, r.totalRuns(), 1)
+		})
+	}
+}
+
+// Guards against a resumable stream that is not resumed after it ended within an event.
+func TestStreamEndingWithinAnEventIsResumed(t *testing.T) {
+	for name, faults := range streamFramings {
+		t.Run(name, func(t *testing.T) {
+			resumed := 0
+			for range 10 { // a fixture each, as the first target is chosen at random
+				r := newFixture(t, 2)
+				r.setFaults(faults)
+				broken := faults
+				broken.AbortAfterEvents, broken.AbortMidEvent, broken.AbortRegularly = 2, true, true
+				r.replicas[0].SetFaults(broken)
+				got := r.post("r1", "/resumable/x")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, eventStream("r1", 5))
+				resumed += r.totalRuns() - 1
+			}
+			assert.Assert(t, resumed > 0, "no stream was resumed")
+		})
+	}
+}
+
+// Guards against a success without any event: the target closed the connection before
+// it sent one.
+func TestStreamWithoutEventsThatEndsWithItsConnectionIsAnError(t *testing.T) {
+	r := newFixture(t, 1)
+	r.replicas[0].EventCount = 0
+	r.setFaults(replica.Faults{FrameByClose: true})
+	assert.Equal(t, r.post("r1", "/stream/x").status, http.StatusBadGateway)
+}
+
+// Guards against rejecting a whole stream because it has neither a length nor chunks.
+func TestWholeStreamThatEndsWithItsConnectionIsForwarded(t *testing.T) {
+	r := newFixture(t, 1)
+	r.setFaults(replica.Faults{FrameByClose: true})
+	for _, id := range []string{"r1", "r2"} {
+		got := r.post(id, "/stream/x")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, eventStream(id, 5))
+	}
+}
+
+// Guards against forwarding a stream as complete whose connection was reset between
+// two events.
+func TestStreamThatIsResetIsNotComplete(t *testing.T) {
+	r := newFixture(t, 1)
+	r.setFaults(replica.Faults{FrameByClose: true, AbortAfterEvents: 3})
+	assert.Assert(t, r.post("r1", "/stream/x").err != nil)
+}
--- a/pkg/standin/replica/faults.go
+++ b/pkg/standin/replica/faults.go
@@ -10,5 +10,7 @@
 	NeverResponds    bool          // accepts requests and never responds
 	AbortAfterEvents int           // closes the connection of a stream after the event with this id; 0: never
 	AbortMidEvent    bool          // with AbortAfterEvents: sends a partial event before closing the connection
+	AbortRegularly   bool          // with AbortAfterEvents: ends the body like a complete one instead of breaking it off
+	FrameByClose     bool          // sends streams with neither a length nor chunks; the end of the connection ends them
 	LoseResponse     bool          // runs requests and closes the connection without a response
 }
--- a/pkg/standin/replica/replica.go
+++ b/pkg/standin/replica/replica.go
@@ -154,19 +154,23 @@
 
 // stream sends the events after the last one that the caller has received.
 func (r *Replica) stream(w http.ResponseWriter, run Run, f Faults) {
-	w.Header().Set("Content-Type", "text/event-stream")
+	body, err := newEventBody(w, f)
+	if err != nil {
+		return // the client has disconnected
+	}
+	defer body.end()
 	lastReceived, _ := strconv.Atoi(run.ResumeAfter) // 0 if the caller has received none
-	flusher := http.NewResponseController(w)
 	for n := lastReceived + 1; n <= r.EventCount; n++ {
 		if f.AbortAfterEvents > 0 && n > f.AbortAfterEvents {
 			if f.AbortMidEvent {
-				fmt.Fprintf(w, "id: %d\nda", n)
-				_ = flusher.Flush() // an error does not matter: the connection is closed next
+				_ = body.write(fmt.Sprintf("id: %d\nda", n)) // an error does not matter: the connection is closed next
 			}
-			panic(http.ErrAbortHandler)
+			if !f.AbortRegularly {
+				body.abort()
+			}
+			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", n, n, run.ID)
-		if flusher.Flush() != nil {
+		if body.write(fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", n, n, run.ID)) != nil {
 			return
 		}
 	}
