forward: recognise events with every line end of event streams

Events were only recognised by two LF or two CR LF. The events of a target that ends its lines with CR stayed in the buffer until the stream ended: they were not forwarded as they arrived, not counted for the budget, and the stream could not be resumed.

TestEventsAreRecognisedWithAnyLineEnd failed before with CR: no event was found in a stream of six.

--- a/pkg/forward/event.go
+++ b/pkg/forward/event.go
@@ -17,11 +17,10 @@
 	pending []byte // bytes after the last complete event
 }
 
-var (
-	eventEndLF   = []byte("\n\n")
-	eventEndCRLF = []byte("\r\n\r\n")
-	idField      = []byte("id:")
-)
+var idField = []byte("id:")
+
+// lineEnds are the bytes that end a line, alone or as CR LF.
+const lineEnds = "\r\n"
 
 // add appends data to the stream and returns the events that it completes.
 func (s *eventSplitter) add(data []byte) []event {
@@ -45,20 +44,30 @@
 func (s *eventSplitter) remainder() []byte { return s.pending }
 
 // eventLength returns the length of the first event in bytes, 0 if it is incomplete.
+// A blank line ends an event; blank lines before its first line belong to it. A CR at
+// the end of data ends a line: if a LF follows, it comes before the next event.
 func eventLength(data []byte) int {
-	length := 0
-	if i := bytes.Index(data, eventEndLF); i >= 0 {
-		length = i + len(eventEndLF)
-	}
-	if i := bytes.Index(data, eventEndCRLF); i >= 0 && (length == 0 || i+len(eventEndCRLF) < length) {
-		length = i + len(eventEndCRLF)
+	hasLine := false
+	for start := 0; ; {
+		n := bytes.IndexAny(data[start:], lineEnds)
+		if n < 0 {
+			return 0
+		}
+		end := start + n + 1
+		if data[end-1] == '\r' && end < len(data) && data[end] == '\n' {
+			end++
+		}
+		if n == 0 && hasLine {
+			return end
+		}
+		hasLine = hasLine || n > 0
+		start = end
 	}
-	return length
 }
 
 // eventID returns the id field of an event, empty if there is none.
 func eventID(raw []byte) string {
-	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(raw, isLineEnd) {
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			return string(bytes.TrimSpace(value))
 		}
@@ -66,6 +75,8 @@
 	return ""
 }
 
+func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
+
 // isNewEvent reports whether the event with id a comes after the one with id b. Ids
 // that are not numbers have no order: any id but b counts as new, as nothing shows
 // that its event was sent already.
--- a/pkg/forward/stream_test.go
+++ b/pkg/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,25 @@
 		assert.Equal(t, ids, 7)
 	})
 }
+
+// Guards against events that are not recognised because the target ends lines with CR
+// or CR LF, or because a read ends between the two.
+func TestEventsAreRecognisedWithAnyLineEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "lineEnd")
+		stream := strings.ReplaceAll(eventStream("r", 6), "\n", lineEnd)
+		splitter := &eventSplitter{}
+		joined, ids := "", ""
+		for unread := stream; unread != ""; {
+			n := rapid.IntRange(1, len(unread)).Draw(t, "n")
+			for _, e := range splitter.add([]byte(unread[:n])) {
+				joined += string(e.raw)
+				ids += e.id
+			}
+			unread = unread[n:]
+		}
+		assert.Equal(t, joined+string(splitter.remainder()), stream)
+		assert.Equal(t, strings.Trim(string(splitter.remainder()), "\n"), "")
+		assert.Equal(t, ids, "123456")
+	})
+}
