forward: do not take the end of a connection for the end of a stream

Cause: the end of the body decided alone whether a stream is complete. A response with neither a length nor chunks ends with its connection, so when a crashed target's connection is closed and not reset, the body ends regularly. The bytes of the incomplete event were then forwarded as the rest of a complete stream, and the last chunk to the caller vouched for them.

A stream is now complete only if its body ended regularly and not within an event, whatever frames it; blank lines and whole comment lines may follow the last event. A stream framed by its connection must also have had an event. Any other end is handled like a reset: the stream is resumed at another target where the route allows it, otherwise the caller's connection is closed without the last chunk, or, before the first event, the answer is 502. Incomplete events are never forwarded.

--- a/pkg/forward/event.go
+++ b/pkg/forward/event.go
@@ -15,6 +15,7 @@
 // eventSplitter splits a byte stream into server-sent events.
 type eventSplitter struct {
 	pending []byte // bytes after the last complete event
+	count   int    // complete events so far
 }
 
 var idField = []byte("id:")
@@ -37,12 +38,26 @@
 		start += length
 	}
 	s.pending = s.pending[:copy(s.pending, s.pending[start:])]
+	s.count += len(events)
 	return events
 }
 
 // remainder returns the bytes after the last complete event.
 func (s *eventSplitter) remainder() []byte { return s.pending }
 
+// withinEvent reports whether the stream so far ends within an event: bytes other than
+// blank lines and whole comment lines follow the last complete one.
+func (s *eventSplitter) withinEvent() bool {
+	for rest := s.pending; len(rest) > 0; {
+		n := bytes.IndexAny(rest, lineEnds)
+		if n < 0 || (n > 0 && rest[0] != ':') {
+			return true
+		}
+		rest = rest[n+1:]
+	}
+	return false
+}
+
 // eventLength returns the length of the first event in bytes, 0 if it is incomplete.
 // A blank line ends an event; blank lines before its first line belong to it. A CR at
 // the end of data ends a line: if a LF follows, it comes before the next event.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -87,8 +85,10 @@
 func (c *call) handleStreamEnd(a *balance.Attempt, response *upstream.Response, splitter *eventSplitter, err error) attemptResult {
 	now := time.Now()
 	c.trailingBytes = len(splitter.remainder())
-	c.h.Observer.StreamEnded(response.Framing, c.streamEnd(err))
-	if errors.Is(err, io.EOF) {
+	end := c.streamEnd(response.Framing, splitter, err)
+	c.h.Observer.StreamEnded(response.Framing, end)
+	switch end {
+	case StreamComplete:
 		a.End(now, balance.Served)
 		c.sendStreamHeader(response)
 		if remainder := splitter.remainder(); len(remainder) > 0 {
@@ -96,26 +96,13 @@
 		}
 		c.recordResponse(response.Status)
 		return attemptResult{done: true}
-	}
-	if c.ctx.Err() != nil {
+	case StreamCancelled:
 		a.End(now, balance.Cancelled)
 		return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
 	}
 	a.End(now, balance.Broken)
 	c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
-	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Int("trailing_bytes", c.trailingBytes).Err(err).Msg("Event stream of a target ended before it was complete.")
+	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Str("end", string(end)).
+		Int("trailing_bytes", c.trailingBytes).Err(err).Msg("Event stream of a target ended before it was complete.")
 	return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 }
-
-// streamEnd returns how an event stream ended whose last read returned err.
-func (c *call) streamEnd(err error) StreamEnd {
-	switch {
-	case errors.Is(err, io.EOF) && c.trailingBytes == 0:
-		return StreamComplete
-	case errors.Is(err, io.EOF):
-		return StreamMidEvent
-	case c.ctx.Err() != nil:
-		return StreamCancelled
-	}
-	return StreamInterrupted
-}
--- a/pkg/forward/stream_end_test.go
+++ b/pkg/forward/stream_end_test.go
@@ -79,3 +79,17 @@
 	r.setFaults(replica.Faults{FrameByClose: true, AbortAfterEvents: 3})
 	assert.Assert(t, r.post("r1", "/stream/x").err != nil)
 }
+
+// Guards against bytes after the last event that are judged wrongly: a whole stream may
+// end with blank lines or comments, an incomplete one ends within a line or a field.
+func TestBytesAfterLastEvent(t *testing.T) {
+	for trailing, within := range map[string]bool{
+		"": false, "\n": false, "\r\n\n": false, ": ping\n": false, "\r: ping\r\n": false,
+		"i": true, "id: 4\n": true, "data: x\r\n": true, ": pi": true, "\n: ping\nid": true,
+	} {
+		splitter := &eventSplitter{}
+		splitter.add([]byte(eventStream("r", 3) + trailing))
+		assert.Equal(t, splitter.count, 3)
+		assert.Equal(t, splitter.withinEvent(), within, "%q", trailing)
+	}
+}
