forward: recognise event streams by their media type

Found while looking for the cause of broken streams framed as complete elsewhere. A response was an event stream only if its Content-Type began with "text/event-stream" in lower case. Any other spelling was buffered whole, so its events came late and an end within an event was not noticed; a type that only begins with these words was split into events.

The media type is parsed now; parameters do not matter. TestMediaTypeOfEventStream failed before for "Text/Event-Stream".

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
@@ -178,7 +177,7 @@
 	}
 	c.possibleRuns++
 	c.framing, c.trailingBytes = response.Framing, 0
-	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+	if isEventStream(response.Header) {
 		return c.forwardStream(a, response)
 	}
 	return c.forwardBuffered(a, response)
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"errors"
+	"mime"
 	"net/http"
 	"time"
 
@@ -11,6 +13,13 @@
 // streamBufferBytes is the size of the read buffer of an event stream.
 const streamBufferBytes = 4096
 
+// isEventStream reports whether a response is an event stream. Parameters of the media
+// type are ignored, also invalid ones.
+func isEventStream(header http.Header) bool {
+	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return media == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
 // forwardStream forwards events as they arrive. Only complete events are forwarded,
 // so that another target can resume the stream after the last one.
 func (c *call) forwardStream(a *balance.Attempt, response *upstream.Response) attemptResult {
--- a/pkg/forward/stream_end_test.go
+++ b/pkg/forward/stream_end_test.go
@@ -93,3 +93,14 @@
 		assert.Equal(t, splitter.withinEvent(), within, "%q", trailing)
 	}
 }
+
+// Guards against an event stream that is not recognised as one because of the case or
+// the parameters of its media type: its incomplete end would not be noticed.
+func TestMediaTypeOfEventStream(t *testing.T) {
+	for value, want := range map[string]bool{
+		"text/event-stream": true, "text/event-stream; charset=utf-8": true, "Text/Event-Stream": true, "text/event-stream ;x": true,
+		"": false, "text/event-streams": false, "application/json": false, "text/plain; a=text/event-stream": false,
+	} {
+		assert.Equal(t, isEventStream(http.Header{"Content-Type": {value}}), want, "%q", value)
+	}
+}
