forward: reset the connection of an HTTP/1.0 caller after a broken stream

Found while looking for the cause of broken streams framed as complete elsewhere. A stream that breaks off was ended by closing the caller's connection without the last chunk. HTTP/1.0 has no chunks: there the end of the connection is the end of the response, so a caller that speaks it saw a broken stream as complete.

The connection of such a caller is reset instead of closed. HTTP/1.1 callers are handled as before. TestBrokenStreamResetsTheConnectionOfHTTP10Caller failed before (regular end after three of five events); 50 runs pass.

--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -118,7 +118,7 @@
 	c.h.Log.Info().Str("request", c.id).Str("route", route).Str("customer", c.customerName()).Int64("cost", c.usedTokens()).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).Str("stopped_by", string(c.stoppedBy)).
 		Bool("may_have_run", c.possibleRuns > 0).Strs("targets", c.attemptOutcomes).Int64("events", c.events).Dur("after", time.Since(c.receivedAt)).Msg("Request ended without a complete response of a target.")
 	if c.headerSent {
-		panic(http.ErrAbortHandler)
+		c.abortResponse()
 	}
 	refusal.write(c.w)
 }
--- a/pkg/forward/stream_end_test.go
+++ b/pkg/forward/stream_end_test.go
@@ -1,11 +1,18 @@
 package forward
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/standin/replica"
 )
 
@@ -94,6 +101,21 @@
 	}
 }
 
+// Guards against a broken stream that looks complete to a caller without chunked
+// encoding, for which the end of the connection ends the response.
+func TestBrokenStreamResetsTheConnectionOfHTTP10Caller(t *testing.T) {
+	r := newFixture(t, 1)
+	r.setFaults(replica.Faults{AbortAfterEvents: 3})
+	conn, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	d := dialect.Default()
+	fmt.Fprintf(conn, "POST /stream/x HTTP/1.0\r\nHost: %s\r\n%s: r1\r\n%s: %s\r\nAccept: text/event-stream\r\nContent-Length: 0\r\n\r\n", testHostName, d.RequestID, d.Key, testKey)
+	response, err := io.ReadAll(conn)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "error %v after %q", err, response)
+}
+
 // Guards against an event stream that is not recognised as one because of the case or
 // the parameters of its media type: its incomplete end would not be noticed.
 func TestMediaTypeOfEventStream(t *testing.T) {
