escrow: say what a refused reservation waited for

The text did not tell whether the share, the spending limit or both were too small, nor how long the process had waited for its usage report, so the causes could not be told apart.

The reason now has what is left of the share, what the spending limit covers, the age of the account and of an unconfirmed usage report. The status and the Retry-After of the refusal are as before; the tests of escrow pass.

--- a/pkg/escrow/token_pool_reserve.go
+++ b/pkg/escrow/token_pool_reserve.go
@@ -45,7 +45,7 @@
 		select {
 		case <-stateChanged:
 		case <-timer.C:
-			return nil, &UnreachableError{Reason: "no larger share or spending limit was confirmed within 250 ms", RetryAfter: retryAfterSlowTable}
+			return nil, &UnreachableError{Reason: p.unconfirmedReason(tokens), RetryAfter: retryAfterSlowTable}
 		case <-ctx.Done():
 			return nil, &UnreachableError{Reason: "the request was cancelled or timed out"}
 		}
@@ -53,6 +53,22 @@
 	}
 }
 
+// unconfirmedReason returns why a reservation that has waited for maxReserveWait is
+// refused: whether the share or the spending limit does not cover it, and how long the
+// process has waited for the table.
+func (p *tokenPool) unconfirmedReason(tokens int64) string {
+	m := p.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, used, amount := p.now(), p.ledger.used(), p.ledger.guaranteed()
+	reason := fmt.Sprintf("no larger share or spending limit was confirmed within %d ms: the request needs %d, this host has %d of its %d tokens left and its spending limit covers %d, account confirmed %d ms ago",
+		maxReserveWait.Milliseconds(), tokens, amount-used, amount, p.ledger.limit(now, m.ownReports)-used, (now - p.loadedAt).Milliseconds())
+	if pending := m.ownReports.pending; pending != nil {
+		reason += fmt.Sprintf(", usage report unconfirmed for %d ms", (now - pending.sentAt).Milliseconds())
+	}
+	return reason
+}
+
 const (
 	// Times after which a refused reservation may succeed.
 	retryAfterSlowTable   = 300 * time.Millisecond
