Add failing tests of large requests that wait for tokens

The second test shows one cause: after a small request got tokens, the pool knows of no waiting reservation.

--- /dev/null
+++ b/pkg/escrow/large_requests_test.go
@@ -0,0 +1,65 @@
+package escrow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a large fleet that divides a budget into shares smaller than a large
+// request, so that such requests are refused although most of the budget is unspent.
+func TestLargeRequestsGetTokensInLargeFleet(t *testing.T) {
+	const prepaid, large, seconds = 3_000_000, 50_000, 6
+	_, processes := startFleet(t, 48, map[string]int64{"regie": prepaid})
+	var sent, served atomic.Int64
+	var callers sync.WaitGroup
+	for n, end := 0, time.Now().Add(seconds*time.Second); time.Now().Before(end); n++ {
+		process := processes[rand.IntN(len(processes))]
+		callers.Go(func() { process.spend(t, "regie", int64(500+rand.IntN(1000))) })
+		if n%20 == 0 {
+			callers.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				sent.Add(1)
+				if r, err := process.Reserve(ctx, "regie", large); err == nil {
+					served.Add(1)
+					r.Settle(large / 5)
+				} else {
+					t.Log(err)
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	callers.Wait()
+	t.Logf("%d of %d large requests got tokens", served.Load(), sent.Load())
+	assert.Assert(t, float64(served.Load()) >= 0.95*float64(sent.Load()))
+}
+
+// Guards against a large request that is forgotten while it waits, because a smaller one
+// of the same customer gets tokens meanwhile.
+func TestSmallRequestDoesNotHideLargeWaitingOne(t *testing.T) {
+	p := newBrokeredPool(t, func(ShareRequest) (ShareReply, error) { return ShareReply{}, nil })
+	p.manager.ownReports.confirmed = &sentReport{sentAt: p.now()}
+	p.brokerReply.Others.Used = 0
+	waiting := func() int64 {
+		p.manager.mu.Lock()
+		defer p.manager.mu.Unlock()
+		return p.view(p.account).largestWaiting
+	}
+	var caller sync.WaitGroup
+	caller.Go(func() { _, _ = p.reserve(t.Context(), 5_000) }) // refused after its wait
+	for deadline := time.Now().Add(maxReserveWait); waiting() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := p.reserve(t.Context(), 100)
+	assert.NilError(t, err)
+	assert.Equal(t, waiting(), int64(5_000))
+	caller.Wait()
+	assert.Equal(t, waiting(), int64(0))
+}
