escrow: remember every reservation that waits for tokens

Cause: a pool kept only the tokens of its largest waiting reservation, and any reservation that got tokens set them to 0. On a host with frequent small requests of the same customer the large one was forgotten within milliseconds: the next share request and usage report were planned without it, until it was woken by chance. A refused reservation, in contrast, stayed recorded after its caller had gone, and the host went on to ask for its tokens.

The pool now keeps each waiting reservation until its wait ends. The tests of escrow pass.

--- a/pkg/escrow/share_request_test.go
+++ b/pkg/escrow/share_request_test.go
@@ -46,7 +46,7 @@
 	assert.Equal(t, p.ledger.guaranteed(), reduced)
 	// The next request must force a write, so that the lost one can no longer
 	// be applied.
-	p.largestWaiting = 900
+	p.waiting[&Reservation{}] = 900
 	p.changeThroughBroker(t.Context(), "b")
 	assert.Assert(t, requests[1].ForceWrite)
 	assert.Assert(t, requests[1].Share.Seq > requests[0].Share.Seq)
--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -21,21 +21,21 @@
 	wake           chan struct{} // wakes run to check whether the share must change
 	sharesReturned chan struct{} // closed when all shares are returned on leave
 
-	prepaid           int64            // prepaid total in tokens
-	largestWaiting    int64            // tokens of the largest reservation that waits for a larger share; 0: none
-	expiredShares     map[string]int64 // tokens used from own shares whose lease has expired, by Share.key
-	unmetAt           time.Duration    // when a waiting reservation was last found to lack tokens that this host cannot get
-	unmetTokens       int64            // tokens of the reservation at unmetAt
-	returnChecks      int              // checks of the account since other hosts were asked to return tokens
-	lastReturnCheckAt time.Duration    // when the last of returnChecks was made
-	peerShortageAt    time.Duration    // when another host last announced a shortage
-	account           Account          // account as last read or written
-	accountVersion    uint64           // version of the account row; 0: no row
-	loaded            bool             // the account or a reply of its broker was received
-	loadedAt          time.Duration    // when the account or the reply was last received
-	lastCallAt        time.Duration    // when the last call to the table or a broker ended
-	reachable         bool             // the last call for the account succeeded
-	conflicted        bool             // the last change was not applied, because the row had another version
+	prepaid           int64               // prepaid total in tokens
+	waiting           waitingReservations // reservations that wait for a larger share or spending limit
+	expiredShares     map[string]int64    // tokens used from own shares whose lease has expired, by Share.key
+	unmetAt           time.Duration       // when a waiting reservation was last found to lack tokens that this host cannot get
+	unmetTokens       int64               // tokens of the reservation at unmetAt
+	returnChecks      int                 // checks of the account since other hosts were asked to return tokens
+	lastReturnCheckAt time.Duration       // when the last of returnChecks was made
+	peerShortageAt    time.Duration       // when another host last announced a shortage
+	account           Account             // account as last read or written
+	accountVersion    uint64              // version of the account row; 0: no row
+	loaded            bool                // the account or a reply of its broker was received
+	loadedAt          time.Duration       // when the account or the reply was last received
+	lastCallAt        time.Duration       // when the last call to the table or a broker ended
+	reachable         bool                // the last call for the account succeeded
+	conflicted        bool                // the last change was not applied, because the row had another version
 
 	queue         []*queuedRequest       // share requests of other hosts
 	holderUsage   map[string]holderUsage // usage that holders have sent to this host as the broker, by Share.key
@@ -49,7 +49,7 @@
 
 func newTokenPool(m *Manager, customer string) *tokenPool {
 	return &tokenPool{
-		manager: m, ledger: ledger{customer: customer}, reachable: true,
+		manager: m, ledger: ledger{customer: customer}, reachable: true, waiting: make(waitingReservations),
 		wake: make(chan struct{}, 1), sharesReturned: make(chan struct{}),
 	}
 }
@@ -89,7 +89,7 @@
 	view := budgetView{
 		prepaid: p.prepaid, settled: account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
 		recentDemand: p.ledger.meter.recentDemand(now), longTermDemand: p.ledger.meter.longTermDemand(), demandSquare: p.ledger.meter.longTermDemandSquare(), peakRequest: int64(p.ledger.meter.peakRequest), meanRequest: p.ledger.meter.meanRequest,
-		largestWaiting: p.largestWaiting, hosts: p.manager.options.Hosts(),
+		largestWaiting: p.waiting.largest(), hosts: p.manager.options.Hosts(),
 	}
 	if p.brokerReply != nil {
 		view.settled, view.others, view.brokered = p.brokerReply.Settled, p.brokerReply.Others, true
@@ -127,7 +127,7 @@
 	if !listed || u.Epoch != p.ledger.epoch || p.ledger.guaranteed() <= u.Ceiling {
 		return false
 	}
-	return 3*(p.ledger.used()-u.Used) > 2*(u.Ceiling-u.Used) || p.ledger.used()+p.largestWaiting > u.Ceiling
+	return 3*(p.ledger.used()-u.Used) > 2*(u.Ceiling-u.Used) || p.ledger.used()+p.waiting.largest() > u.Ceiling
 }
 
 // usageChanged reports whether the tokens used differ from the last confirmed
--- a/pkg/escrow/token_pool_change.go
+++ b/pkg/escrow/token_pool_change.go
@@ -75,7 +75,7 @@
 // refused and the next usage report includes the shortage. It returns true if
 // the account must be read first, because another host may have returned tokens.
 func (p *tokenPool) handleUnmetReservation(view budgetView) (mustRead bool) {
-	if p.largestWaiting == 0 || view.amount-view.used >= p.largestWaiting {
+	if view.largestWaiting == 0 || view.amount-view.used >= view.largestWaiting {
 		p.returnChecks = 0
 		return false
 	}
@@ -92,7 +92,8 @@
 		return false
 	}
 	p.returnChecks = 0
-	p.unmetAt, p.unmetTokens, p.largestWaiting = p.now(), p.largestWaiting, 0
+	p.unmetAt, p.unmetTokens = p.now(), view.largestWaiting
+	clear(p.waiting) // those that are not refused now wait again
 	p.manager.notifyWaiters()
 	p.manager.reporter.trigger()
 	return false
@@ -104,7 +105,7 @@
 	if p.manager.options.AnnounceShortage == nil || p.returnChecks >= maxReturnChecks {
 		return false
 	}
-	return view.others.Amount-view.others.Used-view.others.Unreported >= p.largestWaiting
+	return view.others.Amount-view.others.Used-view.others.Unreported >= view.largestWaiting
 }
 
 // logClosedShares logs the shares of ended processes that a change has closed.
--- a/pkg/escrow/token_pool_reserve.go
+++ b/pkg/escrow/token_pool_reserve.go
@@ -16,15 +16,18 @@
 	m := p.manager
 	timer := time.NewTimer(maxReserveWait)
 	defer timer.Stop()
+	r := &Reservation{pool: p, tokens: tokens}
 	m.mu.Lock()
+	defer func() {
+		p.stopWaiting(r)
+		m.mu.Unlock()
+	}()
 	start := p.now()
 	for {
 		now := p.now()
 		if p.ledger.reserve(now, m.ownReports, tokens) {
-			r := &Reservation{pool: p, epoch: p.ledger.epoch, tokens: tokens}
-			p.largestWaiting, p.returnChecks = 0, 0 // other waiting reservations set them again
+			r.epoch = p.ledger.epoch
 			p.triggerRefill()
-			m.mu.Unlock()
 			return r, nil
 		}
 		if wait, ok := p.ceilingWait(ctx, now, start, tokens); ok {
@@ -34,22 +37,40 @@
 			continue
 		}
 		if err := p.refusal(now, start, tokens); err != nil {
-			m.mu.Unlock()
 			return nil, err
 		}
-		p.largestWaiting = max(p.largestWaiting, tokens)
-		stateChanged := m.stateChanged
+		p.waiting[r] = tokens
 		p.trigger()
 		m.reporter.trigger()
-		m.mu.Unlock()
-		select {
-		case <-stateChanged:
-		case <-timer.C:
-			return nil, &UnreachableError{Reason: p.unconfirmedReason(tokens), RetryAfter: retryAfterSlowTable}
-		case <-ctx.Done():
-			return nil, &UnreachableError{Reason: "the request was cancelled or timed out"}
+		if err := p.awaitChange(ctx, timer.C, tokens); err != nil {
+			return nil, err
 		}
-		m.mu.Lock()
+	}
+}
+
+// awaitChange waits for a change of the process's shares or reports. It returns an error
+// if the request ends or the timer expires first. The caller holds the manager's mutex,
+// which is released meanwhile.
+func (p *tokenPool) awaitChange(ctx context.Context, expired <-chan time.Time, tokens int64) error {
+	m := p.manager
+	stateChanged := m.stateChanged
+	m.mu.Unlock()
+	defer m.mu.Lock()
+	select {
+	case <-stateChanged:
+		return nil
+	case <-expired:
+		return &UnreachableError{Reason: p.unconfirmedReason(tokens), RetryAfter: retryAfterSlowTable}
+	case <-ctx.Done():
+		return &UnreachableError{Reason: "the request was cancelled or timed out"}
+	}
+}
+
+// stopWaiting removes a reservation from those that wait.
+func (p *tokenPool) stopWaiting(r *Reservation) {
+	delete(p.waiting, r)
+	if len(p.waiting) == 0 {
+		p.returnChecks = 0
 	}
 }
 
