escrow: reserve tokens for large requests in large fleets

Cause: a budget was divided among all hosts almost whole, into shares smaller than one large request. A request that did not fit had to wait until other hosts returned tokens, which takes more broker rounds than the 250 ms it waits; and each host wanted to hold two of the largest requests, so it returned nothing. The tokens that a raised share or limit brought were also taken by small requests before the waiting one was checked.

In so far as an even part of the unspent budget is smaller than two of the largest requests, up to eight of them (at most a quarter of what is unspent) stay in the account. Shares grow into this reserve only for a waiting reservation, which share requests now say; the broker enforces it for all holders. Hosts return what exceeds their plan sooner while the reserve is not free. A waiting reservation asks for what smaller ones may take meanwhile, too. The accounting is unchanged: a share still never exceeds what is free.

The tests of escrow, edge and platform pass.

--- a/pkg/escrow/broker_client.go
+++ b/pkg/escrow/broker_client.go
@@ -65,6 +65,7 @@
 		Close: m.leaving, Used: p.ledger.used(), ExpiredShares: maps.Clone(p.expiredShares),
 	}
 	request.Share.Amount = amount
+	request.Waiting = p.ledger.amount-p.ledger.used() < p.waiting.largest()
 	usage := p.usage()
 	request.Usage = &usage
 	for incarnation, e := range m.endedProcesses {
--- a/pkg/escrow/broker_server.go
+++ b/pkg/escrow/broker_server.go
@@ -12,13 +12,14 @@
 // conflict; the broker writes for all of them.
 type ShareRequest struct {
 	Customer       string `json:"customer"`
-	Share          Share  `json:"share"`           // share that the holder wants; its Seq rises with each request
-	Held           bool   `json:"held"`            // the holder has a share in the account, as far as it knows
-	LastAppliedSeq int64  `json:"known,omitempty"` // Seq of the last change that the holder knows to be applied
-	ForceWrite     bool   `json:"write,omitempty"` // write the row even without a change, because an earlier request may still be applied
-	Close          bool   `json:"close,omitempty"` // close the share and settle Used tokens
-	Used           int64  `json:"used,omitempty"`  // tokens used from the share
-	Usage          *Usage `json:"usage,omitempty"` // what the next usage report would list for the share; nil: unknown
+	Share          Share  `json:"share"`             // share that the holder wants; its Seq rises with each request
+	Held           bool   `json:"held"`              // the holder has a share in the account, as far as it knows
+	LastAppliedSeq int64  `json:"known,omitempty"`   // Seq of the last change that the holder knows to be applied
+	ForceWrite     bool   `json:"write,omitempty"`   // write the row even without a change, because an earlier request may still be applied
+	Waiting        bool   `json:"waiting,omitempty"` // a reservation waits for the share to grow
+	Close          bool   `json:"close,omitempty"`   // close the share and settle Used tokens
+	Used           int64  `json:"used,omitempty"`    // tokens used from the share
+	Usage          *Usage `json:"usage,omitempty"`   // what the next usage report would list for the share; nil: unknown
 	// ExpiredShares are former shares of the holder whose lease has expired,
 	// by Share.key, with the tokens used from each.
 	ExpiredShares map[string]int64 `json:"lapsed,omitempty"`
@@ -88,8 +89,9 @@
 }
 
 // applyRequest applies a share request to the account and reports whether the
-// account has changed.
-func (a *Account) applyRequest(request ShareRequest, prepaid int64) bool {
+// account has changed. A share grows into the reserved tokens only if a reservation
+// waits for it.
+func (a *Account) applyRequest(request ShareRequest, prepaid, reserved int64) bool {
 	ended := make(map[string]EndedProcess, len(request.EndedProcesses))
 	for _, e := range request.EndedProcesses {
 		if e.Report.Host == request.Share.Host {
@@ -110,7 +112,10 @@
 	}
 	next := request.Share
 	if next.Amount > current.Amount {
-		next.Amount = current.Amount + min(next.Amount-current.Amount, max(0, prepaid-a.Allotted()))
+		if request.Waiting {
+			reserved = 0
+		}
+		next.Amount = current.Amount + min(next.Amount-current.Amount, max(0, prepaid-reserved-a.Allotted()))
 	}
 	if next.Amount == current.Amount && (held || next.Amount == 0) && !request.ForceWrite {
 		return changed
@@ -128,8 +133,9 @@
 			return nil, false, true
 		}
 	}
+	reserved := p.view(p.account).reserved()
 	for _, q := range p.queue {
-		if account.applyRequest(q.request, p.prepaid) {
+		if account.applyRequest(q.request, p.prepaid, reserved) {
 			changed = true
 		}
 	}
--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -48,4 +48,7 @@
 //     any of several parts of the table.
 //   - A budget runs low. Shares follow the demand, and hosts return tokens that
 //     another host lacks.
+//   - A large fleet divides a budget into shares smaller than a large request.
+//     A part of the budget then stays in the account and is given only to hosts
+//     on which a reservation waits.
 package escrow
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -27,6 +27,15 @@
 	// times that number.
 	refillThreshold = 0.75
 	returnThreshold = 1.5
+	// A fleet whose hosts cannot each hold peakRequestsCovered of the largest
+	// requests leaves tokens for up to reservedRequests of them in the
+	// account, but at most maxReservedFraction of the unspent budget: divided
+	// among all hosts, these tokens could not serve a single large request.
+	reservedRequests    = 8
+	maxReservedFraction = 0.25
+	// reserveReturnThreshold replaces returnThreshold while fewer tokens than
+	// reserved are free.
+	reserveReturnThreshold = 1.1
 	// minHeadroomDivisor divides the prepaid total to give the minimum
 	// headroom of a ceiling, in tokens, and the minimum Usage.CeilingRate, in
 	// tokens per second.
@@ -136,6 +145,15 @@
 	return max(v.recentDemand, even*max(0, v.demandSpread()-spreadThreshold)/(1-spreadThreshold))
 }
 
+// reserved returns the number of tokens that shares leave in the account for large
+// requests. It is 0 if every host can hold peakRequestsCovered of the largest requests.
+func (v budgetView) reserved() int64 {
+	peak := float64(v.largestPeakRequest())
+	unspent := float64(v.unspent())
+	missing := 1 - unspent*v.perHostFraction()/max(1, peakRequestsCovered*peak)
+	return int64(max(0, missing) * min(reservedRequests*peak, maxReservedFraction*unspent))
+}
+
 // desiredUnspent returns the number of unspent tokens that the host should
 // hold.
 func (v budgetView) desiredUnspent() int64 {
@@ -143,24 +161,40 @@
 	if v.others.Shortage {
 		coverTime = shortageCoverTime
 	}
-	unspent := float64(v.unspent())
+	unspent := float64(v.unspent() - v.reserved())
 	evenlyDivided := v.evenlyDividedFraction()
 	allocation := int64(unspent * (evenlyDivided*v.perHostFraction() + (allocatableFraction-evenlyDivided)*v.demandFraction()))
 	covered := int64(v.plannedDemand()*coverTime.Seconds()) + peakRequestsCovered*v.largestPeakRequest()
-	return max(min(covered, allocation), int64(minEvenFraction*v.perHostFraction()*unspent), v.largestWaiting)
+	return max(min(covered, allocation), int64(minEvenFraction*v.perHostFraction()*unspent))
+}
+
+// waitingNeed returns the unspent tokens that the largest waiting reservation needs,
+// and those that smaller ones may take until it is checked again. It is 0 if none waits.
+func (v budgetView) waitingNeed() int64 {
+	if v.largestWaiting == 0 {
+		return 0
+	}
+	return v.largestWaiting + int64(v.plannedDemand()*maxReserveWait.Seconds()+v.meanRequest)
 }
 
 // nextAmount returns the share that the host should hold, in tokens. It never
-// takes more than is free. A new broker does not know yet what other holders have
+// takes more than is free, and takes reserved tokens only for a waiting
+// reservation. A new broker does not know yet what other holders have
 // used; without a shortage the share is not reduced until it does.
 func (v budgetView) nextAmount() int64 {
 	desired, remaining := v.desiredUnspent(), v.amount-v.used
+	threshold := returnThreshold
+	if v.free() < v.reserved() {
+		threshold = reserveReturnThreshold
+	}
 	switch {
-	case float64(remaining) < refillThreshold*float64(desired) || remaining < v.largestWaiting:
-		return v.amount + max(0, min(v.free(), desired-remaining))
+	case remaining < v.largestWaiting:
+		return v.amount + max(0, min(v.free(), v.waitingNeed()-remaining), min(v.free()-v.reserved(), desired-remaining))
+	case float64(remaining) < refillThreshold*float64(desired):
+		return v.amount + max(0, min(v.free()-v.reserved(), desired-remaining))
 	case v.brokered && v.others.Unreported > 0 && !v.others.Shortage:
 		return v.amount
-	case float64(remaining) > returnThreshold*float64(desired):
+	case float64(remaining) > threshold*float64(desired):
 		return v.amount - (remaining - desired)
 	}
 	return v.amount
@@ -181,7 +215,7 @@
 func (v budgetView) usage(epoch int) Usage {
 	wanted := v.plannedDemand()*v.headroomTime().Seconds() + v.meanRequest
 	allowed := maxHeadroomFraction * float64(v.prepaid) * (evenHeadroomFraction*v.perHostFraction() + (1-evenHeadroomFraction)*v.demandFraction())
-	headroom := max(int64(min(wanted, allowed)), v.largestWaiting, v.prepaid/minHeadroomDivisor)
+	headroom := max(int64(min(wanted, allowed)), v.waitingNeed(), v.prepaid/minHeadroomDivisor)
 	return Usage{
 		Epoch:          epoch,
 		Used:           v.used,
--- a/pkg/escrow/plan_test.go
+++ b/pkg/escrow/plan_test.go
@@ -89,3 +89,24 @@
 	}
 	assert.Assert(t, lost <= 3*prepaid/100, "%d tokens lost", lost)
 }
+
+// Guards against shares that grow into the tokens reserved for large requests although
+// no reservation waits, and against a small fleet that reserves tokens needlessly.
+func TestShareGrowsIntoReserveOnlyForWaitingReservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := drawBudgetView(t)
+		v.others.PeakRequest = rapid.Int64Range(0, 70_000).Draw(t, "others peak request")
+		next := v.nextAmount()
+		waits := v.amount-v.used < v.largestWaiting
+		if next > v.amount && !waits {
+			assert.Assert(t, v.prepaid-v.settled-v.others.Amount-next >= v.reserved())
+		}
+		if waits && v.free() >= v.waitingNeed() {
+			assert.Assert(t, next-v.used >= v.waitingNeed(), "%d of %d", next-v.used, v.waitingNeed())
+		}
+		assert.Assert(t, v.reserved() >= 0 && float64(v.reserved()) <= maxReservedFraction*float64(v.unspent()))
+		if v.unspent()/int64(max(1, v.hosts)) > peakRequestsCovered*v.largestPeakRequest() {
+			assert.Equal(t, v.reserved(), int64(0))
+		}
+	})
+}
--- a/pkg/escrow/share_request_test.go
+++ b/pkg/escrow/share_request_test.go
@@ -89,7 +89,8 @@
 			a.applyRequest(ShareRequest{
 				Customer: "regie", Share: s, Held: rapid.Bool().Draw(t, "held"), ForceWrite: rapid.Bool().Draw(t, "write"),
 				Close: rapid.IntRange(0, 9).Draw(t, "close") == 0, Used: rapid.Int64Range(0, before.Amount).Draw(t, "used"),
-			}, prepaid)
+				Waiting: rapid.Bool().Draw(t, "waiting"),
+			}, prepaid, rapid.Int64Range(0, 400).Draw(t, "reserved"))
 			assert.Assert(t, a.Allotted() <= prepaid)
 			after, stillHeld := a.Shares[s.key()]
 			if held && stillHeld {
