escrow: skip the reserve when no share request is queued

The reserve for large requests was computed from all shares of an account on each check of it, also on hosts without queued requests, where nothing uses it.

--- a/pkg/escrow/broker_server.go
+++ b/pkg/escrow/broker_server.go
@@ -128,6 +128,9 @@
 // requests to reply to once the change is written, and whether the account
 // must be read first.
 func (p *tokenPool) applyQueue(account *Account) (served []*queuedRequest, changed, mustRead bool) {
+	if len(p.queue) == 0 {
+		return nil, false, false
+	}
 	for _, q := range p.queue {
 		if q.needsNewerAccount(p.account, p.loadedAt) {
 			return nil, false, true
