soak: break streams off regularly and frame them by their connection

The soak broke streams off only in ways that HTTP shows as an error, so it could not find streams that end early and look complete. Faults of targets now also end a stream regularly within an event, and frame streams by the end of the connection.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -83,7 +83,19 @@
 	}[s.random.IntN(6)]
 }
 
+// randomTargetFaults returns faults of a target. How its streams are framed and how they
+// break off is drawn from streamRandom, so that seeds from before these faults draw the
+// same sequence.
 func (s *scenario) randomTargetFaults() replica.Faults {
+	f := s.randomBasicTargetFaults()
+	f.FrameByClose = s.streamRandom.IntN(2) == 0
+	if f.AbortAfterEvents > 0 && s.streamRandom.IntN(2) == 0 {
+		f.AbortMidEvent, f.AbortRegularly = true, true
+	}
+	return f
+}
+
+func (s *scenario) randomBasicTargetFaults() replica.Faults {
 	return []replica.Faults{
 		{RejectAll: true}, {NeverResponds: true}, {LoseResponse: true}, {AbortAfterEvents: 2}, {AbortAfterEvents: 3, AbortMidEvent: true},
 		{Status: 500}, {Delay: 400 * time.Millisecond},
