--- a/pkg/escrow/large_requests_test.go
+++ b/pkg/escrow/large_requests_test.go
@@ -11,8 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a large fleet that divides a budget into shares smaller than a large
-// request, so that such requests are refused although most of the budget is unspent.
+// Guards against a budget that is divided into shares smaller than a large request.
 func TestLargeRequestsGetTokensInLargeFleet(t *testing.T) {
 	const prepaid, large, seconds = 3_000_000, 50_000, 6
 	_, processes := startFleet(t, 48, map[string]int64{"regie": prepaid})
@@ -41,8 +40,7 @@
 	assert.Assert(t, float64(served.Load()) >= 0.95*float64(sent.Load()))
 }
 
-// Guards against a large request that is forgotten while it waits, because a smaller one
-// of the same customer gets tokens meanwhile.
+// Guards against a waiting large request that is forgotten when a smaller one gets tokens.
 func TestSmallRequestDoesNotHideLargeWaitingOne(t *testing.T) {
 	p := newBrokeredPool(t, func(ShareRequest) (ShareReply, error) { return ShareReply{}, nil })
 	p.manager.ownReports.confirmed = &sentReport{sentAt: p.now()}
--- a/pkg/escrow/plan_test.go
+++ b/pkg/escrow/plan_test.go
@@ -90,8 +90,7 @@
 	assert.Assert(t, lost <= 3*prepaid/100, "%d tokens lost", lost)
 }
 
-// Guards against shares that grow into the tokens reserved for large requests although
-// no reservation waits, and against a small fleet that reserves tokens needlessly.
+// Guards against shares that take tokens reserved for large requests although none waits.
 func TestShareGrowsIntoReserveOnlyForWaitingReservation(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := drawBudgetView(t)
--- a/pkg/forward/stream_end_test.go
+++ b/pkg/forward/stream_end_test.go
@@ -58,8 +58,7 @@
 	}
 }
 
-// Guards against a success without any event: the target closed the connection before
-// it sent one.
+// Guards against a success without any event from a target that closed its connection.
 func TestStreamWithoutEventsThatEndsWithItsConnectionIsAnError(t *testing.T) {
 	r := newFixture(t, 1)
 	r.replicas[0].EventCount = 0
@@ -79,16 +78,14 @@
 	}
 }
 
-// Guards against forwarding a stream as complete whose connection was reset between
-// two events.
+// Guards against forwarding a stream as complete that was reset between two events.
 func TestStreamThatIsResetIsNotComplete(t *testing.T) {
 	r := newFixture(t, 1)
 	r.setFaults(replica.Faults{FrameByClose: true, AbortAfterEvents: 3})
 	assert.Assert(t, r.post("r1", "/stream/x").err != nil)
 }
 
-// Guards against bytes after the last event that are judged wrongly: a whole stream may
-// end with blank lines or comments, an incomplete one ends within a line or a field.
+// Guards against taking blank lines or comments at the end of a stream for an incomplete event.
 func TestBytesAfterLastEvent(t *testing.T) {
 	for trailing, within := range map[string]bool{
 		"": false, "\n": false, "\r\n\n": false, ": ping\n": false, "\r: ping\r\n": false,
@@ -101,8 +98,7 @@
 	}
 }
 
-// Guards against a broken stream that looks complete to a caller without chunked
-// encoding, for which the end of the connection ends the response.
+// Guards against a broken stream that looks complete to a caller without chunked encoding.
 func TestBrokenStreamResetsTheConnectionOfHTTP10Caller(t *testing.T) {
 	r := newFixture(t, 1)
 	r.setFaults(replica.Faults{AbortAfterEvents: 3})
@@ -116,8 +112,7 @@
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "error %v after %q", err, response)
 }
 
-// Guards against an event stream that is not recognised as one because of the case or
-// the parameters of its media type: its incomplete end would not be noticed.
+// Guards against an event stream whose incomplete end is missed because of its media type.
 func TestMediaTypeOfEventStream(t *testing.T) {
 	for value, want := range map[string]bool{
 		"text/event-stream": true, "text/event-stream; charset=utf-8": true, "Text/Event-Stream": true, "text/event-stream ;x": true,
--- a/pkg/forward/stream_test.go
+++ b/pkg/forward/stream_test.go
@@ -139,8 +139,7 @@
 	})
 }
 
-// Guards against events that are not recognised because the target ends lines with CR
-// or CR LF, or because a read ends between the two.
+// Guards against events that are missed because lines end with CR or CR LF, or a read between the two.
 func TestEventsAreRecognisedWithAnyLineEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "lineEnd")
