load: let the proxy pass on resets

The proxy between hosts and targets of the soak ended every connection with an orderly close, also one that the target had reset or that it closed itself after a partition.

A reset is passed on as a reset now, and connections that were blocked are reset. TestResetIsPassedOn failed before (EOF).

--- a/pkg/load/proxy/proxy.go
+++ b/pkg/load/proxy/proxy.go
@@ -3,10 +3,12 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Proxy forwards connections from its own address to a target.
@@ -94,7 +96,11 @@
 	p.mu.Lock()
 	p.connections[c] = struct{}{}
 	p.mu.Unlock()
+	var copyErr error // of the direction that ended first
 	defer func() {
+		if errors.Is(copyErr, syscall.ECONNRESET) {
+			c.reset()
+		}
 		c.close()
 		p.mu.Lock()
 		delete(p.connections, c)
@@ -110,14 +116,14 @@
 	c.mu.Lock()
 	c.server = server
 	c.mu.Unlock()
-	done := make(chan struct{}, 2)
+	done := make(chan error, 2)
 	for _, direction := range [][2]net.Conn{{client, server}, {server, client}} {
 		go func() {
-			_, _ = io.Copy(blockingWriter{c, direction[1]}, direction[0]) // the end of either direction closes both connections
-			done <- struct{}{}
+			_, err := io.Copy(blockingWriter{c, direction[1]}, direction[0])
+			done <- err
 		}()
 	}
-	<-done
+	copyErr = <-done // the end of either direction closes both connections
 }
 
 // blockingWriter writes to one side of a connection and waits while the
@@ -157,8 +163,20 @@
 	blocked := c.blocked
 	c.mu.Unlock()
 	if blocked {
-		c.close()
+		c.reset()
+	}
+}
+
+// reset closes both connections with a reset: their ends must not look orderly.
+func (c *connection) reset() {
+	c.mu.Lock()
+	for _, conn := range []net.Conn{c.client, c.server} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a closed connection
+		}
 	}
+	c.mu.Unlock()
+	c.close()
 }
 
 func (c *connection) close() {
--- a/pkg/load/proxy/proxy_test.go
+++ b/pkg/load/proxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,3 +76,29 @@
 	assert.Equal(t, ClientPID(conn.LocalAddr(), []int{os.Getpid()}), os.Getpid())
 	assert.Equal(t, ClientPID(conn.LocalAddr(), []int{1}), 0)
 }
+
+// Guards against a proxy that turns a reset into an orderly close.
+func TestResetIsPassedOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		conn.Read(make([]byte, 1))
+		conn.(*net.TCPConn).SetLinger(0) // makes Close reset the connection
+		conn.Close()
+	}()
+	p, err := New(l.Addr().String(), func(net.Addr) int { return 0 }, func(int) bool { return false })
+	assert.NilError(t, err)
+	defer p.Close()
+	conn, err := net.Dial("tcp", p.Addr())
+	assert.NilError(t, err)
+	defer conn.Close()
+	conn.Write([]byte("a"))
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
