peppertraild: ignore SIGHUP before the settings are read

The platform may send it at any time.

It is ignored first now. TestHangupDuringStartIsIgnored holds the daemon in the read of its settings; it failed before ("signal: hangup") and passes five times.

--- a/cmd/peppertraild/platform.go
+++ b/cmd/peppertraild/platform.go
@@ -15,14 +15,14 @@
 // runOnPlatform runs an edge daemon with the settings file that the platform
 // wrote, and returns the exit code.
 func runOnPlatform(settingsFile string) int {
+	// The platform sends SIGHUP when the settings file changes, also while the process
+	// starts. It is ignored: no setting can change while the process runs.
+	signal.Ignore(syscall.SIGHUP)
 	settings, err := platform.ReadSettings(settingsFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "peppertraild:", err)
 		return exitInvalidConfig
 	}
-	// The platform sends SIGHUP when the settings file changes. It is ignored: no
-	// setting can change while the process runs.
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	out := telemetry.NewBoundedWriter(os.Stdout)
