--- a/pkg/edge/metered_rows_test.go
+++ b/pkg/edge/metered_rows_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
 	"github.com/peppertrail/peppertrail/pkg/storage"
 )
@@ -41,3 +42,19 @@
 		assert.Assert(t, strings.Contains(page.Body.String(), line+"\n"), "no line %q in:\n%s", line, page.Body)
 	}
 }
+
+// Guards against a metric of written-off tokens that does not tell their causes apart.
+func TestWrittenOffTokensAreCountedByCause(t *testing.T) {
+	m := newMetrics()
+	m.countWrittenOff(escrow.WriteOffHeadroom, 20)
+	m.countWrittenOff(escrow.WriteOffRisen, 300)
+	m.countWrittenOff(escrow.WriteOffRisen, 4)
+	page := httptest.NewRecorder()
+	m.handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`peppertrail_edge_budget_written_off_tokens_total{cause="headroom"} 20`,
+		`peppertrail_edge_budget_written_off_tokens_total{cause="rising_limit"} 304`,
+	} {
+		assert.Assert(t, strings.Contains(page.Body.String(), line+"\n"), "no line %q in:\n%s", line, page.Body)
+	}
+}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
 	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
@@ -27,6 +28,7 @@
 	responseTime    *prometheus.HistogramVec
 	streams         *prometheus.CounterVec
 	dials           prometheus.Counter
+	writtenOff      *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -40,7 +42,8 @@
 		streams:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_target_streams_total", Help: "Event streams of targets, by what marks the end of the body and how they ended."}, []string{"framing", "end"}),
 		dials:           prometheus.NewCounter(prometheus.CounterOpts{Name: "peppertrail_edge_target_connections_total", Help: "Connections opened to targets."}),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, collectors.NewGoCollector())
+	m.writtenOff = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_budget_written_off_tokens_total", Help: "Tokens counted as spent by ended processes beyond their last reports, by what allowed the processes to spend them."}, []string{"cause"})
+	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, m.writtenOff, collectors.NewGoCollector())
 	for _, r := range forward.Reasons() {
 		m.retries.WithLabelValues(string(r))
 	}
@@ -54,6 +57,11 @@
 // countDial counts an attempt to open a connection to a target.
 func (m *metrics) countDial() { m.dials.Inc() }
 
+// countWrittenOff counts tokens that are counted as spent by ended processes.
+func (m *metrics) countWrittenOff(cause escrow.WriteOffCause, tokens int64) {
+	m.writtenOff.WithLabelValues(string(cause)).Add(float64(tokens))
+}
+
 // Refused implements forward.Observer.
 func (m *metrics) Refused(r forward.Reason, status int) {
 	m.refusals.WithLabelValues(string(r), strconv.Itoa(status)).Inc()
--- a/pkg/escrow/cluster_test.go
+++ b/pkg/escrow/cluster_test.go
@@ -40,6 +40,10 @@
 	// lossPercent is the percentage of share requests, and of the replies to
 	// them, that are lost.
 	lossPercent atomic.Int32
+	// countWrittenOff and log are passed to every process. If log is nil, log
+	// lines are discarded.
+	countWrittenOff func(WriteOffCause, int64)
+	log             io.Writer
 	// skippedNs is how far the clock of the store and all hosts was advanced,
 	// in ns.
 	skippedNs atomic.Int64
@@ -96,8 +100,12 @@
 		Hosts:            func() int { return c.hosts },
 		Clock:            c.clock,
 		AnnounceShortage: func(customer string) { c.announceShortage(host, customer) },
+		CountWrittenOff:  c.countWrittenOff,
 		Log:              newDiscardLog(),
 	}
+	if c.log != nil {
+		o.Log = &log.Logger{Writer: log.IOWriter{Writer: c.log}}
+	}
 	if c.usesBrokers {
 		o.RequestShare = c.callBroker
 	}
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -80,9 +80,23 @@
 	// that nothing was changed. If RequestShare is nil, every host changes the
 	// accounts itself.
 	RequestShare func(ctx context.Context, addr string, request ShareRequest) (ShareReply, error)
+	// CountWrittenOff counts tokens that are counted as spent by an ended process
+	// beyond its last report. It must not block. Nil: they are not counted.
+	CountWrittenOff func(cause WriteOffCause, tokens int64)
 	// Clock is a monotonic clock that also counts while the machine is
 	// suspended. Nil: the system's boot-time clock.
 	Clock func() time.Duration
 	// Log receives the log lines of the package.
 	Log *log.Logger
 }
+
+// WriteOffCause is what allowed an ended process to spend tokens that its last report
+// does not count as used.
+type WriteOffCause string
+
+// The causes for which tokens are written off.
+const (
+	WriteOffHeadroom WriteOffCause = "headroom"      // up to the ceiling of the report
+	WriteOffRisen    WriteOffCause = "rising_limit"  // above the ceiling, as the limit rises
+	WriteOffUnlisted WriteOffCause = "not_in_report" // all of a share that the report does not list
+)
--- a/pkg/escrow/token_pool_change.go
+++ b/pkg/escrow/token_pool_change.go
@@ -108,17 +108,43 @@
 	return view.others.Amount-view.others.Used-view.others.Unreported >= view.largestWaiting
 }
 
-// logClosedShares logs the shares of ended processes that a change has closed.
-func (p *tokenPool) logClosedShares(before, after Account) {
+// recordClosedShares logs and counts what a change that was applied has written off
+// by closing the shares of ended processes.
+func (p *tokenPool) recordClosedShares(before, after Account) {
+	var sum writeOff
+	var newestReport, oldestReport time.Duration
+	processes := make(map[string]bool)
 	for key, s := range before.Shares {
 		process, ended := p.manager.endedProcesses[s.Incarnation]
 		if _, open := after.Shares[key]; open || !ended {
 			continue
 		}
-		p.manager.options.Log.Info().Str("customer", p.ledger.customer).Str("holder", s.Host).Int64("held", s.Amount).
-			Int64("reported_spent", process.Report.Customers[p.ledger.customer].Used).
-			Int64("counted_as_spent", process.maxSpent(p.ledger.customer, s)).Dur("report_age", process.Report.age(process.EndedBy)).
+		w, age := process.writeOff(p.ledger.customer, s), process.Report.age(process.EndedBy)
+		u := process.Report.Customers[p.ledger.customer]
+		p.manager.options.Log.Info().Str("customer", p.ledger.customer).Str("holder", s.Host).Str("incarnation", s.Incarnation).Int64("held", s.Amount).
+			Int64("reported_spent", w.reported).Int64("counted_as_spent", process.maxSpent(p.ledger.customer, s)).
+			Int64("headroom", w.headroom).Int64("risen", w.risen).Int64("unlisted", w.unlisted).
+			Int64("ceiling_rate", u.CeilingRate).Int64("long_term_demand", u.LongTermDemand).Int64("peak_request", u.PeakRequest).Dur("report_age", age).
 			Msg("Closed the share of an ended process.")
+		if len(processes) == 0 {
+			newestReport = age
+		}
+		newestReport, oldestReport = min(newestReport, age), max(oldestReport, age)
+		processes[s.Incarnation] = true
+		sum = sum.add(w)
+	}
+	if len(processes) == 0 {
+		return
+	}
+	unspent := p.view(after).unspent()
+	p.manager.options.Log.Info().Str("customer", p.ledger.customer).Int("processes", len(processes)).Int64("prepaid", p.prepaid).
+		Int64("unspent_before", unspent+sum.total()).Int64("unspent_after", unspent).Int64("written_off", sum.total()).
+		Dur("newest_report_age", newestReport).Dur("oldest_report_age", oldestReport).
+		Msg("Recovered an account from ended processes.")
+	if count := p.manager.options.CountWrittenOff; count != nil {
+		count(WriteOffHeadroom, sum.headroom)
+		count(WriteOffRisen, sum.risen)
+		count(WriteOffUnlisted, sum.unlisted)
 	}
 }
 
@@ -178,9 +204,10 @@
 		p.ledger.pendingAmount = nil
 	}
 	if outcome.Applied {
-		p.logClosedShares(p.account, c.account)
+		before := p.account
 		p.account, p.accountVersion, p.loadedAt = c.account, outcome.Version, p.now()
 		p.ledger.amount, p.confirmedSeq = c.share.Amount, c.share.Seq
+		p.recordClosedShares(before, c.account)
 		p.reply(c.served)
 	} else {
 		p.applyConflict(outcome.Current, c)
