--- a/pkg/escrow/cluster_test.go
+++ b/pkg/escrow/cluster_test.go
@@ -44,6 +44,9 @@
 	// lines are discarded.
 	countWrittenOff func(WriteOffCause, int64)
 	log             io.Writer
+	// wrapRows, if set, wraps the connection of a process to the store before the process
+	// starts.
+	wrapRows func(incarnation string, rows *rowstore.Client) storage.Rows
 	// skippedNs is how far the clock of the store and all hosts was advanced,
 	// in ns.
 	skippedNs atomic.Int64
@@ -95,6 +98,9 @@
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n := &testProcess{rows: c.store.Client(), cancel: cancel}
 	n.traffic = &receivedRows{Rows: n.rows}
+	if c.wrapRows != nil {
+		n.traffic.Rows = c.wrapRows(incarnation, n.rows)
+	}
 	o := Options{
 		Rows: n.traffic, AccountTable: accounts, UsageTable: usages, HostTable: hostRows, Host: host, Incarnation: incarnation, Addr: host,
 		Hosts:            func() int { return c.hosts },
@@ -145,6 +151,8 @@
 	if !c.announcesShortages {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, n := range c.processes {
 		if n.options.Host != host {
 			go n.NoteShortage(customer)
--- a/pkg/escrow/large_requests_test.go
+++ b/pkg/escrow/large_requests_test.go
@@ -61,3 +61,31 @@
 	caller.Wait()
 	assert.Equal(t, waiting(), int64(0))
 }
+
+// Guards against a request that fits into what is left of a budget and is refused because
+// the tokens are divided among the hosts, which do not return them.
+func TestLargeRequestGetsDividedTokens(t *testing.T) {
+	const prepaid, left, large = 1_000_000, 150_000, 50_000
+	_, processes := startFleet(t, 8, map[string]int64{"regie": prepaid})
+	spent := int64(0)
+	for n := 0; spent < prepaid-left; n++ {
+		size := int64(500 + rand.IntN(1000))
+		if n%20 == 0 {
+			size = 30_000
+		}
+		spent += processes[n%len(processes)].spend(t, "regie", min(size, prepaid-left-spent))
+		time.Sleep(2 * time.Millisecond)
+	}
+	served, attempts := 0, 80
+	for n := range attempts {
+		if r, err := processes[n%len(processes)].Reserve(t.Context(), "regie", large); err == nil {
+			served++
+			r.Settle(0)
+		} else if n < 8 {
+			t.Log(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("%d of %d large requests served, %d of %d tokens spent", served, attempts, spent, int64(prepaid))
+	assert.Assert(t, served >= attempts*95/100)
+}
