--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -59,19 +59,33 @@
 }
 
 // currentFeedVersion returns the current version of the feed. It also records
-// the store's clock.
-func (m *Manager) currentFeedVersion(ctx context.Context) (uint64, error) {
+// the store's clock. Any part of the table answers with both, so a part that is
+// down does not keep the process from starting.
+func (m *Manager) currentFeedVersion(ctx context.Context) (version uint64, err error) {
+	for _, suffix := range reportPartSuffixes {
+		var page storage.RowPage
+		page, err = m.readReportPart(ctx, m.options.Host+suffix)
+		if err == nil {
+			return page.Version, nil
+		}
+	}
+	return 0, err
+}
+
+// readReportPart reads one part of the table of usage reports. It also records the
+// store's clock.
+func (m *Manager) readReportPart(ctx context.Context, part string) (storage.RowPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := m.options.Clock()
-	page, err := m.options.Rows.Range(ctx, m.options.UsageTable, m.options.Host+reportPartSuffixes[0], "")
+	page, err := m.options.Rows.Range(ctx, m.options.UsageTable, part, "")
 	if err != nil {
-		return 0, err
+		return page, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordStoreTime(page.Now, sentAt)
-	return page.Version, nil
+	return page, nil
 }
 
 // feedWait is how long a read of the feed waits for a new report.
@@ -291,16 +305,10 @@
 func (m *Manager) readReports(ctx context.Context, host string) (map[string]UsageReport, error) {
 	reports := make(map[string]UsageReport)
 	for _, suffix := range reportPartSuffixes {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		sentAt := m.options.Clock()
-		page, err := m.options.Rows.Range(ctx, m.options.UsageTable, host+suffix, "")
-		cancel()
+		page, err := m.readReportPart(ctx, host+suffix)
 		if err != nil {
 			return nil, err
 		}
-		m.mu.Lock()
-		m.recordStoreTime(page.Now, sentAt)
-		m.mu.Unlock()
 		for _, row := range page.Rows {
 			report, err := decodeUsage(row.Value)
 			if err != nil {
--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -140,9 +140,29 @@
 	return confirmed != nil && confirmed.report.Customers[p.ledger.customer].Used != p.ledger.used()
 }
 
+// awaitFirstReport waits until a usage report of this process is stored. Without one
+// nothing would bound what the process may have spent from a share, and no other host
+// could close the share after its end.
+func (p *tokenPool) awaitFirstReport(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.manager.mu.Lock()
+		done, stateChanged := p.manager.ownReports.confirmed != nil || p.manager.leaving, p.manager.stateChanged
+		p.manager.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-stateChanged:
+		case <-p.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // run changes the share as needed until all shares are returned or ctx ends.
 func (p *tokenPool) run(ctx context.Context) {
 	p.awaitPeers(ctx)
+	p.awaitFirstReport(ctx)
 	for ctx.Err() == nil {
 		if returned := p.step(ctx); returned {
 			close(p.sharesReturned)
