--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -21,9 +21,9 @@
 //   - A usage report records the tokens that a process has used from each of
 //     its shares. It renews the lease of the process and limits what the
 //     process may use until the next report: for ceilingTerm up to a fixed
-//     ceiling, after that up to a limit that rises at a constant rate, and
-//     nothing more after leaseDuration. The distance between the ceiling and
-//     the tokens used is the headroom.
+//     ceiling, after that up to a limit that rises with the expected demand and
+//     is ahead of it by at most a burst, and nothing more after leaseDuration.
+//     The distance between the ceiling and the tokens used is the headroom.
 //
 // Each process writes its reports to one row for all customers. A host that
 // closes the share of an ended process settles the tokens that the last report
@@ -41,9 +41,12 @@
 //
 //   - Every host loses the store and all other hosts for about ten seconds
 //     while a customer sends several times its usual load. Shares cover that
-//     time at a multiple of the measured demand.
+//     time, and bursts cover what exceeds the expected demand.
 //   - All processes are killed at once. The ceiling of a report is only
 //     slightly above the tokens used, so few tokens are lost.
+//   - All processes are killed while they are cut off. What nobody spent of their
+//     limits is lost. Headroom and bursts of all hosts together are a fraction of
+//     the prepaid total, however long the hosts were cut off.
 //   - Some partitions of the store are down. A process can write its report to
 //     any of several parts of the table.
 //   - A budget runs low. Shares follow the demand, and hosts return tokens that
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -1,6 +1,9 @@
 package escrow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// demandCoverTime is the time for which a share should cover the demand:
@@ -36,10 +39,9 @@
 	// reserveReturnThreshold replaces returnThreshold while fewer tokens than
 	// reserved are free.
 	reserveReturnThreshold = 1.1
-	// minHeadroomDivisor divides the prepaid total to give the minimum
-	// headroom of a ceiling, in tokens, and the minimum Usage.CeilingRate, in
-	// tokens per second.
-	minHeadroomDivisor = 2000
+	// minHeadroomFraction is the fraction of a prepaid total that is divided
+	// evenly among all hosts as the minimum headroom of a ceiling.
+	minHeadroomFraction = 0.004
 	// peakRequestsCovered is the number of requests, each of the size of the
 	// largest recent one, that a share covers in addition to the planned
 	// demand.
@@ -53,16 +55,20 @@
 	minHeadroomTime      = 250 * time.Millisecond
 	maxHeadroomTime      = 2 * time.Second
 	// maxHeadroomFraction is the fraction of a prepaid total that the headroom
-	// of all hosts together may reach; evenHeadroomFraction of it is divided
-	// evenly and the rest by demand. The users require that 97 % of a budget
-	// can be served.
-	maxHeadroomFraction  = 0.025
-	evenHeadroomFraction = 0.3
-	// burstFactor is the multiple of the planned demand that a host may spend
-	// while it cannot reach the table. Its limit rises at least fast enough for
-	// one request of the largest recent size per peakRequestTime.
-	burstFactor     = 5
-	peakRequestTime = 2 * time.Second
+	// of all hosts together may reach, since all of it is lost when all processes
+	// are killed. evenPermissionFraction of it is divided evenly and the rest by
+	// demand.
+	maxHeadroomFraction    = 0.025
+	evenPermissionFraction = 0.3
+	// A host that cannot reach the table may exceed its expected demand by a burst
+	// of burstDeviations standard deviations of what it spends in burstTime. The
+	// bursts of all hosts together are at least minBurstFraction and at most
+	// maxBurstFraction of a prepaid total: what is not used of them is lost when
+	// the processes are killed before they reach the table again.
+	burstDeviations  = 2.5
+	burstTime        = 8 * time.Second
+	minBurstFraction = 0.01
+	maxBurstFraction = 0.12
 )
 
 // budgetView is what a host knows of one customer's budget.
@@ -133,7 +139,7 @@
 // evenlyDividedFraction returns the fraction of the unspent budget that is
 // divided evenly among all hosts.
 func (v budgetView) evenlyDividedFraction() float64 {
-	return minEvenFraction + (maxEvenFraction-minEvenFraction)*max(0, v.demandSpread()-spreadThreshold)/(1-spreadThreshold)
+	return minEvenFraction + (maxEvenFraction-minEvenFraction)*v.evenWeight()
 }
 
 // plannedDemand returns the demand to plan for, in tokens per second. It is at
@@ -141,8 +147,27 @@
 // demandSpread is at most spreadThreshold, and rises to 1 as the demand becomes
 // evenly spread over all hosts.
 func (v budgetView) plannedDemand() float64 {
-	even := (v.longTermDemand + v.others.LongTermDemand) * v.perHostFraction()
-	return max(v.recentDemand, even*max(0, v.demandSpread()-spreadThreshold)/(1-spreadThreshold))
+	return max(v.recentDemand, v.evenWeight()*v.meanDemand())
+}
+
+// evenWeight returns the weight of meanDemand in the demand that is expected on this
+// host: 0 while demandSpread is at most spreadThreshold, 1 if the demand is evenly
+// spread over all hosts.
+func (v budgetView) evenWeight() float64 {
+	return max(0, v.demandSpread()-spreadThreshold) / (1 - spreadThreshold)
+}
+
+// meanDemand returns the long-term demand per host, in tokens per second.
+func (v budgetView) meanDemand() float64 {
+	return (v.longTermDemand + v.others.LongTermDemand) * v.perHostFraction()
+}
+
+// expectedDemand returns the demand that is most likely during the next seconds, in
+// tokens per second. Unlike plannedDemand it is not increased for safety, so the
+// sum of all hosts is the demand of the fleet.
+func (v budgetView) expectedDemand() float64 {
+	own := (v.recentDemand + v.longTermDemand) / 2
+	return own + v.evenWeight()*(v.meanDemand()-own)
 }
 
 // reserved returns the number of tokens that shares leave in the account for large
@@ -211,16 +236,36 @@
 	return min(max(time.Duration(headroomTimeFraction*secondsLeft*float64(time.Second)), minHeadroomTime), maxHeadroomTime)
 }
 
+// permission returns this host's part, in tokens, of a fraction of the prepaid total that
+// all hosts together may spend without having reported it.
+func (v budgetView) permission(fraction float64) float64 {
+	return fraction * float64(v.prepaid) * (evenPermissionFraction*v.perHostFraction() + (1-evenPermissionFraction)*v.demandFraction())
+}
+
+// burst returns the tokens that the host may spend above the expected demand while it
+// cannot reach the table.
+func (v budgetView) burst() float64 {
+	// The variance of an average that decays with longDecay is that of the spending
+	// in one second, divided by 2*longDecay.
+	averageVariance := max(0, v.longTermDemand*v.longTermDemand-v.demandSquare)
+	deviation := math.Sqrt(averageVariance * 2 * longDecay.Seconds() * burstTime.Seconds())
+	even := minBurstFraction * float64(v.prepaid) * v.perHostFraction()
+	return max(even, min(burstDeviations*deviation, v.permission(maxBurstFraction)))
+}
+
 // usage returns the customer's entry in the next usage report.
 func (v budgetView) usage(epoch int) Usage {
 	wanted := v.plannedDemand()*v.headroomTime().Seconds() + v.meanRequest
-	allowed := maxHeadroomFraction * float64(v.prepaid) * (evenHeadroomFraction*v.perHostFraction() + (1-evenHeadroomFraction)*v.demandFraction())
-	headroom := max(int64(min(wanted, allowed)), v.waitingNeed(), v.prepaid/minHeadroomDivisor)
+	even := minHeadroomFraction * float64(v.prepaid) * v.perHostFraction()
+	headroom := max(int64(max(even, min(wanted, v.permission(maxHeadroomFraction)))), v.waitingNeed())
+	rate, burst := v.expectedDemand(), max(1, v.burst())
 	return Usage{
 		Epoch:          epoch,
 		Used:           v.used,
 		Ceiling:        v.used + headroom,
-		CeilingRate:    max(int64(burstFactor*v.plannedDemand()), int64(float64(v.largestPeakRequest())/peakRequestTime.Seconds()), v.prepaid/minHeadroomDivisor),
+		CeilingRate:    int64(math.Ceil(rate + burst/burstRamp.Seconds())),
+		SustainedRate:  int64(rate),
+		Burst:          int64(burst),
 		LongTermDemand: int64(v.longTermDemand),
 		DemandSquare:   int64(v.demandSquare),
 		PeakRequest:    v.peakRequest,
--- a/pkg/escrow/plan_test.go
+++ b/pkg/escrow/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -109,3 +110,49 @@
 		}
 	})
 }
+
+// Guards against limits that lose a multiple of the demand, or more on each further host, when hosts are killed while cut off.
+func TestLimitsOfCutOffHostsExceedDemandByBoundedFraction(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 340).Draw(t, "hosts")
+		prepaid := rapid.Int64Range(100_000, 50_000_000).Draw(t, "prepaid")
+		demands := make([]float64, hosts)
+		total, squares := 0.0, 0.0
+		for i := range demands {
+			demands[i] = rapid.Float64Range(0, float64(prepaid)/20/float64(hosts)).Draw(t, "demand")
+			total += demands[i]
+			squares += demands[i] * demands[i] / 2
+		}
+		elapsed := rapid.Float64Range(0, leaseDuration.Seconds()).Draw(t, "seconds without a report")
+		permitted := int64(0)
+		for _, d := range demands {
+			v := budgetView{
+				prepaid: prepaid, amount: prepaid, recentDemand: d, longTermDemand: d, demandSquare: d * d / 2, peakRequest: 50_000, hosts: hosts,
+				others: otherShares{LongTermDemand: total - d, DemandSquares: squares - d*d/2, PeakRequest: 50_000},
+			}
+			r := UsageReport{Customers: map[string]Usage{"c": v.usage(0)}}
+			permitted += r.MaxSpent("c", 0, prepaid, time.Duration(elapsed*float64(time.Second)))
+		}
+		expected := total * max(0, elapsed-ceilingTerm.Seconds())
+		const bounded = minHeadroomFraction + maxHeadroomFraction + minBurstFraction + maxBurstFraction
+		assert.Assert(t, float64(permitted) <= expected+bounded*float64(prepaid)+float64(2*hosts), "%d tokens permitted, %.0f expected", permitted, expected)
+	})
+}
+
+// Guards against an earlier version that, closing the share of a process of this one, counts fewer tokens than the process may have spent.
+func TestEarlierVersionsAssumeNoLowerLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := drawBudgetView(t)
+		v.longTermDemand = rapid.Float64Range(0, 500_000).Draw(t, "long-term demand")
+		v.demandSquare = v.longTermDemand * v.longTermDemand * rapid.Float64Range(-1, 1).Draw(t, "fraction of the square")
+		u := v.usage(0)
+		assert.Assert(t, u.Burst > 0)
+		earlier := u
+		earlier.Burst, earlier.SustainedRate = 0, 0
+		for elapsed := time.Duration(0); elapsed <= leaseDuration; elapsed += 250 * time.Millisecond {
+			limit := UsageReport{Customers: map[string]Usage{"c": u}}.MaxSpent("c", 0, v.prepaid, elapsed)
+			assumed := UsageReport{Customers: map[string]Usage{"c": earlier}}.MaxSpent("c", 0, v.prepaid, elapsed)
+			assert.Assert(t, limit <= assumed, "%d, assumed %d after %v", limit, assumed, elapsed)
+		}
+	})
+}
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -11,6 +11,10 @@
 	// ceiling. It is longer than a restart of the process takes, so that the
 	// next process recovers the part of the share above the ceiling.
 	ceilingTerm = 1250 * time.Millisecond
+	// burstRamp is the time after ceilingTerm in which the burst of a process becomes
+	// available. Processes that are killed while the table is reachable are usually
+	// replaced early in it, and little of their bursts is lost.
+	burstRamp = 3 * time.Second
 	// leaseDuration is how long after its last report a process may spend at
 	// all. It is longer than a network partition of ten seconds.
 	leaseDuration = 15 * time.Second
@@ -39,7 +43,9 @@
 	Epoch          int   `json:"e,omitempty"` // epoch of the share
 	Used           int64 `json:"s,omitempty"` // tokens used, open reservations included
 	Ceiling        int64 `json:"c,omitempty"` // upper limit of the tokens used, until ceilingTerm after the report
-	CeilingRate    int64 `json:"r,omitempty"` // tokens per second by which the limit rises after ceilingTerm
+	CeilingRate    int64 `json:"r,omitempty"` // tokens per second by which the limit rises at most after ceilingTerm
+	SustainedRate  int64 `json:"u,omitempty"` // tokens per second by which the limit rises once Burst is reached
+	Burst          int64 `json:"b,omitempty"` // tokens by which the limit may be ahead of SustainedRate; 0 in reports of earlier versions, which have CeilingRate alone
 	LongTermDemand int64 `json:"d,omitempty"` // measured demand, tokens per second
 	DemandSquare   int64 `json:"q,omitempty"` // estimated square of the true long-term demand, (tokens per second)²; may be negative
 	PeakRequest    int64 `json:"p,omitempty"` // tokens of the largest recent request
@@ -60,11 +66,22 @@
 	}
 	limit := u.Ceiling
 	if elapsed > ceilingTerm {
-		limit += int64(float64(u.CeilingRate) * (min(elapsed, leaseDuration) - ceilingTerm).Seconds())
+		limit += u.rise(min(elapsed, leaseDuration) - ceilingTerm)
 	}
 	return min(amount, limit)
 }
 
+// rise returns the tokens by which the limit is above the ceiling when the given time has
+// passed after ceilingTerm. It is never more than earlier versions assume, which know
+// only CeilingRate.
+func (u Usage) rise(elapsed time.Duration) int64 {
+	most := int64(float64(u.CeilingRate) * elapsed.Seconds())
+	if u.Burst == 0 {
+		return most
+	}
+	return min(most, u.Burst+int64(float64(u.SustainedRate)*elapsed.Seconds()))
+}
+
 // age returns the age of the report on the store's clock.
 func (r UsageReport) age(storeTime time.Duration) time.Duration {
 	return max(0, storeTime-time.Duration(r.StoreTimeMs)*time.Millisecond)
--- a/pkg/escrow/usage_test.go
+++ b/pkg/escrow/usage_test.go
@@ -16,6 +16,7 @@
 		spent := rapid.Int64Range(0, amount).Draw(t, "spent")
 		r := UsageReport{Customers: map[string]Usage{"c": {
 			Used: spent, Ceiling: spent + rapid.Int64Range(0, 100_000).Draw(t, "headroom"), CeilingRate: rapid.Int64Range(0, 100_000).Draw(t, "rate"),
+			SustainedRate: rapid.Int64Range(0, 100_000).Draw(t, "sustained rate"), Burst: rapid.Int64Range(0, 100_000).Draw(t, "burst"),
 		}}}
 		last := int64(0)
 		for age := time.Duration(0); age < 2*leaseDuration; age += 300 * time.Millisecond {
--- a/pkg/escrow/write_off_test.go
+++ b/pkg/escrow/write_off_test.go
@@ -19,7 +19,7 @@
 		used := rapid.Int64Range(0, 100_000).Draw(t, "used")
 		u := Usage{
 			Epoch: rapid.IntRange(0, 1).Draw(t, "epoch"), Used: used, Ceiling: used + rapid.Int64Range(0, 10_000).Draw(t, "headroom"),
-			CeilingRate: rapid.Int64Range(0, 10_000).Draw(t, "rate"),
+			CeilingRate: rapid.Int64Range(0, 10_000).Draw(t, "rate"), SustainedRate: rapid.Int64Range(0, 10_000).Draw(t, "sustained rate"), Burst: rapid.Int64Range(0, 10_000).Draw(t, "burst"),
 		}
 		e := EndedProcess{
 			Report:  UsageReport{Customers: map[string]Usage{"c": u}},
