--- a/pkg/escrow/demand_meter.go
+++ b/pkg/escrow/demand_meter.go
@@ -42,6 +42,8 @@
 	m.meanRequest += meanRequestWeight * (float64(tokens) - m.meanRequest)
 }
 
+// recordSpent records tokens when they are reserved. A meter that waited for the
+// settlement would be late by the duration of a request.
 func (m *demandMeter) recordSpent(now time.Duration, tokens int64) {
 	m.decay(now)
 	m.short += float64(tokens) / shortDecay.Seconds()
@@ -51,6 +53,14 @@
 	m.longVariance += increase * increase
 }
 
+// correctSpent takes back the tokens that a settled request has reserved and not spent.
+func (m *demandMeter) correctSpent(now time.Duration, tokens int64) {
+	m.decay(now)
+	m.short = max(0, m.short-float64(tokens)/shortDecay.Seconds())
+	m.medium = max(0, m.medium-float64(tokens)/mediumDecay.Seconds())
+	m.long = max(0, m.long-float64(tokens)/longDecay.Seconds())
+}
+
 // recentDemand returns the demand of the last seconds, in tokens per second.
 func (m *demandMeter) recentDemand(now time.Duration) float64 {
 	m.decay(now)
--- a/pkg/escrow/ledger.go
+++ b/pkg/escrow/ledger.go
@@ -64,6 +64,7 @@
 		return false
 	}
 	l.reserved += tokens
+	l.meter.recordSpent(now, tokens)
 	return true
 }
 
@@ -90,7 +91,7 @@
 	}
 	l.reserved -= tokens
 	l.spent += spent
-	l.meter.recordSpent(now, spent)
+	l.meter.correctSpent(now, tokens-spent)
 }
 
 // expireLease ends the epoch of a process that did not report for a whole
