--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -168,7 +168,7 @@
 // and responses to earlier requests.
 func (e *exchange) readResponse() (*http.Response, error) {
 	for range maxResponsesRead {
-		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
+		response, err := e.conn.readHead(e.request.Method)
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
@@ -14,6 +16,9 @@
 const (
 	// readBufferSize is the size of the read buffer of a connection, in bytes.
 	readBufferSize = 4096
+	// maxHeadBytes is the maximum size of the status line and the header of a response,
+	// in bytes.
+	maxHeadBytes = 64 << 10
 	// defaultIdleLimit is how long a connection may be idle before it is no longer
 	// reused, if the target does not announce its own timeout.
 	defaultIdleLimit = 4 * time.Second
@@ -26,14 +31,55 @@
 // conn is a connection to one target. One goroutine uses it at a time.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	input     *limitedInput
+	reader    *bufio.Reader // reads from input
 	idleSince time.Time
 	idleLimit time.Duration
 	reused    bool
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), idleLimit: defaultIdleLimit}
+	input := &limitedInput{in: c}
+	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBufferSize), idleLimit: defaultIdleLimit}
+}
+
+// readHead reads the head of a response to a request with the given method. A head of
+// more than maxHeadBytes is an error: net/http limits neither the lines nor their
+// number.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.input.limit(maxHeadBytes - c.reader.Buffered())
+	defer c.input.unlimit()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.input.exceeded {
+		return nil, errHeadTooLarge // net/http may report the truncated line instead
+	}
+	return response, err
+}
+
+// limitedInput reads from a connection, and fails with errHeadTooLarge beyond the limit
+// while one is set.
+type limitedInput struct {
+	in        io.Reader
+	limited   bool
+	remaining int  // bytes until the limit
+	exceeded  bool // a read beyond the limit was attempted
+}
+
+func (l *limitedInput) limit(n int) { l.limited, l.remaining, l.exceeded = true, n, false }
+func (l *limitedInput) unlimit()    { l.limited = false }
+
+// Read implements io.Reader.
+func (l *limitedInput) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.in.Read(p)
+	}
+	if l.remaining <= 0 {
+		l.exceeded = true
+		return 0, errHeadTooLarge
+	}
+	n, err := l.in.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // applyKeepAlive sets the idle limit from the timeout in a Keep-Alive header.
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -13,6 +13,9 @@
 	ErrInvalidResponse = errors.New("target sent an invalid response")
 )
 
+// errHeadTooLarge is returned by reads beyond maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("header exceeds %d bytes", maxHeadBytes)
+
 // SendError is the failure of one attempt to send a request.
 type SendError struct {
 	Sent bool // bytes of the request may have reached the target
