--- /dev/null
+++ b/pkg/forward/endless_test.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
+)
+
+const (
+	// endlessSentAtMost is how many bytes an endless target sends before it stops and
+	// leaves its connection open, so that a host without a limit does not use up the
+	// memory.
+	endlessSentAtMost = 64 << 20
+	// endlessTakenAtMost is the number of bytes that a host with a limit takes off an
+	// endless target, including those in socket buffers.
+	endlessTakenAtMost = 48 << 20
+	// lateAfterDeadline is how long after the deadline of a request its end is late.
+	lateAfterDeadline = 250 * time.Millisecond
+)
+
+// endlessTarget is a target that answers a request with a start and then a unit again
+// and again, until its peer closes the connection.
+type endlessTarget struct {
+	start, unit string // {id} stands for the id of the request
+	pause       time.Duration
+	listener    net.Listener
+	taken       chan int // bytes sent on each closed connection
+	requests    atomic.Int64
+}
+
+func startEndlessTarget(t *testing.T, start, unit string, pause time.Duration) *endlessTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	e := &endlessTarget{start: start, unit: unit, pause: pause, listener: l, taken: make(chan int, 16)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+func (e *endlessTarget) target(id string) balance.Target {
+	return balance.Target{ID: id, Service: testService, Addr: e.listener.Addr().String(), Slots: 8}
+}
+
+func (e *endlessTarget) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	e.requests.Add(1)
+	sent := 0
+	send := func(text string) bool {
+		n, err := io.WriteString(conn, strings.ReplaceAll(text, "{id}", request.Header.Get(dialect.Default().RequestID)))
+		sent += n
+		return err == nil
+	}
+	unit := e.unit
+	if e.pause == 0 {
+		unit = strings.Repeat(unit, 1+(16<<10)/len(unit))
+	}
+	for open := send(e.start); open && sent < endlessSentAtMost; open = send(unit) {
+		time.Sleep(e.pause)
+	}
+	_, _ = io.Copy(io.Discard, r) // until the peer closes
+	e.taken <- sent
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// lines returns how many lines contain a text.
+func (b *logBuffer) lines(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(b.text.String()) {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// newEndlessFixture returns a handler whose only target is e, with a log.
+func newEndlessFixture(t *testing.T, e *endlessTarget) (*fixture, *logBuffer) {
+	t.Helper()
+	r := newFixture(t, 0)
+	logged := &logBuffer{}
+	r.handler.Log = &log.Logger{Writer: log.IOWriter{Writer: logged}}
+	r.handler.Targets.Apply([]balance.Target{e.target("e0")})
+	return r, logged
+}
+
+// checkSettled requires that no tokens stay reserved.
+func (r *fixture) checkSettled() {
+	r.t.Helper()
+	for deadline := time.Now().Add(time.Second); ; time.Sleep(5 * time.Millisecond) {
+		reserved := int64(0)
+		for _, s := range r.budgets.Status() {
+			reserved += s.Reserved
+		}
+		if reserved == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			r.t.Fatalf("%d tokens are still reserved", reserved)
+		}
+	}
+}
+
+// failedShare returns the share of failed answers of the only target.
+func (r *fixture) failedShare() float64 { return r.handler.Targets.Status(time.Now())[0].FailedShare }
+
+const (
+	headOK     = "HTTP/1.1 200 OK\r\nPeppertrail-Request: {id}\r\n"
+	headStream = headOK + "Content-Type: text/event-stream\r\n"
+)
+
+// endlessAnswers are answers that do not end, as fast as the connection carries them.
+var endlessAnswers = map[string]struct {
+	path, start, unit string
+	reason            string // in the line that logs the failed attempt
+}{
+	"line":             {"/safe/x", "", "garbage", "header exceeds"},
+	"header lines":     {"/unsafe/x", headOK, "X-More: value\r\n", "header exceeds"},
+	"interim answers":  {"/unsafe/x", "", "HTTP/1.1 100 Continue\r\n\r\n", "interim responses"},
+	"plain, close":     {"/unsafe/x", headOK + "\r\n", "garbage", "body exceeds"},
+	"plain, chunks":    {"/safe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n", "7\r\ngarbage\r\n", "body exceeds"},
+	"plain, extension": {"/unsafe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n7;", "garbage", "line too long"},
+	"plain, trailers":  {"/unsafe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: value\r\n", "trailer"},
+	"error, close":     {"/unsafe/x", "HTTP/1.1 500 Failed\r\nPeppertrail-Request: {id}\r\n\r\n", "garbage", "body exceeds"},
+	"refusal, close":   {"/unsafe/x", "HTTP/1.1 503 Full\r\nPeppertrail-Request: {id}\r\n\r\n", "garbage", "body exceeds"},
+	"stream extension": {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n7;", "garbage", "line too long"},
+	"stream trailers":  {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: value\r\n", "trailer"},
+}
+
+// Guards against an answer without end that takes memory or time until the deadline,
+// looks like an answer to the caller, or is not counted, settled and logged.
+func TestEndlessAnswerIsAFailure(t *testing.T) {
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			e := startEndlessTarget(t, answer.start, answer.unit, 0)
+			r, logged := newEndlessFixture(t, e)
+			got := r.post("r1", answer.path, dialect.Default().Cost, "prompt=100 output=200")
+			if got.err == nil {
+				assert.Equal(t, got.status, http.StatusBadGateway)
+			}
+			taken := <-e.taken
+			assert.Assert(t, taken < endlessTakenAtMost, "the host took %d bytes", taken)
+			r.checkSettled()
+			assert.Assert(t, r.failedShare() > 0, "the failure of the target is not counted")
+			assert.Equal(t, logged.lines(answer.reason), 1, "%s", logged)
+		})
+	}
+}
+
+// drippingAnswers are answers that do not end and arrive slowly.
+var drippingAnswers = map[string]struct{ path, start, unit string }{
+	"line":           {"/short/x", "", "x"},
+	"header lines":   {"/short/x", headOK, "X-More: value\r\n"},
+	"plain, close":   {"/short/x", headOK + "\r\n", "x"},
+	"plain, chunks":  {"/short/x", headOK + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	"plain, trailer": {"/short/x", headOK + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "x"},
+	"event":          {"/short/x", headStream + "\r\nid: 1\n", "x"},
+	"events":         {"/short/x", headStream + "\r\n", "data: x\n\n"},
+	"earlier answer": {"/short/x", "HTTP/1.1 200 OK\r\nPeppertrail-Request: r0\r\n\r\n", "x"},
+}
+
+// Guards against a dripping answer that holds the request past the route's timeout, or
+// looks like an answer to the caller.
+func TestDrippingAnswerEndsAtTheDeadline(t *testing.T) {
+	for name, answer := range drippingAnswers {
+		t.Run(name, func(t *testing.T) {
+			e := startEndlessTarget(t, answer.start, answer.unit, 5*time.Millisecond)
+			r, logged := newEndlessFixture(t, e)
+			started := time.Now()
+			got := r.post("r1", answer.path, dialect.Default().Cost, "prompt=100 output=200")
+			took := time.Since(started)
+			if got.err == nil {
+				assert.Equal(t, got.status, http.StatusGatewayTimeout)
+			}
+			assert.Assert(t, took < 200*time.Millisecond+lateAfterDeadline, "ended after %v", took)
+			<-e.taken
+			r.checkSettled()
+			assert.Equal(t, logged.lines(`"reason":"deadline_passed"`), 1, "%s", logged)
+		})
+	}
+}
+
+// Guards against an answer with a length that is withheld, or whose connection is used
+// again, because bytes follow it without end.
+func TestBytesAfterAnAnswerAreNotForwarded(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "dripping": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			e := startEndlessTarget(t, headOK+"Content-Length: 4\r\n\r\ngood", "garbage", pause)
+			r, _ := newEndlessFixture(t, e)
+			for _, id := range []string{"r1", "r2"} {
+				got := r.post(id, "/unsafe/x")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, "good")
+				time.Sleep(20 * time.Millisecond)
+			}
+			<-e.taken
+			r.checkSettled()
+		})
+	}
+}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -28,6 +28,7 @@
 		}
 		a.End(now, balance.Broken)
 		c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Err(err).Msg("Response body of a target could not be read to its end.")
 		return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 	}
 	if c.headerSent {
