--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -172,6 +172,12 @@
 	"plain, trailers":  {"/unsafe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: value\r\n", "trailer"},
 	"error, close":     {"/unsafe/x", "HTTP/1.1 500 Failed\r\nPeppertrail-Request: {id}\r\n\r\n", "garbage", "body exceeds"},
 	"refusal, close":   {"/unsafe/x", "HTTP/1.1 503 Full\r\nPeppertrail-Request: {id}\r\n\r\n", "garbage", "body exceeds"},
+	"event line":       {"/stream/x", headStream + "\r\n", "garbage", "event_too_long"},
+	"event chunks":     {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n", "7\r\ngarbage\r\n", "event_too_long"},
+	"event lines":      {"/stream/x", headStream + "\r\nid: 1\n", "data: x\n", "event_too_long"},
+	"blank lines":      {"/stream/x", headStream + "\r\n", "\n", "event_too_long"},
+	"comments":         {"/stream/x", headStream + "\r\n", ": x\n", "event_too_long"},
+	"later event":      {"/stream/x", headStream + "\r\nid: 1\ndata: x\n\n", "garbage", "event_too_long"},
 	"stream extension": {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n7;", "garbage", "line too long"},
 	"stream trailers":  {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: value\r\n", "trailer"},
 }
@@ -248,3 +254,22 @@
 		})
 	}
 }
+
+// Guards against a time to find the end of an event that grows with the square of its size.
+func TestLongEventIsScannedOnce(t *testing.T) {
+	fastest := func(size int) time.Duration {
+		best := time.Hour
+		for range 5 {
+			splitter := &eventSplitter{}
+			started := time.Now()
+			for range size {
+				splitter.add([]byte("x"))
+			}
+			best = min(best, time.Since(started))
+		}
+		return best
+	}
+	const size = 8 << 10
+	short, long := fastest(size), fastest(8*size)
+	assert.Assert(t, long < 32*short, "%v for 8 times the bytes that took %v", long, short)
+}
--- a/pkg/forward/event.go
+++ b/pkg/forward/event.go
@@ -12,10 +12,22 @@
 	id  string // empty: the event has no id
 }
 
+// maxEventBytes is the maximum size of an event, in bytes.
+const maxEventBytes = 1 << 20
+
 // eventSplitter splits a byte stream into server-sent events.
 type eventSplitter struct {
 	pending []byte // bytes after the last complete event
-	count   int    // complete events so far
+	scan    eventScan
+	count   int // complete events so far
+}
+
+// eventScan is how far the first event of some data has been scanned. The scan goes on
+// from there when more data arrives.
+type eventScan struct {
+	lineStart int  // start of the line that is not complete
+	scanned   int  // end of the scanned part of that line
+	hasLine   bool // a line that is not blank comes before lineStart
 }
 
 var idField = []byte("id:")
@@ -29,13 +41,14 @@
 	var events []event
 	start := 0
 	for {
-		length := eventLength(s.pending[start:])
+		length := s.scan.eventLength(s.pending[start:])
 		if length == 0 {
 			break
 		}
 		raw := slices.Clone(s.pending[start : start+length])
 		events = append(events, event{raw: raw, id: eventID(raw)})
 		start += length
+		s.scan = eventScan{}
 	}
 	s.pending = s.pending[:copy(s.pending, s.pending[start:])]
 	s.count += len(events)
@@ -58,25 +71,34 @@
 	return false
 }
 
+// tooLong reports whether the event after the last complete one exceeds maxEventBytes.
+func (s *eventSplitter) tooLong() bool { return len(s.pending) > maxEventBytes }
+
 // eventLength returns the length of the first event in bytes, 0 if it is incomplete.
-// A blank line ends an event; blank lines before its first line belong to it. A CR at
-// the end of data ends a line: if a LF follows, it comes before the next event.
-func eventLength(data []byte) int {
-	hasLine := false
-	for start := 0; ; {
-		n := bytes.IndexAny(data[start:], lineEnds)
+// data must begin with the data of the previous call, unless the scan is new. A blank
+// line ends an event; blank lines before its first line belong to it. A CR at the end
+// of data ends a line: if a LF follows, it comes before the next event.
+func (s *eventScan) eventLength(data []byte) int {
+	for {
+		n := bytes.IndexAny(data[s.scanned:], lineEnds)
 		if n < 0 {
+			s.scanned = len(data)
 			return 0
 		}
-		end := start + n + 1
+		s.scanned += n
+		end := s.scanned + 1
 		if data[end-1] == '\r' && end < len(data) && data[end] == '\n' {
 			end++
 		}
-		if n == 0 && hasLine {
+		blank := s.scanned == s.lineStart
+		if blank && s.hasLine {
 			return end
 		}
-		hasLine = hasLine || n > 0
-		start = end
+		if data[end-1] == '\r' && end == len(data) {
+			return 0 // a LF that follows belongs to this line end
+		}
+		s.hasLine = s.hasLine || !blank
+		s.lineStart, s.scanned = end, end
 	}
 }
 
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -37,6 +37,9 @@
 				return c.handleCallerDisconnect(writeErr)
 			}
 		}
+		if err == nil && splitter.tooLong() {
+			err = errEventTooLong
+		}
 		if err != nil {
 			return c.handleStreamEnd(a, response, splitter, err)
 		}
