--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -26,6 +26,7 @@
 	done       bool   // no further attempt or refusal follows: the response was sent, or the caller disconnected
 	reason     Reason // why the attempt failed
 	mayHaveRun bool   // the target may have run the request
+	overrun    bool   // the caller has received events of a target that sent more than the request can produce
 	// forwardErrorResponse sends the target's 5xx response to the caller. It is called if
 	// no further attempt succeeds. It is nil if there is no such response.
 	forwardErrorResponse func()
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -178,6 +178,9 @@
 	"blank lines":      {"/stream/x", headStream + "\r\n", "\n", "event_too_long"},
 	"comments":         {"/stream/x", headStream + "\r\n", ": x\n", "event_too_long"},
 	"later event":      {"/stream/x", headStream + "\r\nid: 1\ndata: x\n\n", "garbage", "event_too_long"},
+	"events":           {"/stream/x", headStream + "\r\n", "data: x\n\n", "too_many_events"},
+	"repeated events":  {"/stream/x", headStream + "\r\n", "id: 1\ndata: x\n\n", "too_many_events"},
+	"resumable events": {"/resumable/x", headStream + "\r\n", "data\n\n", "too_many_events"},
 	"stream extension": {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n7;", "garbage", "line too long"},
 	"stream trailers":  {"/stream/x", headStream + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: value\r\n", "trailer"},
 }
@@ -273,3 +276,34 @@
 	short, long := fastest(size), fastest(8*size)
 	assert.Assert(t, long < 32*short, "%v for 8 times the bytes that took %v", long, short)
 }
+
+// Guards against continuing a stream at another target after events that no run of the
+// request can produce, so that it ends as if it was complete.
+func TestStreamWithTooManyEventsIsNotContinued(t *testing.T) {
+	e := startEndlessTarget(t, headStream+"\r\n", "data: x\n\n", time.Millisecond)
+	other := startEndlessTarget(t, headStream+"Content-Length: 0\r\n\r\n", "garbage", 0)
+	r, logged := newEndlessFixture(t, e)
+	first := make(chan reply)
+	go func() { first <- r.post("r1", "/resumable/x", dialect.Default().Cost, "prompt=100 output=50") }()
+	for e.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.handler.Targets.Apply([]balance.Target{e.target("e0"), other.target("e1")})
+	got := <-first
+	assert.Assert(t, got.err != nil, "the caller sees no error: status %d, %q", got.status, got.body)
+	assert.Equal(t, other.requests.Load(), int64(0))
+	assert.Equal(t, logged.lines(`"stopped_by":"overrun"`), 1, "%s", logged)
+}
+
+// Guards against rejecting a stream that has as many events as its request can produce,
+// among comments.
+func TestStreamWithAllPossibleEventsIsComplete(t *testing.T) {
+	r := newFixture(t, 1)
+	r.replicas[0].EventCount = 200
+	got := r.post("r1", "/stream/x", dialect.Default().Cost, "prompt=100 output=200")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventStream("r1", 200))
+	splitter := &eventSplitter{}
+	splitter.add([]byte(strings.Repeat(": ping\n\nid: 1\n\ndatabase: x\n\n", 100) + "data: x\n\n"))
+	assert.Equal(t, splitter.outputs, int64(1))
+}
--- a/pkg/forward/event.go
+++ b/pkg/forward/event.go
@@ -19,7 +19,8 @@
 type eventSplitter struct {
 	pending []byte // bytes after the last complete event
 	scan    eventScan
-	count   int // complete events so far
+	count   int   // complete events so far
+	outputs int64 // complete events with data so far
 }
 
 // eventScan is how far the first event of some data has been scanned. The scan goes on
@@ -30,7 +31,10 @@
 	hasLine   bool // a line that is not blank comes before lineStart
 }
 
-var idField = []byte("id:")
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data")
+)
 
 // lineEnds are the bytes that end a line, alone or as CR LF.
 const lineEnds = "\r\n"
@@ -47,6 +51,9 @@
 		}
 		raw := slices.Clone(s.pending[start : start+length])
 		events = append(events, event{raw: raw, id: eventID(raw)})
+		if hasData(raw) {
+			s.outputs++
+		}
 		start += length
 		s.scan = eventScan{}
 	}
@@ -112,6 +119,16 @@
 	return ""
 }
 
+// hasData reports whether an event has a data field.
+func hasData(raw []byte) bool {
+	for line := range bytes.FieldsFuncSeq(raw, isLineEnd) {
+		if rest, ok := bytes.CutPrefix(line, dataField); ok && (len(rest) == 0 || rest[0] == ':') {
+			return true
+		}
+	}
+	return false
+}
+
 func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
 
 // isNewEvent reports whether the event with id a comes after the one with id b. Ids
--- a/pkg/forward/stop_reason.go
+++ b/pkg/forward/stop_reason.go
@@ -11,6 +11,7 @@
 	stopDeadline     stopReason = "deadline"     // too little time until the deadline, or the caller has disconnected
 	stopAttemptLimit stopReason = "attempts"     // the limit of attempts is reached
 	stopMayHaveRun   stopReason = "may_have_run" // the target may have run the request, and the route allows only one run
+	stopOverrun      stopReason = "overrun"      // the caller has received events that no other target can continue
 	stopCrashes      stopReason = "crashes"      // the request has crashed too many targets
 	stopRetryLimit   stopReason = "retry_limit"  // the retry limit of the service is reached
 )
@@ -31,6 +32,8 @@
 		return stopAttemptLimit
 	case result.reason == AnswerBroken && c.h.CrashTracker.IsRefused(c.fingerprint, now):
 		return stopCrashes
+	case result.overrun:
+		return stopOverrun
 	case result.mayHaveRun && !c.route.Idempotent():
 		return stopMayHaveRun
 	case result.mayHaveRun && c.possibleRuns >= max(1, c.route.MaxAttempts):
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -31,7 +31,11 @@
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
-			if writeErr := c.forwardEvents(response, splitter.add(buffer[:n])); writeErr != nil {
+			events := splitter.add(buffer[:n])
+			if splitter.outputs > c.maxOutputEvents() {
+				return c.handleStreamEnd(a, response, splitter, errTooManyEvents)
+			}
+			if writeErr := c.forwardEvents(response, events); writeErr != nil {
 				c.h.Observer.StreamEnded(response.Framing, StreamCancelled)
 				a.End(time.Now(), balance.Cancelled)
 				return c.handleCallerDisconnect(writeErr)
@@ -116,5 +120,5 @@
 	c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
 	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Str("end", string(end)).
 		Int("trailing_bytes", c.trailingBytes).Err(err).Msg("Event stream of a target ended before it was complete.")
-	return attemptResult{reason: AnswerBroken, mayHaveRun: true}
+	return attemptResult{reason: AnswerBroken, mayHaveRun: true, overrun: end == StreamOverrun && c.headerSent}
 }
--- a/pkg/forward/stream_end.go
+++ b/pkg/forward/stream_end.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 
 	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
@@ -18,12 +19,30 @@
 	StreamEmpty       StreamEnd = "no_event"         // the connection ended before the first event, and nothing else marks the end of the body
 	StreamInterrupted StreamEnd = "interrupted"      // the connection failed before the end of the body
 	StreamLongEvent   StreamEnd = "event_too_long"   // an event exceeded maxEventBytes
+	StreamOverrun     StreamEnd = "too_many_events"  // there were more events than the request can produce
 	StreamCancelled   StreamEnd = "cancelled"        // the caller disconnected, or the deadline passed
 )
 
 // errEventTooLong is the end of a stream with an event of more than maxEventBytes.
 var errEventTooLong = fmt.Errorf("%w: event exceeds %d bytes", upstream.ErrInvalidResponse, maxEventBytes)
 
+// errTooManyEvents is the end of a stream with more events than maxOutputEvents.
+var errTooManyEvents = fmt.Errorf("%w: more events than the request can produce", upstream.ErrInvalidResponse)
+
+// eventsWithoutToken is the number of events with data that a model engine may send in
+// addition to those that hold output tokens, such as an event for the end.
+const eventsWithoutToken = 16
+
+// maxOutputEvents returns the largest number of events with data that a target can send
+// for the request: each but eventsWithoutToken holds at least one output token. It
+// returns math.MaxInt64 if the output is not measured in tokens or not limited.
+func (c *call) maxOutputEvents() int64 {
+	if c.service.Engine == nil || c.cost.MaxOutput <= 0 || c.cost.MaxOutput > math.MaxInt64-eventsWithoutToken {
+		return math.MaxInt64
+	}
+	return c.cost.MaxOutput + eventsWithoutToken
+}
+
 // streamEnd returns how an event stream ended whose last read returned err. A regular
 // end of the body alone does not make a stream complete: a target that crashes may
 // close its connection, which is the regular end of a body without a length and chunks.
@@ -40,6 +59,8 @@
 		return StreamEmpty
 	case errors.Is(err, errEventTooLong):
 		return StreamLongEvent
+	case errors.Is(err, errTooManyEvents):
+		return StreamOverrun
 	}
 	return StreamInterrupted
 }
