--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -186,7 +186,7 @@
 
 // handleNotRun handles the response of a target that has not run the request.
 func (c *call) handleNotRun(a *balance.Attempt, response *upstream.Response) attemptResult {
-	_, _ = response.ReadWhole(maxRejectionBodyBytes) // the body is read only so that the connection can be reused
+	response.Discard(maxRejectionBodyBytes, rejectionBodyTimeout)
 	now := time.Now()
 	switch response.Status {
 	case http.StatusMisdirectedRequest:
@@ -202,6 +202,11 @@
 	return attemptResult{reason: TargetFull}
 }
 
-// maxRejectionBodyBytes bounds the body of a response that reports that the request
-// has not run.
-const maxRejectionBodyBytes = 64 << 10
+const (
+	// maxRejectionBodyBytes bounds the body of a response that reports that the request
+	// has not run.
+	maxRejectionBodyBytes = 64 << 10
+	// rejectionBodyTimeout bounds the time to read that body. The request waits for it
+	// only so that the connection can be reused.
+	rejectionBodyTimeout = 50 * time.Millisecond
+)
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -307,3 +307,32 @@
 	splitter.add([]byte(strings.Repeat(": ping\n\nid: 1\n\ndatabase: x\n\n", 100) + "data: x\n\n"))
 	assert.Equal(t, splitter.outputs, int64(1))
 }
+
+// Guards against a request that waits for the end of a rejection instead of being sent to
+// another target or refused, and against a connection that is reused in the midst of it.
+func TestEndlessRejectionIsNotAwaited(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Full\r\nPeppertrail-Request: {id}\r\nPeppertrail-Not-Run: 1\r\n"
+	for name, answer := range map[string]struct {
+		start, unit string
+		pause       time.Duration
+	}{
+		"dripping":        {rejection + "\r\n", "x", 5 * time.Millisecond},
+		"dripping chunks": {rejection + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 5 * time.Millisecond},
+		"fast":            {rejection + "\r\n", "garbage", 0},
+		"silent":          {rejection + "Content-Length: 1\r\n\r\n", "", time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEndlessTarget(t, answer.start, answer.unit, answer.pause)
+			r, _ := newEndlessFixture(t, e)
+			started := time.Now()
+			got := r.post("r1", "/unsafe/x", dialect.Default().Cost, "prompt=100 output=200")
+			took := time.Since(started)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable)
+			assert.Assert(t, took < time.Second, "refused after %v", took)
+			r.checkSettled()
+			if answer.pause < time.Minute {
+				<-e.taken
+			}
+		})
+	}
+}
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -208,3 +208,35 @@
 		})
 	}
 }
+
+// Guards against a connection that is reused while the rest of a discarded body arrives,
+// or that keeps the time limit of the discarded body.
+func TestDiscardedBodyThatEndsKeepsTheConnection(t *testing.T) {
+	connections := make(chan struct{}, 4)
+	addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		connections <- struct{}{}
+		for {
+			request, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			io.WriteString(c, responseText(request.Header.Get("X-Id"), "ok"))
+		}
+	})
+	c := New()
+	for _, id := range []string{"1", "2", "3"} {
+		response, err := c.Send(t.Context(), addr, newRequest(id), 0)
+		assert.NilError(t, err)
+		response.Discard(10, 50*time.Millisecond)
+		response.Close()
+	}
+	assert.Equal(t, len(connections), 1)
+	response, err := c.Send(t.Context(), addr, newRequest("4"), 0)
+	assert.NilError(t, err)
+	response.Discard(0, 50*time.Millisecond)
+	response.Close()
+	_, err = send(t, c, addr, "5")
+	assert.NilError(t, err)
+	assert.Equal(t, len(connections), 2)
+}
--- a/pkg/upstream/response.go
+++ b/pkg/upstream/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Response is an HTTP response whose body is read as it arrives.
@@ -63,6 +64,18 @@
 	return data, nil
 }
 
+// Discard reads the rest of the body so that the connection can be reused. If the body
+// has more than limit bytes or does not end within timeout, Close closes the connection.
+func (r *Response) Discard(limit int64, timeout time.Duration) {
+	if r.exchange.conn.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return // the connection is closed
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err == nil && r.exchange.conn.SetReadDeadline(time.Time{}) != nil {
+		r.complete = false
+	}
+}
+
 // Close ends the exchange. The connection is reused if the complete response was
 // read.
 func (r *Response) Close() {
