--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -22,6 +22,8 @@
 	// maxSkippedBytes is the size in bytes below which the body of a response to an
 	// earlier request is skipped.
 	maxSkippedBytes = 1 << 20
+	// maxQuotedBytes limits the text of an error that quotes a target, in bytes.
+	maxQuotedBytes = 200
 	// pruneInterval is the time between two checks of all idle connections.
 	pruneInterval = 2 * time.Second
 	// unusedPoolTTL is the time after which the pool of an address without
@@ -200,13 +202,14 @@
 }
 
 // classifyReadError returns err unchanged if the connection failed, and wraps it
-// in ErrInvalidResponse if the target sent bytes that are not an HTTP response.
+// in ErrInvalidResponse if the target sent bytes that are not an HTTP response. The text
+// of net/http may quote a whole line of them and is shortened.
 func classifyReadError(err error) error {
 	var netErr net.Error
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+	return fmt.Errorf("%w: %.*s", ErrInvalidResponse, maxQuotedBytes, err)
 }
 
 // closeConn closes the connection and removes it from its pool.
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -240,3 +241,17 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(connections), 2)
 }
+
+// Guards against an error, which is logged, that quotes a long line of a target.
+func TestErrorDoesNotQuoteLongLine(t *testing.T) {
+	for _, text := range []string{"%s", "HTTP/1.1 %s", "HTTP/1.1 200 OK\r\n%s", "HTTP/1.1 200 OK\r\nX%s: 1", "HTTP/1.1 200 OK\r\nContent-Length: %s", "HTTP/1.1 200 OK\r\nTransfer-Encoding: %s"} {
+		addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				fmt.Fprintf(c, text+"\r\n\r\n", strings.Repeat("\x01", maxHeadBytes/2))
+			}
+		})
+		_, err := send(t, New(), addr, "1")
+		assert.Assert(t, err != nil)
+		assert.Assert(t, len(err.Error()) < 1000, "%q: error of %d bytes", text, len(err.Error()))
+	}
+}
