--- a/pkg/relay/conn_pool.go
+++ b/pkg/relay/conn_pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/peppertrail/peppertrail/pkg/upstream"
@@ -17,6 +18,7 @@
 
 // connPool keeps connections to other hosts open for reuse.
 type connPool struct {
+	log        *log.Logger
 	mu         sync.Mutex
 	conns      map[string]*jsonrpc2.Conn
 	answeredAt map[string]time.Time // time of the last answer of each peer
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(dialed), ignoreCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+	conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), newMessageStream(dialed, p.log), ignoreCalls{}, jsonrpc2.SetLogger(discardLogger{}))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other := p.conns[peer]; other != nil {
--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -61,7 +61,7 @@
 // New returns a Rows that calls the store through direct. peers returns the
 // addresses of other hosts in a new slice, which the Rows reorders.
 func New(direct storage.Rows, peers func() []string, logger *log.Logger) *Rows {
-	return &Rows{direct: direct, peers: peers, log: logger, conns: connPool{conns: make(map[string]*jsonrpc2.Conn), answeredAt: make(map[string]time.Time)}}
+	return &Rows{direct: direct, peers: peers, log: logger, conns: connPool{log: logger, conns: make(map[string]*jsonrpc2.Conn), answeredAt: make(map[string]time.Time)}}
 }
 
 // Transact implements storage.Rows.
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return fmt.Errorf("accept for relay: %w", err)
 		}
-		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(discardLogger{}))
+		jsonrpc2.NewConn(ctx, newMessageStream(conn, s.log), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(discardLogger{}))
 	}
 }
 
