--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -46,6 +46,10 @@
 	// memory limit of the Go runtime. The rest is left for stacks, kernel buffers
 	// and garbage that is not collected yet.
 	memoryLimitShare = 0.7
+	// bufferedBodiesShare is the share of the process memory for buffered response
+	// bodies. A body that grows takes up to three times its size until garbage is
+	// collected.
+	bufferedBodiesShare = 0.125
 	// headerTimeout limits the time to read the header of a request on any listener.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle connection from a caller is closed.
@@ -105,7 +109,7 @@
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker,
 		ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
-		Observer: d.metrics, Log: logs.Logger("forward"),
+		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- /dev/null
+++ b/pkg/forward/body_memory.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+
+	"github.com/peppertrail/peppertrail/pkg/upstream"
+)
+
+const (
+	// maxBufferedBodyBytes bounds the body of a response that is buffered before it is
+	// forwarded.
+	maxBufferedBodyBytes = 16 << 20
+	// ownBodyBytes is how much of the buffered bodies of a request does not count
+	// against Options.BufferedBytes, so that small responses do not depend on others.
+	ownBodyBytes = 256 << 10
+	// defaultBufferedBytes bounds the buffered bodies of all requests if Options sets no
+	// limit.
+	defaultBufferedBytes = 64 << 20
+)
+
+var (
+	errBodyTooLarge = fmt.Errorf("%w: body exceeds %d bytes", upstream.ErrInvalidResponse, maxBufferedBodyBytes)
+	errBodyMemory   = errors.New("memory for buffered response bodies is used up")
+)
+
+// bodyMemory counts the bytes of buffered bodies of all requests beyond ownBodyBytes of
+// each.
+type bodyMemory struct {
+	used atomic.Int64
+	max  int64
+}
+
+// take reports whether n more bytes may be used, and counts them if so.
+func (m *bodyMemory) take(n int64) bool {
+	if m.used.Add(n) <= m.max {
+		return true
+	}
+	m.used.Add(-n)
+	return false
+}
+
+// bufferedReader reads the body of a response that is buffered, and counts its bytes.
+type bufferedReader struct {
+	call     *call
+	response *upstream.Response
+}
+
+// Read implements io.Reader.
+func (r bufferedReader) Read(p []byte) (int, error) {
+	n, err := r.response.Read(p)
+	c := r.call
+	c.bufferedBytes += int64(n)
+	if excess := c.bufferedBytes - ownBodyBytes - c.countedBytes; excess > 0 {
+		if !c.h.bodies.take(excess) {
+			return n, errBodyMemory
+		}
+		c.countedBytes += excess
+	}
+	return n, err
+}
+
+// bufferBody reads the whole body of a response. Its memory is counted until
+// releaseBodies is called.
+func (c *call) bufferBody(response *upstream.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(bufferedReader{call: c, response: response}, maxBufferedBodyBytes+1))
+	if err == nil && len(body) > maxBufferedBodyBytes {
+		err = errBodyTooLarge
+	}
+	return body, err
+}
+
+// releaseBodies ends the counting of the buffered bodies of the request.
+func (c *call) releaseBodies() { c.h.bodies.used.Add(-c.countedBytes) }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -42,6 +42,9 @@
 	lastEventID  string     // id of the last event sent to the caller
 	headerSent   bool       // the response header has been sent to the caller
 
+	bufferedBytes int64 // size of all response bodies that were buffered, in bytes
+	countedBytes  int64 // part of bufferedBytes that is counted in Handler.bodies
+
 	// The fields below are only used for logs and metrics.
 	lastAttemptAt   time.Time        // when the last attempt started
 	targetLoad      float64          // load of the last target when it was chosen, in requests
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -336,3 +337,39 @@
 		})
 	}
 }
+
+// Guards against bodies without end of several requests that together take more memory
+// than a host has, and against memory that stays counted.
+func TestEndlessBodiesShareTheirMemory(t *testing.T) {
+	const requests = 24
+	e := startEndlessTarget(t, headOK+"\r\n", strings.Repeat("garbage ", 16<<10), time.Millisecond)
+	r, logged := newEndlessFixture(t, e)
+	r.handler.bodies.max = 4 << 20
+	var group sync.WaitGroup
+	for i := range requests {
+		group.Go(func() {
+			got := r.post(fmt.Sprint("r", i), "/open/x")
+			if got.err == nil && got.status != http.StatusBadGateway {
+				t.Errorf("status %d, want %d", got.status, http.StatusBadGateway)
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, r.handler.bodies.used.Load(), int64(0))
+	assert.Equal(t, logged.lines("body exceeds"), 0, "%s", logged)
+	assert.Equal(t, logged.lines("memory for buffered response bodies"), requests, "%s", logged)
+	taken := 0
+	for range requests {
+		taken += <-e.taken
+	}
+	assert.Assert(t, taken < requests*maxBufferedBodyBytes, "the host took %d bytes", taken)
+}
+
+// Guards against a small response that fails because of large ones of other requests.
+func TestSmallBodyNeedsNoSharedMemory(t *testing.T) {
+	r := newFixture(t, 1)
+	r.handler.bodies.max = 0
+	got := r.post("r1", "/safe/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+}
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -36,8 +36,12 @@
 	RetryReserve float64
 	// RetryWindow is the period for which retries are limited.
 	RetryWindow time.Duration
-	Observer    Observer
-	Log         *log.Logger
+	// BufferedBytes bounds the memory for response bodies of all requests that are
+	// buffered before they are forwarded, apart from a small part of each. 0 selects a
+	// default.
+	BufferedBytes int64
+	Observer      Observer
+	Log           *log.Logger
 }
 
 // Observer is notified of the results of requests, for metrics.
@@ -59,13 +63,17 @@
 // Handler forwards the requests of callers to targets. It is safe for concurrent use.
 type Handler struct {
 	Options
+	bodies      bodyMemory
 	mu          sync.Mutex
 	retryLimits map[string]*retrylimit.Limit // by service name
 }
 
 // New returns a handler with options o.
 func New(o Options) *Handler {
-	return &Handler{Options: o, retryLimits: make(map[string]*retrylimit.Limit)}
+	if o.BufferedBytes <= 0 {
+		o.BufferedBytes = defaultBufferedBytes
+	}
+	return &Handler{Options: o, bodies: bodyMemory{max: o.BufferedBytes}, retryLimits: make(map[string]*retrylimit.Limit)}
 }
 
 // ServeHTTP implements http.Handler.
@@ -76,6 +84,7 @@
 	}
 	ctx, cancel := c.setRouteAndDeadline()
 	defer cancel()
+	defer c.releaseBodies()
 	c.ctx = ctx
 	refusal := c.prepare()
 	if refusal == nil {
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
@@ -10,25 +11,25 @@
 	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
 
-// maxBufferedBodyBytes bounds the body of a response that is buffered before it is
-// forwarded.
-const maxBufferedBodyBytes = 16 << 20
-
 // forwardBuffered reads a response completely. A response whose status says that the
 // request has not run (statusMeansNotRun) is not forwarded. Any other response is
 // forwarded at once if its status is below 500, and otherwise only if no further
 // attempt succeeds.
 func (c *call) forwardBuffered(a *balance.Attempt, response *upstream.Response) attemptResult {
-	body, err := response.ReadWhole(maxBufferedBodyBytes)
+	body, err := c.bufferBody(response)
 	now := time.Now()
 	if err != nil {
 		if c.ctx.Err() != nil {
 			a.End(now, balance.Cancelled)
 			return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
 		}
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Err(err).Msg("Response body of a target could not be read to its end.")
+		if errors.Is(err, errBodyMemory) {
+			a.End(now, balance.Failed)
+			return attemptResult{reason: TargetFailed, mayHaveRun: true}
+		}
 		a.End(now, balance.Broken)
 		c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
-		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Err(err).Msg("Response body of a target could not be read to its end.")
 		return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 	}
 	if c.headerSent {
