--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -86,11 +87,11 @@
 // refusalFor returns the refusal of a request whose last attempt failed for reason r.
 // If the caller has disconnected or the deadline has passed, that is the reason.
 func (c *call) refusalFor(r Reason) *Refusal {
-	switch {
-	case c.r.Context().Err() != nil:
-		r = CallerGone
-	case c.ctx.Err() != nil:
+	switch err := c.ctx.Err(); {
+	case errors.Is(err, context.DeadlineExceeded):
 		r = DeadlinePassed
+	case err != nil:
+		r = CallerGone
 	}
 	if c.possibleRuns > 0 {
 		return refuseMayHaveRun(r)
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -373,3 +375,28 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusOK)
 }
+
+// Guards against a stream whose caller does not read, and that holds its reservation and
+// its target past the deadline or ends as if it was complete.
+func TestEndlessStreamToCallerThatDoesNotReadEndsAtTheDeadline(t *testing.T) {
+	e := startEndlessTarget(t, headStream+"\r\n", "data: "+strings.Repeat("x", 256<<10)+"\n\n", 0)
+	r, logged := newEndlessFixture(t, e)
+	conn, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	d := dialect.Default()
+	started := time.Now()
+	fmt.Fprintf(conn, "POST /short/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: %s\r\n%s: prompt=100 output=500\r\nContent-Length: 0\r\n\r\n", testHostName, d.RequestID, d.Key, testKey, d.Cost)
+	for logged.lines("Request ended without") == 0 && time.Since(started) < 3*time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	took := time.Since(started)
+	assert.Assert(t, took < 200*time.Millisecond+lateAfterDeadline, "ended after %v", took)
+	assert.Equal(t, logged.lines(`"reason":"deadline_passed"`), 1, "%s", logged)
+	r.checkSettled()
+	<-e.taken
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	answer, err := io.ReadAll(conn)
+	assert.Assert(t, !bytes.HasSuffix(answer, []byte("0\r\n\r\n")), "the stream looks complete: error %v", err)
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
+}
