--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,9 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.input.limit(maxHeadBytes - c.reader.Buffered())
 	defer c.input.unlimit()
+	if err := c.checkStatusLine(); err != nil {
+		return nil, err
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil && c.input.exceeded {
 		return nil, errHeadTooLarge // net/http may report the truncated line instead
@@ -56,6 +60,24 @@
 	return response, err
 }
 
+// statusLinePrefix is the beginning of every status line.
+const statusLinePrefix = "HTTP/"
+
+// checkStatusLine returns an error as soon as a byte has arrived that cannot belong to a
+// status line. net/http waits for the end of the line.
+func (c *conn) checkStatusLine() error {
+	for n := 1; n <= len(statusLinePrefix); n++ {
+		start, err := c.reader.Peek(n)
+		if err != nil {
+			return err
+		}
+		if string(start) != statusLinePrefix[:n] {
+			return fmt.Errorf("%q is not a status line", start)
+		}
+	}
+	return nil
+}
+
 // limitedInput reads from a connection, and fails with errHeadTooLarge beyond the limit
 // while one is set.
 type limitedInput struct {
