--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -149,7 +149,12 @@
 func (c *call) handleSendError(a *balance.Attempt, err error) attemptResult {
 	now := time.Now()
 	if c.ctx.Err() != nil {
-		a.End(now, balance.Cancelled)
+		outcome := balance.Cancelled
+		if errors.Is(err, upstream.ErrInvalidResponse) {
+			outcome = balance.Failed
+			c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Err(err).Msg("Request ended within the response header of a target.")
+		}
+		a.End(now, outcome)
 		if upstream.MayHaveRun(err) {
 			c.sentAttempts++
 			c.possibleRuns++
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -416,3 +416,28 @@
 		assert.Equal(t, logged.lines("not a status line"), 1, "%s", logged)
 	}
 }
+
+// Guards against a target that goes on to get requests because its dripping heads end at
+// the deadline, and against counting a target that has not begun to answer.
+func TestDrippingHeadCountsAsFailure(t *testing.T) {
+	for name, answer := range map[string]struct {
+		start, unit string
+		pause       time.Duration
+		failed      bool
+	}{
+		"status line":  {"HTTP/1.1 200 ", "x", 5 * time.Millisecond, true},
+		"header line":  {headOK + "X-Long: ", "x", 5 * time.Millisecond, true},
+		"header lines": {headOK, "X-More: value\r\n", 5 * time.Millisecond, true},
+		"no answer":    {"", "", time.Second, false},
+		"interim only": {"HTTP/1.1 100 Continue\r\n\r\n", "", time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEndlessTarget(t, answer.start, answer.unit, answer.pause)
+			r, logged := newEndlessFixture(t, e)
+			got := r.post("r1", "/short/x")
+			assert.Equal(t, got.status, http.StatusGatewayTimeout)
+			assert.Equal(t, r.failedShare() > 0, answer.failed)
+			assert.Equal(t, logged.lines("within the header") == 1, answer.failed, "%s", logged)
+		})
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -64,6 +64,9 @@
 	e.closeConn()
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
+		if connection.headOverdue() {
+			err = fmt.Errorf("%w: %w within the header", ErrInvalidResponse, err)
+		}
 	}
 	return nil, &SendError{Sent: true, Err: err}
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -20,6 +20,10 @@
 	// maxHeadBytes is the maximum size of the status line and the header of a response,
 	// in bytes.
 	maxHeadBytes = 64 << 10
+	// maxHeadTime is the time from the first to the last byte of a head after which a
+	// target that has not sent the last one by the deadline has failed. Targets send a
+	// head in one piece.
+	maxHeadTime = 100 * time.Millisecond
 	// defaultIdleLimit is how long a connection may be idle before it is no longer
 	// reused, if the target does not announce its own timeout.
 	defaultIdleLimit = 4 * time.Second
@@ -37,6 +41,9 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	reused    bool
+	// headStartedAt is when the first byte of the head that is being read arrived; zero:
+	// none has arrived.
+	headStartedAt time.Time
 }
 
 func newConn(c net.Conn) *conn {
@@ -48,6 +55,7 @@
 // more than maxHeadBytes is an error: net/http limits neither the lines nor their
 // number.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.headStartedAt = time.Time{}
 	c.input.limit(maxHeadBytes - c.reader.Buffered())
 	defer c.input.unlimit()
 	if err := c.checkStatusLine(); err != nil {
@@ -57,9 +65,18 @@
 	if err != nil && c.input.exceeded {
 		return nil, errHeadTooLarge // net/http may report the truncated line instead
 	}
+	if err == nil {
+		c.headStartedAt = time.Time{}
+	}
 	return response, err
 }
 
+// headOverdue reports whether the head that is being read began so long ago that it
+// should have ended.
+func (c *conn) headOverdue() bool {
+	return !c.headStartedAt.IsZero() && time.Since(c.headStartedAt) > maxHeadTime
+}
+
 // statusLinePrefix is the beginning of every status line.
 const statusLinePrefix = "HTTP/"
 
@@ -71,6 +88,9 @@
 		if err != nil {
 			return err
 		}
+		if n == 1 {
+			c.headStartedAt = time.Now()
+		}
 		if string(start) != statusLinePrefix[:n] {
 			return fmt.Errorf("%q is not a status line", start)
 		}
