--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -170,7 +170,7 @@
 	"header lines":     {"/unsafe/x", headOK, "X-More: value\r\n", "header exceeds"},
 	"interim answers":  {"/unsafe/x", "", "HTTP/1.1 100 Continue\r\n\r\n", "interim responses"},
 	"plain, close":     {"/unsafe/x", headOK + "\r\n", "garbage", "body exceeds"},
-	"plain, chunks":    {"/safe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n", "7\r\ngarbage\r\n", "body exceeds"},
+	"plain, chunks":    {"/safe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n", "70\r\n" + strings.Repeat("garbage ", 14) + "\r\n", "body exceeds"},
 	"plain, extension": {"/unsafe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n7;", "garbage", "line too long"},
 	"plain, trailers":  {"/unsafe/x", headOK + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: value\r\n", "trailer"},
 	"error, close":     {"/unsafe/x", "HTTP/1.1 500 Failed\r\nPeppertrail-Request: {id}\r\n\r\n", "garbage", "body exceeds"},
