--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -78,6 +78,7 @@
 	configuration          atomic.Pointer[routing.Configuration]
 	configurationAppliedAt atomic.Pointer[time.Time] // time at which configuration was applied; nil before the first one
 	targetsLoaded          atomic.Bool
+	retryHostCount         atomic.Int64 // hosts among which the retry reserve is divided; 0: unknown
 	shuttingDown           atomic.Bool
 
 	configurationRowVersion uint64                    // version of the configuration row read last; used only by the configuration watcher
@@ -108,7 +109,7 @@
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker,
-		ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
+		ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
@@ -24,6 +25,7 @@
 // hosts that write reports to the usage table are included.
 func (d *Daemon) updateHosts(ctx context.Context) {
 	d.targets.SetHostCount(initialHostCount)
+	var fleet fleetSize
 	ticker := time.NewTicker(hostCountInterval)
 	defer ticker.Stop()
 	for {
@@ -32,15 +34,53 @@
 		case <-ctx.Done():
 			return
 		}
-		if hosts := d.budgets.Hosts(); hosts > 1 {
+		hosts := d.budgets.Hosts()
+		if hosts > 1 {
 			d.targets.SetHostCount(hosts)
 		}
+		d.retryHostCount.Store(int64(fleet.add(hosts)))
 		if d.gossip != nil {
 			d.gossip.SetPeers(d.budgets.PeerAddrs())
 		}
 	}
 }
 
+// fleetSizeReadings is the number of consecutive readings of the number of hosts, one
+// per hostCountInterval, of which the largest is the size of the fleet. Hosts that run
+// write their rows every 4 s and read those of others every 2 s, so a host that starts
+// or returns late, or whose row has expired during an outage of the store, is in one of
+// the readings.
+const fleetSizeReadings = 7
+
+// fleetSize is an estimate of the number of hosts that is not too small while rows of
+// running hosts are missing.
+type fleetSize struct {
+	readings []int
+}
+
+// add adds a reading and returns the size, 0 if it is unknown. A reading of 1 may mean
+// that the rows of other hosts could not be read, so it is ignored.
+func (s *fleetSize) add(hosts int) int {
+	if hosts > 1 {
+		s.readings = append(s.readings, hosts)
+		s.readings = s.readings[max(0, len(s.readings)-fleetSizeReadings):]
+	}
+	if len(s.readings) < fleetSizeReadings {
+		return 0
+	}
+	return slices.Max(s.readings)
+}
+
+// retryReserve returns this host's share of the fleet's reserve of retries, 0 while the
+// number of hosts is unknown.
+func (d *Daemon) retryReserve() float64 {
+	hosts := d.retryHostCount.Load()
+	if hosts == 0 {
+		return 0
+	}
+	return d.settings.RetryReserve / float64(hosts)
+}
+
 // startPeerListeners starts the exchange with other hosts on the peer address:
 // over UDP it sends and receives gossip about long prompts, token shortages and
 // requests that crash targets; over TCP it serves relayed calls to the store and
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -30,12 +30,14 @@
 	// RetryRatio is the maximum ratio of the retries to the requests of a service
 	// within RetryWindow. RetryReserve allows further retries.
 	RetryRatio float64
-	// RetryReserve is the number of retries of a service that are allowed within
-	// RetryWindow regardless of the number of requests, at all hosts together. Each
-	// host gets an equal share.
-	RetryReserve float64
+	// RetryReserve returns the number of retries of a service that this host may send
+	// within RetryWindow regardless of the number of requests; 0 while its share of the
+	// fleet's reserve is unknown.
+	RetryReserve func() float64
 	// RetryWindow is the period for which retries are limited.
 	RetryWindow time.Duration
+	// StartedAt is the start of the process, from which the reserve accrues.
+	StartedAt time.Time
 	// BufferedBytes bounds the memory for response bodies of all requests that are
 	// buffered before they are forwarded, apart from a small part of each. 0 selects a
 	// default.
@@ -103,9 +105,9 @@
 	defer h.mu.Unlock()
 	l := h.retryLimits[service]
 	if l == nil {
-		l = retrylimit.New(h.RetryRatio, 0, h.RetryWindow)
+		l = retrylimit.New(h.RetryRatio, 0, h.RetryWindow, h.StartedAt)
 		h.retryLimits[service] = l
 	}
-	l.SetReserve(h.RetryReserve / float64(h.Targets.HostCount()))
+	l.SetReserve(h.RetryReserve())
 	return l
 }
--- a/pkg/retrylimit/limit.go
+++ b/pkg/retrylimit/limit.go
@@ -13,28 +13,40 @@
 // period of the window's length and not only for periods that begin with a slot.
 const windowSlots = 10
 
+// burstShare is the part of the reserve that can be used at once. The rest accrues over
+// the window, so that the reserve holds for any period of the window's length.
+const burstShare = 0.5
+
 // Limit limits the retries of one service by the number of its requests in a sliding
 // window. It is safe for concurrent use.
+//
+// A process knows nothing of the retries that its host sent before it started. A new
+// limit therefore has no reserve; it accrues from the start of the process. So the
+// limit also holds for a host whose process restarts any number of times.
 type Limit struct {
-	ratio      float64 // retries per request
-	slotLength time.Duration
-	startedAt  time.Time // start of slot 0
+	ratio     float64 // retries per request
+	window    time.Duration
+	startedAt time.Time // start of slot 0
 
 	mu          sync.Mutex // guards the fields below
 	reserve     float64    // retries per window regardless of requests
+	accrued     float64    // part of the reserve that can be used
+	accruedAt   time.Time  // time up to which accrued is calculated
 	requests    [windowSlots + 1]int
 	retries     [windowSlots + 1]int
-	currentSlot int64 // number of the newest slot, counted from startedAt
+	byRatio     [windowSlots + 1]float64 // retries and fractions of them that the ratio allowed; the reserve allowed the rest
+	currentSlot int64                    // number of the newest slot, counted from startedAt
 }
 
 // New returns a limit that allows, within any window, ratio retries per request plus
-// reserve retries.
-func New(ratio, reserve float64, window time.Duration) *Limit {
-	return &Limit{ratio: ratio, reserve: reserve, slotLength: window / windowSlots, startedAt: time.Now()}
+// reserve retries. The reserve accrues from startedAt, the start of the process.
+func New(ratio, reserve float64, window time.Duration, startedAt time.Time) *Limit {
+	return &Limit{ratio: ratio, reserve: reserve, window: window, startedAt: startedAt, accruedAt: startedAt}
 }
 
 // SetReserve sets the number of retries per window that are allowed regardless of the
-// number of requests.
+// number of requests. A reserve of 0 means that it is not known yet: the time until it
+// is set counts for the accrual.
 func (l *Limit) SetReserve(reserve float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,22 +65,39 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	slot := l.advance(now)
-	requests, retries := 0, 0
+	requests, retries, byRatio := 0, 0, 0.0
 	for i := range l.requests {
-		retries += l.retries[i]
 		requests += l.requests[i]
+		retries += l.retries[i]
+		byRatio += l.byRatio[i]
 	}
-	if float64(retries+1) > l.ratio*float64(requests)+l.reserve {
+	left := min(max(0, l.ratio*float64(requests)-byRatio), 1) // part of this retry that the ratio allows
+	l.accrue(now)
+	if left+l.accrued < 1 || float64(retries+1) > l.ratio*float64(requests)+l.reserve {
 		return false
 	}
+	l.accrued -= 1 - left
+	l.byRatio[slot] += left
 	l.retries[slot]++
 	return true
 }
 
+// accrue adds the part of the reserve that has accrued since the last call. The caller
+// holds the mutex.
+func (l *Limit) accrue(now time.Time) {
+	if l.reserve == 0 {
+		return
+	}
+	elapsed := max(0, now.Sub(l.accruedAt))
+	l.accrued += l.reserve * (1 - burstShare) * elapsed.Seconds() / l.window.Seconds()
+	l.accrued = min(l.accrued, l.reserve*burstShare)
+	l.accruedAt = now
+}
+
 // advance clears the slots that have begun since the last call and returns the index
 // of the current one. The caller holds the mutex.
 func (l *Limit) advance(now time.Time) int {
-	newest := max(int64(now.Sub(l.startedAt)/l.slotLength), l.currentSlot)
+	newest := max(int64(now.Sub(l.startedAt)/(l.window/windowSlots)), l.currentSlot)
 	for l.currentSlot < newest {
 		l.currentSlot++
 		if newest-l.currentSlot > windowSlots {
@@ -76,6 +105,7 @@
 		}
 		l.requests[l.currentSlot%(windowSlots+1)] = 0
 		l.retries[l.currentSlot%(windowSlots+1)] = 0
+		l.byRatio[l.currentSlot%(windowSlots+1)] = 0
 	}
 	return int(l.currentSlot % (windowSlots + 1))
 }
