--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -18,12 +18,12 @@
 	// probeInterval is the time between two probes of the store while direct calls
 	// fail.
 	probeInterval = time.Second
-	// probeTimeout bounds the time without data in a probe.
-	probeTimeout = 300 * time.Millisecond
+	// probeHeadStart is the time after the start of a probe at which the call is also
+	// relayed. For a feed call, the time that it waits for a change is added.
+	probeHeadStart = 300 * time.Millisecond
 	// readTimeout bounds the time without data in a direct read, so that time is left to
-	// relay it. A direct
-	// write is bounded only by the caller's deadline unless it is a probe, because a
-	// write that is sent twice costs the store twice.
+	// relay it. A direct write is bounded only by the caller's deadline, because a write
+	// that is sent twice costs the store twice.
 	readTimeout = time.Second
 	// relayTimeout bounds a call through one other host. For a feed call, the time that
 	// it waits for a change is added.
@@ -98,41 +98,95 @@
 // callWithRelays makes a call directly, then through other hosts. The error is
 // storage.ErrNotApplied only if no attempt can have been applied.
 func callWithRelays[T any](ctx context.Context, r *Rows, wait time.Duration, method string, params any, direct func(context.Context) (T, error)) (T, error) {
-	var result T
-	err := errNotAttempted
-	if use, timeout := r.useDirect(); use {
-		if timeout == 0 && method != methodTransact {
-			timeout = readTimeout
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the attempts that are open when the call returns
+	timeout := time.Duration(0)
+	if method != methodTransact {
+		timeout = readTimeout + wait
+	}
+	relayAfter := func(d outcome[T]) (T, error) {
+		if d.final() {
+			return d.result, d.err
 		}
-		start := time.Now()
-		result, err = callDirect(ctx, timeout, wait, direct)
-		if r.recentlyThrottled(err) {
-			return result, err
+		return combine(d, callRelays[T](ctx, r, wait, method, params))
+	}
+	use, probe := r.useDirect()
+	if !use {
+		return relayAfter(outcome[T]{err: errNotAttempted})
+	}
+	if !probe {
+		return relayAfter(callDirect(ctx, r, timeout, direct))
+	}
+	probed, relayed := make(chan outcome[T], 1), make(chan outcome[T], 1)
+	go func() { probed <- callDirect(ctx, r, timeout, direct) }()
+	headStart := time.NewTimer(probeHeadStart + wait)
+	defer headStart.Stop()
+	select {
+	case d := <-probed:
+		return relayAfter(d)
+	case <-headStart.C:
+	}
+	go func() { relayed <- callRelays[T](ctx, r, wait, method, params) }()
+	select {
+	case d := <-probed:
+		if d.final() {
+			return d.result, d.err
 		}
-		r.recordDirectResult(err, start)
-		if err == nil || errors.Is(err, storage.ErrHistoryGone) {
-			return result, err
+		return combine(d, <-relayed)
+	case o := <-relayed:
+		if o.final() {
+			return o.result, o.err
 		}
+		return combine(<-probed, o)
 	}
+}
+
+// outcome is the result of an attempt at a call, directly or through other hosts.
+type outcome[T any] struct {
+	result    T
+	err       error
+	throttled bool // the call must not be relayed
+}
+
+// final reports whether the call needs no other attempt.
+func (o outcome[T]) final() bool {
+	return o.err == nil || o.throttled || errors.Is(o.err, storage.ErrHistoryGone)
+}
+
+// combine returns the result of a call that was attempted directly and through other
+// hosts.
+func combine[T any](direct, relayed outcome[T]) (T, error) {
+	switch {
+	case direct.final():
+		return direct.result, direct.err
+	case relayed.final():
+		return relayed.result, relayed.err
+	}
+	return direct.result, lessCertain(direct.err, relayed.err)
+}
+
+// callRelays makes a call through other hosts, one after the other.
+func callRelays[T any](ctx context.Context, r *Rows, wait time.Duration, method string, params any) outcome[T] {
+	o := outcome[T]{err: errNotAttempted}
 	for _, peer := range r.selectRelays() {
 		if ctx.Err() != nil {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, relayTimeout+wait)
-		var relayed T
-		relayErr := r.conns.call(callCtx, peer, method, params, &relayed)
+		var result T
+		err := r.conns.call(callCtx, peer, method, params, &result)
 		cancel()
-		if relayErr == nil {
+		if err == nil {
 			r.recordRelay(peer)
-			return relayed, nil
+			return outcome[T]{result: result}
 		}
-		relayErr = fromWire(peer, relayErr)
-		if errors.Is(relayErr, storage.ErrHistoryGone) {
-			return result, relayErr
+		err = fromWire(peer, err)
+		if errors.Is(err, storage.ErrHistoryGone) {
+			return outcome[T]{err: err}
 		}
-		err = lessCertain(err, relayErr)
+		o.err = lessCertain(o.err, err)
 	}
-	return result, err
+	return o
 }
 
 // errNotAttempted is the outcome of a call that was attempted neither directly nor
@@ -149,28 +203,35 @@
 	return a
 }
 
-func callDirect[T any](ctx context.Context, timeout, wait time.Duration, direct func(context.Context) (T, error)) (T, error) {
+// callDirect calls the store directly and records whether that succeeded. timeout bounds
+// the time without data; 0: no bound.
+func callDirect[T any](ctx context.Context, r *Rows, timeout time.Duration, direct func(context.Context) (T, error)) outcome[T] {
 	if timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = idle.WithTimeout(ctx, timeout+wait)
+		ctx, cancel = idle.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	return direct(ctx)
+	start := time.Now()
+	result, err := direct(ctx)
+	if r.recentlyThrottled(err) {
+		return outcome[T]{result: result, err: err, throttled: true}
+	}
+	r.recordDirectResult(err, start)
+	return outcome[T]{result: result, err: err}
 }
 
-// useDirect reports whether to call the store directly, and the time limit of the
-// call if it is a probe.
-func (r *Rows) useDirect() (use bool, timeout time.Duration) {
+// useDirect reports whether to call the store directly, and whether the call is a probe.
+func (r *Rows) useDirect() (use, probe bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.directDown {
-		return true, 0
+		return true, false
 	}
 	if time.Since(r.probedAt) < probeInterval {
-		return false, 0
+		return false, false
 	}
 	r.probedAt = time.Now()
-	return true, probeTimeout
+	return true, true
 }
 
 // recentlyThrottled updates throttledAt with the result of a direct call. It reports
--- a/pkg/relay/rows_test.go
+++ b/pkg/relay/rows_test.go
@@ -176,3 +176,62 @@
 	_, err = r.Range(t.Context(), key.Table, key.Part, "")
 	assert.NilError(t, err)
 }
+
+// Guards against reports and reads that fail on a store that answers within the time limit of a call, but slower than relays and short probes allow.
+func TestProbeHasTheTimeOfACall(t *testing.T) {
+	const callTime = 1200 * time.Millisecond
+	for name, call := range map[string]func(*Rows, context.Context) error{
+		"write": func(r *Rows, ctx context.Context) error {
+			_, err := r.Transact(ctx, storage.RowTxn{Puts: []storage.PartRow{{RowKey: key, Value: []byte("value")}}})
+			return err
+		},
+		"read": func(r *Rows, ctx context.Context) error {
+			_, err := r.Range(ctx, key.Table, key.Part, "")
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := rowstore.New(nil)
+			direct := store.Client()
+			relay, peer := startRelay(t, store)
+			r := New(direct, func() []string { return []string{peer} }, discardLog())
+			direct.SetFaults(rowstore.Faults{Refuse: true})
+			relay.SetFaults(rowstore.Faults{Refuse: true})
+			assert.ErrorIs(t, call(r, t.Context()), storage.ErrNotApplied)
+			slow := rowstore.Faults{Delay: 800 * time.Millisecond}
+			direct.SetFaults(slow)
+			relay.SetFaults(slow)
+			time.Sleep(probeInterval)
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), callTime)
+				assert.NilError(t, call(r, ctx))
+				cancel()
+			}
+		})
+	}
+}
+
+// Guards against a probe that delays a call which another host can relay, or whose late failure is recorded although the store answers again.
+func TestProbeDoesNotDelayRelayedCalls(t *testing.T) {
+	store := rowstore.New(nil)
+	direct := store.Client()
+	_, peer := startRelay(t, store)
+	r := New(direct, func() []string { return []string{peer} }, discardLog())
+	direct.SetFaults(rowstore.Faults{Refuse: true})
+	_, err := transact(t, r, 0, "one")
+	assert.NilError(t, err)
+	direct.SetFaults(rowstore.Faults{Cut: true})
+	time.Sleep(probeInterval)
+	start := time.Now()
+	_, err = transact(t, r, store.Get(key).Version, "two")
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(start) < probeHeadStart+relayTimeout)
+	direct.SetFaults(rowstore.Faults{})
+	time.Sleep(probeInterval)
+	for range 3 {
+		_, err = transact(t, r, store.Get(key).Version, "three")
+		assert.NilError(t, err)
+		use, probe := r.useDirect()
+		assert.Assert(t, use && !probe, "calls are still relayed")
+	}
+}
