--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -198,6 +198,7 @@
 	now := m.estimatedStoreTime()
 	for incarnation, r := range reports {
 		if r.age(now) > leaseDuration+reclaimMargin {
+			r.Complete = false // a process that still runs may have shares that are newer than the report
 			m.endedProcesses[incarnation] = EndedProcess{Report: r, EndedBy: now}
 		} else if known := m.peerReports[incarnation]; known.Number < r.Number {
 			m.peerReports[incarnation] = r
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -131,7 +131,11 @@
 		StoreTimeMs: m.estimatedStoreTime().Milliseconds(), Customers: make(map[string]Usage, len(m.pools)), Complete: true,
 	}
 	for customer, p := range m.pools {
-		report.Customers[customer] = p.usage() // also without a share, so that a new one can be spent from at once
+		// A share can be spent from only once a stored report lists its epoch, so
+		// customers without a share are listed too.
+		report.Customers[customer] = p.usage()
+		// A share of an earlier epoch may still be open.
+		report.Complete = report.Complete && p.ledger.epoch == 0
 	}
 	m.ownReports.pending = &sentReport{report: report, sentAt: r.sentAt}
 	return report
--- /dev/null
+++ b/pkg/escrow/returned_process_test.go
@@ -0,0 +1,40 @@
+package escrow
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
+)
+
+// Guards against a budget that is spent twice because the share of an expired lease counts as unused when its process is killed.
+func TestExpiredShareOfKilledProcessIsNotSpentAgain(t *testing.T) {
+	const prepaid, size = 20_000, 500
+	c := newTestCluster(t, 1)
+	budgets := map[string]int64{"regie": prepaid}
+	first := c.start("a", "a1", budgets)
+	spent := int64(0)
+	for spent < prepaid/2 {
+		spent += first.spend(t, "regie", size)
+	}
+	first.rows.SetFaults(rowstore.Faults{Cut: true})
+	c.advanceClock(leaseDuration + time.Second)
+	first.rows.SetFaults(rowstore.Faults{RefusedPart: "regie"}) // reports are stored, the account cannot be changed
+	c.eventually("report of the next epoch stored", func() bool {
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		return first.ownReports.confirmed.report.Customers["regie"].Epoch == 1
+	})
+	first.cancel()
+	second := c.start("a", "a2", budgets)
+	c.eventually("share of the first epoch closed", func() bool {
+		_, open := c.account("regie").Shares[Share{Incarnation: "a1"}.key()]
+		return !open
+	})
+	for range prepaid / size {
+		spent += second.spend(t, "regie", size)
+	}
+	assert.Assert(t, spent <= prepaid, "%d of %d prepaid tokens spent", spent, prepaid)
+}
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -32,8 +32,9 @@
 	Number      int64            `json:"n"`              // number of the report, rises with each report of the process
 	StoreTimeMs int64            `json:"t"`              // store clock when the report was sent, or slightly before, in milliseconds
 	Customers   map[string]Usage `json:"customers"`      // by customer
-	// Complete means that the process spends nothing from a share that the report does
-	// not list. Reports of earlier versions are not complete.
+	// Complete means that the process has spent nothing from a share that the report does
+	// not list. It is false once the process has lost a share, and in reports of earlier
+	// versions.
 	Complete bool `json:"all,omitempty"`
 }
 
@@ -43,7 +44,7 @@
 	Epoch          int   `json:"e,omitempty"` // epoch of the share
 	Used           int64 `json:"s,omitempty"` // tokens used, open reservations included
 	Ceiling        int64 `json:"c,omitempty"` // upper limit of the tokens used, until ceilingTerm after the report
-	CeilingRate    int64 `json:"r,omitempty"` // tokens per second by which the limit rises at most after ceilingTerm
+	CeilingRate    int64 `json:"r,omitempty"` // upper bound of the rate at which the limit rises after ceilingTerm, in tokens per second
 	SustainedRate  int64 `json:"u,omitempty"` // tokens per second by which the limit rises once Burst is reached
 	Burst          int64 `json:"b,omitempty"` // tokens by which the limit may be ahead of SustainedRate; 0 in reports of earlier versions, which have CeilingRate alone
 	LongTermDemand int64 `json:"d,omitempty"` // measured demand, tokens per second
