--- a/pkg/escrow/broker_server.go
+++ b/pkg/escrow/broker_server.go
@@ -62,6 +62,9 @@
 		m.mu.Unlock()
 		return ShareReply{}, fmt.Errorf("account of %q is not changed here", request.Customer)
 	}
+	// The process runs: what was concluded from its silence no longer holds. Shares that
+	// it has lost are in its request.
+	delete(m.endedProcesses, request.Share.Incarnation)
 	q := &queuedRequest{request: request, receivedAt: p.now(), done: make(chan error, 1)}
 	p.queue = append(p.queue, q)
 	p.trigger()
--- a/pkg/escrow/returned_process_test.go
+++ b/pkg/escrow/returned_process_test.go
@@ -38,3 +38,23 @@
 	}
 	assert.Assert(t, spent <= prepaid, "%d of %d prepaid tokens spent", spent, prepaid)
 }
+
+// Guards against new shares of a host that was silent for longer than its lease, which another host closes with the report from before.
+func TestShareOfReturnedProcessStaysOpen(t *testing.T) {
+	c := newTestCluster(t, 2)
+	n := c.start("b", "b1", map[string]int64{"regie": 100_000})
+	n.markEnded(map[string]UsageReport{"a1": {Host: "a", Incarnation: "a1", Complete: true}})
+	c.advanceClock(leaseDuration + 2*reclaimMargin)
+	c.eventually("report of b stored", func() bool { return n.lastReportAge() < time.Second })
+	n.markEnded(map[string]UsageReport{"a1": {Host: "a", Incarnation: "a1", Complete: true}})
+	share := Share{Host: "a", Incarnation: "a1", Epoch: 1, Amount: 1_000, Seq: 1}
+	n.mu.Lock()
+	assert.Equal(t, n.endedProcesses["a1"].maxSpent("regie", share), share.Amount, "a share newer than the report may be spent")
+	n.mu.Unlock()
+	reply, err := n.ChangeShare(t.Context(), ShareRequest{Customer: "regie", Share: share})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Held)
+	time.Sleep(2 * reviewInterval)
+	_, open := c.account("regie").Shares[share.key()]
+	assert.Assert(t, open)
+}
