--- a/pkg/escrow/broker_client.go
+++ b/pkg/escrow/broker_client.go
@@ -52,13 +52,10 @@
 	if m.leaving && p.ledger.reserved > 0 {
 		return request, false
 	}
-	amount := p.ledger.amount
 	recent := p.brokerReply != nil && now-p.loadedAt <= maxBrokerReplyAge
-	if p.brokerReply != nil && !m.leaving {
-		amount = p.view(p.account).nextAmount()
-	}
-	if m.leaving {
-		amount = 0
+	amount := p.ledger.amount
+	if p.brokerReply != nil || m.leaving {
+		amount = p.plannedAmount(p.view(p.account))
 	}
 	request = ShareRequest{
 		Customer: p.ledger.customer, Share: p.ownShare(), Held: p.confirmedSeq > 0, LastAppliedSeq: p.confirmedSeq, ForceWrite: p.inDoubt,
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -196,6 +196,11 @@
 			p.expireLease()
 		}
 	}
+	if m.ownReports.confirmed == nil {
+		for _, p := range m.pools {
+			p.trigger() // shares may be taken from now on
+		}
+	}
 	m.ownReports.confirmed, m.ownReports.pending = m.ownReports.pending, nil
 	m.notifyWaiters()
 }
--- a/pkg/escrow/returned_process_test.go
+++ b/pkg/escrow/returned_process_test.go
@@ -1,12 +1,14 @@
 package escrow
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Guards against a budget that is spent twice because the share of an expired lease counts as unused when its process is killed.
@@ -58,3 +60,17 @@
 	_, open := c.account("regie").Shares[share.key()]
 	assert.Assert(t, open)
 }
+
+// Guards against a broker that changes no accounts for other hosts while it cannot store a report of its own.
+func TestBrokerWithoutReportServesOtherHosts(t *testing.T) {
+	c := newTestCluster(t, 2)
+	c.wrapRows = func(_ string, rows *rowstore.Client) storage.Rows {
+		return tableWritesRefused{Rows: rows, table: usages}
+	}
+	n := c.launch("b", "b1", map[string]int64{"regie": 100_000})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reply, err := n.ChangeShare(ctx, ShareRequest{Customer: "regie", Share: Share{Host: "a", Incarnation: "a1", Amount: 1_000, Seq: 1}})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Share.Amount, int64(1_000))
+}
--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -106,6 +106,19 @@
 	return p.peerShortageAt > 0 && p.now()-p.peerShortageAt < peerShortageTerm
 }
 
+// plannedAmount returns the share that the process should hold, in tokens. It takes none
+// before a usage report of it is stored: without one nothing would bound what it may have
+// spent, and no other host could close the share after its end.
+func (p *tokenPool) plannedAmount(view budgetView) int64 {
+	switch {
+	case p.manager.leaving:
+		return 0
+	case p.manager.ownReports.confirmed == nil:
+		return p.ledger.amount
+	}
+	return view.nextAmount()
+}
+
 // usage returns the customer's entry in the next usage report.
 func (p *tokenPool) usage() Usage {
 	u := p.view(p.account).usage(p.ledger.epoch)
@@ -140,29 +153,9 @@
 	return confirmed != nil && confirmed.report.Customers[p.ledger.customer].Used != p.ledger.used()
 }
 
-// awaitFirstReport waits until a usage report of this process is stored. Without one
-// nothing would bound what the process may have spent from a share, and no other host
-// could close the share after its end.
-func (p *tokenPool) awaitFirstReport(ctx context.Context) {
-	for ctx.Err() == nil {
-		p.manager.mu.Lock()
-		done, stateChanged := p.manager.ownReports.confirmed != nil || p.manager.leaving, p.manager.stateChanged
-		p.manager.mu.Unlock()
-		if done {
-			return
-		}
-		select {
-		case <-stateChanged:
-		case <-p.wake:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // run changes the share as needed until all shares are returned or ctx ends.
 func (p *tokenPool) run(ctx context.Context) {
 	p.awaitPeers(ctx)
-	p.awaitFirstReport(ctx)
 	for ctx.Err() == nil {
 		if returned := p.step(ctx); returned {
 			close(p.sharesReturned)
--- a/pkg/escrow/token_pool_change.go
+++ b/pkg/escrow/token_pool_change.go
@@ -47,10 +47,7 @@
 	}
 	view := p.view(account)
 	share := p.ownShare()
-	amount := view.nextAmount()
-	if p.manager.leaving {
-		amount = 0
-	}
+	amount := p.plannedAmount(view)
 	_, held := account.Shares[share.key()]
 	if amount == p.ledger.amount && !closed && !changed && !p.inDoubt && (held || amount == 0) && !(p.manager.leaving && held) {
 		p.reply(served)
