--- a/pkg/escrow/demand_meter.go
+++ b/pkg/escrow/demand_meter.go
@@ -53,12 +53,17 @@
 	m.longVariance += increase * increase
 }
 
-// correctSpent takes back the tokens that a settled request has reserved and not spent.
-func (m *demandMeter) correctSpent(now time.Duration, tokens int64) {
+// correctSpent replaces the tokens that a request has reserved by those that it has
+// spent. It takes the difference back in full, without decay, so that the mean equals the
+// tokens spent.
+func (m *demandMeter) correctSpent(now time.Duration, reserved, spent int64) {
 	m.decay(now)
-	m.short = max(0, m.short-float64(tokens)/shortDecay.Seconds())
-	m.medium = max(0, m.medium-float64(tokens)/mediumDecay.Seconds())
-	m.long = max(0, m.long-float64(tokens)/longDecay.Seconds())
+	unspent := float64(reserved - spent)
+	m.short = max(0, m.short-unspent/shortDecay.Seconds())
+	m.medium = max(0, m.medium-unspent/mediumDecay.Seconds())
+	m.long = max(0, m.long-unspent/longDecay.Seconds())
+	squares := float64(reserved)*float64(reserved) - float64(spent)*float64(spent)
+	m.longVariance = max(0, m.longVariance-squares/(longDecay.Seconds()*longDecay.Seconds()))
 }
 
 // recentDemand returns the demand of the last seconds, in tokens per second.
--- a/pkg/escrow/ledger.go
+++ b/pkg/escrow/ledger.go
@@ -91,7 +91,7 @@
 	}
 	l.reserved -= tokens
 	l.spent += spent
-	l.meter.correctSpent(now, tokens-spent)
+	l.meter.correctSpent(now, tokens, spent)
 }
 
 // expireLease ends the epoch of a process that did not report for a whole
