--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -45,8 +45,9 @@
 //   - All processes are killed at once. The ceiling of a report is only
 //     slightly above the tokens used, so few tokens are lost.
 //   - All processes are killed while they are cut off. What nobody spent of their
-//     limits is lost. Headroom and bursts of all hosts together are a fraction of
-//     the prepaid total, however long the hosts were cut off.
+//     limits is lost. Beyond the expected demand that is a fraction of the prepaid
+//     total for all hosts together, however long they were cut off, as far as the
+//     hosts know each other's demand.
 //   - Some partitions of the store are down. A process can write its report to
 //     any of several parts of the table.
 //   - A budget runs low. Shares follow the demand, and hosts return tokens that
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -55,12 +55,12 @@
 	minHeadroomTime      = 250 * time.Millisecond
 	maxHeadroomTime      = 2 * time.Second
 	// maxHeadroomFraction is the fraction of a prepaid total that the headroom
-	// of all hosts together may reach, since all of it is lost when all processes
-	// are killed. evenPermissionFraction of it is divided evenly and the rest by
-	// demand.
-	maxHeadroomFraction    = 0.025
-	evenPermissionFraction = 0.3
-	// A host that cannot reach the table may exceed its expected demand by a burst
+	// of all hosts together may reach, except what waiting reservations need: all
+	// of it is lost when all processes are killed. evenPartFraction of it is divided
+	// evenly and the rest by demand.
+	maxHeadroomFraction = 0.025
+	evenPartFraction    = 0.3
+	// Between two reports a host may exceed its expected demand by a burst
 	// of burstDeviations standard deviations of what it spends in burstTime. The
 	// bursts of all hosts together are at least minBurstFraction and at most
 	// maxBurstFraction of a prepaid total: what is not used of them is lost when
@@ -236,10 +236,10 @@
 	return min(max(time.Duration(headroomTimeFraction*secondsLeft*float64(time.Second)), minHeadroomTime), maxHeadroomTime)
 }
 
-// permission returns this host's part, in tokens, of a fraction of the prepaid total that
-// all hosts together may spend without having reported it.
-func (v budgetView) permission(fraction float64) float64 {
-	return fraction * float64(v.prepaid) * (evenPermissionFraction*v.perHostFraction() + (1-evenPermissionFraction)*v.demandFraction())
+// hostPart returns this host's part, in tokens, of a fraction of the prepaid total that
+// is divided among all hosts.
+func (v budgetView) hostPart(fraction float64) float64 {
+	return fraction * float64(v.prepaid) * (evenPartFraction*v.perHostFraction() + (1-evenPartFraction)*v.demandFraction())
 }
 
 // burst returns the tokens that the host may spend above the expected demand while it
@@ -250,14 +250,14 @@
 	averageVariance := max(0, v.longTermDemand*v.longTermDemand-v.demandSquare)
 	deviation := math.Sqrt(averageVariance * 2 * longDecay.Seconds() * burstTime.Seconds())
 	even := minBurstFraction * float64(v.prepaid) * v.perHostFraction()
-	return max(even, min(burstDeviations*deviation, v.permission(maxBurstFraction)))
+	return max(even, min(burstDeviations*deviation, v.hostPart(maxBurstFraction)))
 }
 
 // usage returns the customer's entry in the next usage report.
 func (v budgetView) usage(epoch int) Usage {
 	wanted := v.plannedDemand()*v.headroomTime().Seconds() + v.meanRequest
 	even := minHeadroomFraction * float64(v.prepaid) * v.perHostFraction()
-	headroom := max(int64(max(even, min(wanted, v.permission(maxHeadroomFraction)))), v.waitingNeed())
+	headroom := max(int64(max(even, min(wanted, v.hostPart(maxHeadroomFraction)))), v.waitingNeed())
 	rate, burst := v.expectedDemand(), max(1, v.burst())
 	return Usage{
 		Epoch:          epoch,
--- a/pkg/escrow/token_pool_change.go
+++ b/pkg/escrow/token_pool_change.go
@@ -121,7 +121,7 @@
 		p.manager.options.Log.Info().Str("customer", p.ledger.customer).Str("holder", s.Host).Str("incarnation", s.Incarnation).Int64("held", s.Amount).
 			Int64("reported_spent", w.reported).Int64("counted_as_spent", process.maxSpent(p.ledger.customer, s)).
 			Int64("headroom", w.headroom).Int64("risen", w.risen).Int64("unlisted", w.unlisted).
-			Int64("ceiling_rate", u.CeilingRate).Int64("long_term_demand", u.LongTermDemand).Int64("peak_request", u.PeakRequest).Dur("report_age", age).
+			Int64("ceiling_rate", u.CeilingRate).Int64("sustained_rate", u.SustainedRate).Int64("burst", u.Burst).Int64("long_term_demand", u.LongTermDemand).Int64("peak_request", u.PeakRequest).Dur("report_age", age).
 			Msg("Closed the share of an ended process.")
 		if len(processes) == 0 {
 			newestReport = age
