--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -114,7 +114,7 @@
 	case p.manager.leaving:
 		return 0
 	case p.manager.ownReports.confirmed == nil:
-		return p.ledger.amount
+		return min(view.nextAmount(), p.ledger.amount)
 	}
 	return view.nextAmount()
 }
