--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -39,9 +39,11 @@
 	// reserveReturnThreshold replaces returnThreshold while fewer tokens than
 	// reserved are free.
 	reserveReturnThreshold = 1.1
-	// minHeadroomFraction is the fraction of a prepaid total that is divided
-	// evenly among all hosts as the minimum headroom of a ceiling.
-	minHeadroomFraction = 0.004
+	// The minimum headroom of a ceiling is minHeadroomFraction of the prepaid total,
+	// but at most minHeadroomFleetFraction of it for all hosts together. It is what a
+	// host without recent demand may spend at first when it is cut off.
+	minHeadroomFraction      = 0.0005
+	minHeadroomFleetFraction = 0.04
 	// peakRequestsCovered is the number of requests, each of the size of the
 	// largest recent one, that a share covers in addition to the planned
 	// demand.
@@ -256,7 +258,7 @@
 // usage returns the customer's entry in the next usage report.
 func (v budgetView) usage(epoch int) Usage {
 	wanted := v.plannedDemand()*v.headroomTime().Seconds() + v.meanRequest
-	even := minHeadroomFraction * float64(v.prepaid) * v.perHostFraction()
+	even := min(minHeadroomFraction, minHeadroomFleetFraction*v.perHostFraction()) * float64(v.prepaid)
 	headroom := max(int64(max(even, min(wanted, v.hostPart(maxHeadroomFraction)))), v.waitingNeed())
 	rate, burst := v.expectedDemand(), max(1, v.burst())
 	return Usage{
