--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -58,8 +58,9 @@
 	maxHeadroomTime      = 2 * time.Second
 	// maxHeadroomFraction is the fraction of a prepaid total that the headroom
 	// of all hosts together may reach, except what waiting reservations need: all
-	// of it is lost when all processes are killed. evenPartFraction of it is divided
-	// evenly and the rest by demand.
+	// of it is lost when all processes are killed, and the users require that 97 %
+	// of a budget can be served. evenPartFraction of it is divided evenly and the
+	// rest by demand.
 	maxHeadroomFraction = 0.025
 	evenPartFraction    = 0.3
 	// Between two reports a host may exceed its expected demand by a burst
