daemon: free the listen addresses before Run returns

Seen: a daemon started at the addresses of one whose Run had just returned failed with "address already in use" (TestHomeStopsAfterEntryRestarted, listed). Cause: the peer server closes its listener in a goroutine that Run does not wait for, and the listener for operators was closed only by the end of the process. Ruled out: a port taken by an outgoing connection; the test uses a range that these do not use. Change: Run closes its three listeners before it returns; Close waits until the socket is closed.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -158,6 +158,9 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	// Runs before stop, whose effect on the listeners is not waited for: a process that is
+	// started at the same addresses once Run has returned must find them free.
+	defer d.listeners.close()
 	if err := d.listeners.open(ctx); err != nil {
 		return err
 	}
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -54,6 +54,15 @@
 	return err
 }
 
+// close closes the sockets that are still open. It returns once their ports are free.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.operators, l.peers} {
+		if listener != nil {
+			_ = listener.Close() // fails only if the server has closed it
+		}
+	}
+}
+
 func (l *listeners) bind(ctx context.Context, name, addr string, t *tls.Config) (net.Listener, error) {
 	var lc net.ListenConfig
 	listener, err := lc.Listen(ctx, "tcp", addr)
