gateway: submit the settlements of a stream in order

Seen: once in 300 runs of TestHomeReturnsOwnFailedStream (listed) the home received the settlement without the final mark after the one with it. Cause: Add replaced an entry that was being submitted and scheduled the new one at once, so two submissions of one stream ran at the same time and could arrive in either order. Change: the new settlement is submitted once the submission in progress has ended.

--- a/pkg/gateway/outbox.go
+++ b/pkg/gateway/outbox.go
@@ -75,10 +75,12 @@
 			return previous.durable
 		}
 		previous.removeFrom(&o.scheduled)
-		e.durable = previous.durable
+		e.durable, e.submitting = previous.durable, previous.submitting
 	}
 	o.entries[s.Stream] = e
-	heap.Push(&o.scheduled, e)
+	if !e.submitting { // otherwise finish schedules it, so that the home receives the settlements in order
+		heap.Push(&o.scheduled, e)
+	}
 	o.metrics.SetPendingSettlements(len(o.entries))
 	o.notify()
 	return e.durable
@@ -149,7 +151,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for o.active < outboxWorkers && len(o.scheduled) > 0 && !o.scheduled[0].nextSubmission.After(now) {
-		batch = append(batch, heap.Pop(&o.scheduled).(*outboxEntry))
+		e := heap.Pop(&o.scheduled).(*outboxEntry)
+		e.submitting = true
+		batch = append(batch, e)
 		o.active++
 	}
 	if len(o.scheduled) == 0 || o.active == outboxWorkers {
@@ -177,8 +181,10 @@
 	defer o.mu.Unlock()
 	o.active--
 	defer o.notify()
-	if o.entries[e.request.Stream] != e {
-		// A later settlement of the stream has replaced this entry.
+	current := o.entries[e.request.Stream]
+	current.submitting = false
+	if current != e { // a later settlement of the stream has replaced this entry
+		heap.Push(&o.scheduled, current)
 		return
 	}
 	if !durable {
--- a/pkg/gateway/outbox_entry.go
+++ b/pkg/gateway/outbox_entry.go
@@ -14,6 +14,9 @@
 	backoff        time.Duration // delay after the next failed submission
 	index          int           // position in the heap; -1 during a submission
 	durable        chan struct{} // closed when the settlement kept for the stream is durable
+	// submitting is whether a submission of a settlement of the stream, this one or one
+	// that it replaced, is in progress.
+	submitting bool
 }
 
 // removeFrom removes the entry from the heap. It does nothing while the entry is being
