admin: choose the faults of a transaction in TestConcurrentTopUpsWithLostReplies by its id

Cause: the test's, not the product's. Its four writers shared the counter that chose the faults, so one transaction could meet a fault in each of the three submissions that the policy of the fixture allows, and an unknown outcome is then the truthful answer. Change: faults are chosen by transaction. Each one now loses its first two submissions, reply or request in turn, where half of the submissions failed before; what is checked stays the same, so the test is at least as strict.

--- a/pkg/admin/budgets_test.go
+++ b/pkg/admin/budgets_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/budget"
 	"github.com/peppertrail/peppertrail/pkg/standin/faketable"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // Guards against a repeated command that adds tokens twice, and against a second
@@ -88,10 +89,16 @@
 	f := newTestServerWithBundle(t)
 	_, err := f.clientAs("alice").CreateBudget(ctx, CreateBudget{ID: "regie-main", Customer: "regie"})
 	assert.NilError(t, err)
-	n := 0
-	f.table.Fault = func() faketable.Fault { // called under the table's lock
-		n++
-		return []faketable.Fault{faketable.NoFault, faketable.LostReply, faketable.NoFault, faketable.LostRequest}[n%4]
+	submissions, transactions := make(map[string]int), 0
+	f.table.Fault = func(txn storage.Txn) faketable.Fault { // called under the table's lock
+		if submissions[txn.ID] == 0 {
+			transactions++
+		}
+		submissions[txn.ID]++
+		if submissions[txn.ID] > 2 { // the policy of the fixture submits three times
+			return faketable.NoFault
+		}
+		return []faketable.Fault{faketable.LostReply, faketable.LostRequest}[(transactions+submissions[txn.ID])%2]
 	}
 	const writers, topUpsPerWriter = 4, 5
 	var group sync.WaitGroup
--- a/pkg/bundle/race_rapid_test.go
+++ b/pkg/bundle/race_rapid_test.go
@@ -65,7 +65,7 @@
 		for i := 0; i < len(actions); i++ {
 			a := actions[i]
 			remaining := 1
-			table.Fault = func() faketable.Fault { // at most one fault per step, so that resubmission succeeds
+			table.Fault = func(storage.Txn) faketable.Fault { // at most one fault per step, so that resubmission succeeds
 				if remaining == 0 {
 					return faketable.NoFault
 				}
@@ -80,7 +80,7 @@
 			run(a)
 			table.beforeCommit = nil
 		}
-		table.Fault = func() faketable.Fault { return faketable.NoFault }
+		table.Fault = func(storage.Txn) faketable.Fault { return faketable.NoFault }
 		if len(table.violations) > 0 {
 			t.Fatalf("accepted versions were overwritten: %v", table.violations)
 		}
@@ -170,7 +170,7 @@
 	table := newFakeTable()
 	bringIntoForce(t, testStore(table, "setup"), sample(0))
 	n := 0
-	table.Fault = func() faketable.Fault { // called under the table's lock
+	table.Fault = func(storage.Txn) faketable.Fault { // called under the table's lock
 		n++
 		return []faketable.Fault{faketable.NoFault, faketable.LostReply, faketable.NoFault, faketable.LostRequest}[n%4]
 	}
--- a/pkg/bundle/store_test.go
+++ b/pkg/bundle/store_test.go
@@ -110,7 +110,7 @@
 	table := newFakeTable()
 	s := testStore(table, "s")
 	faults := []faketable.Fault{faketable.LostReply, faketable.LostRequest, faketable.NoFault, faketable.LostReply, faketable.LostReply, faketable.NoFault}
-	table.Fault = func() faketable.Fault {
+	table.Fault = func(storage.Txn) faketable.Fault {
 		if len(faults) == 0 {
 			return faketable.NoFault
 		}
@@ -128,7 +128,7 @@
 	ctx := context.Background()
 	table := newFakeTable()
 	s := testStore(table, "s")
-	table.Fault = func() faketable.Fault { return faketable.LostRequest }
+	table.Fault = func(storage.Txn) faketable.Fault { return faketable.LostRequest }
 	_, err := s.Submit(ctx, proposalBy(t, sample(0), "alice"))
 	assert.ErrorIs(t, err, storage.ErrUnavailable)
 	table.SetDown(true)
--- a/pkg/standin/faketable/table.go
+++ b/pkg/standin/faketable/table.go
@@ -31,7 +31,7 @@
 	rows     map[string]storage.Row
 	outcomes map[string]storage.Outcome
 	down     bool
-	Fault    func() Fault // returns the fault of the current commit; called with the table locked
+	Fault    func(storage.Txn) Fault // returns the fault of a submission; called with the table locked
 	// OnPut, if not nil, is called before a put is applied, with the table locked.
 	OnPut func(before storage.Row, p storage.Put)
 }
@@ -41,7 +41,7 @@
 	return &Table{
 		rows:     make(map[string]storage.Row),
 		outcomes: make(map[string]storage.Outcome),
-		Fault:    func() Fault { return NoFault },
+		Fault:    func(storage.Txn) Fault { return NoFault },
 	}
 }
 
@@ -49,7 +49,7 @@
 func (t *Table) Commit(_ context.Context, txn storage.Txn) (storage.Outcome, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	f := t.Fault()
+	f := t.Fault(txn)
 	if t.down || f == LostRequest {
 		return storage.Outcome{}, fmt.Errorf("fake table: %w", storage.ErrUnavailable)
 	}
