ingress: keep requests that a planned stop finds unread

Cause: http.Server.Shutdown closes every connection whose last request has ended. It does not look for unread bytes, and on a busy host the goroutine of the connection may not have run for a second. It also closes the listener while connections wait to be accepted, which resets them. Ruled out: the caller's idle timeout (1.4 s after the request) and a kill. Change: pkg/ingress accepts what waits, then closes the listener, and closes a connection only once it is idle and no byte is left to read.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/ingress"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/storage"
@@ -72,6 +73,7 @@
 	crashTracker *forward.CrashTracker
 	handler      *forward.Handler
 	callerServer *http.Server
+	callers      *ingress.Listener // listener of callerServer; set by serve
 	metrics      *metrics
 	gossip       *gossip.Node // nil if no peer address is configured
 
@@ -113,7 +115,7 @@
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
-		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext,
 	}
 	return d, nil
 }
@@ -145,9 +147,12 @@
 }
 
 func (d *Daemon) serve(failed chan<- error) error {
-	if err := listen(d.settings.CallerListen, d.callerServer, failed); err != nil {
-		return err
+	var err error
+	if d.callers, err = ingress.Listen(d.settings.CallerListen, 0, d.logs.Logger("ingress")); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
 	}
+	d.callerServer.ConnState = d.callers.ConnState
+	go serveHTTP(d.callers, d.callerServer, failed)
 	if err := listen(d.settings.ReadyListen, &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: headerTimeout}, failed); err != nil {
 		return err
 	}
@@ -162,14 +167,16 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
+	go serveHTTP(l, server, failed)
 	return nil
 }
 
+func serveHTTP(l net.Listener, server *http.Server, failed chan<- error) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failed <- err
+	}
+}
+
 // Ready reports whether the daemon can serve requests: the configuration, the
 // targets and the budgets are loaded and it is not shutting down.
 func (d *Daemon) Ready() bool {
--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -28,9 +28,9 @@
 	time.Sleep(min(drainDelay, d.settings.GracePeriod/3))
 	requestsCtx, cancel := context.WithDeadline(context.Background(), start.Add(d.settings.GracePeriod-shareReturnReserve-exitReserve))
 	defer cancel()
-	err := d.callerServer.Shutdown(requestsCtx)
+	err := d.callers.Drain(requestsCtx)
 	if err != nil {
-		err = fmt.Errorf("complete open requests: %w", err)
+		err = fmt.Errorf("complete open requests, %d connections are left: %w", d.callers.Open(), err)
 	}
 	sharesCtx, cancel := context.WithDeadline(context.Background(), start.Add(d.settings.GracePeriod-exitReserve))
 	defer cancel()
--- /dev/null
+++ b/pkg/ingress/conn.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a connection from a caller.
+type Conn struct {
+	*net.TCPConn
+	listener  *Listener
+	overLimit bool
+	// received is whether bytes were read since the connection was accepted or became
+	// idle. The server reports a request only some time after it has read its first bytes.
+	received atomic.Bool
+
+	// The listener's mutex protects the fields below.
+	state   http.ConnState
+	changed time.Time // when state was set
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.remove(c)
+	return c.TCPConn.Close()
+}
+
+// OverLimit reports whether the connection was accepted beyond the limit, so that its
+// request should be refused.
+func (c *Conn) OverLimit() bool { return c.overLimit }
+
+// PeerClosed reports whether the caller has closed its side of the connection and no bytes
+// are left to read. The server learns of it only when it reads.
+func (c *Conn) PeerClosed() bool { return c.unread() == unreadEnd }
+
+// unread is what a read of a connection would return.
+type unread int
+
+const (
+	unreadNothing unread = iota // a read would wait
+	unreadBytes                 // bytes of the caller
+	unreadEnd                   // the end of the connection, or an error
+)
+
+// unread looks at the unread bytes of the connection without consuming them.
+func (c *Conn) unread() unread {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return unreadEnd
+	}
+	result := unreadEnd
+	// Control, unlike Read, does not wait for a concurrent read of the server.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case peekErr == syscall.EAGAIN || peekErr == syscall.EINTR:
+			result = unreadNothing
+		case peekErr == nil && n > 0:
+			result = unreadBytes
+		}
+	})
+	if err != nil {
+		return unreadEnd
+	}
+	return result
+}
+
+// mayBeClosed reports whether closing the connection loses no request that has arrived.
+// The caller holds the listener's mutex.
+func (c *Conn) mayBeClosed(now time.Time) bool {
+	switch {
+	case c.received.Load():
+		return false
+	case c.state == http.StateIdle:
+	case c.state == http.StateNew && now.Sub(c.changed) >= firstRequestTimeout:
+	default:
+		return false
+	}
+	return c.unread() != unreadBytes
+}
+
+type connKey struct{}
+
+// ConnContext stores the connection of a request in its context. It is a ConnContext
+// function of http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// FromContext returns the connection on which the request with the given context has
+// arrived, or nil if ConnContext did not store one.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
--- /dev/null
+++ b/pkg/ingress/listener.go
@@ -0,0 +1,216 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+const (
+	// firstRequestTimeout is how long a connection may be open without a request before it
+	// counts as idle.
+	firstRequestTimeout = time.Second
+	// backlogQuietTime is the time without a new connection after which a listener that
+	// stops has accepted all that waited. Connections that wait can be accepted at once.
+	backlogQuietTime = 30 * time.Millisecond
+	// drainPollInterval is the time between two looks at the open connections of a
+	// listener that drains.
+	drainPollInterval = 20 * time.Millisecond
+	// refusalMargin is the part of the limit by which connections may exceed it. Their
+	// requests are refused with an answer; further connections are closed.
+	refusalMargin = 0.2
+	// limitLogInterval is the shortest time between two log lines about the limit.
+	limitLogInterval = 5 * time.Second
+)
+
+// Listener accepts the connections of callers for an http.Server, whose ConnState and
+// ConnContext must be those of the Listener and the package. It is safe for concurrent
+// use.
+type Listener struct {
+	*net.TCPListener
+	limit int // connections; 0: no limit
+	log   *log.Logger
+
+	mu            sync.Mutex
+	conns         map[*Conn]struct{}
+	stopping      bool          // connections that wait are accepted, then the listener is closed
+	stopped       chan struct{} // closed once the listener is closed
+	limitLoggedAt time.Time
+}
+
+// Listen listens on a TCP address, IP:port. Beyond limit connections, requests are to be
+// refused (Conn.OverLimit); 0 means no limit.
+func Listen(address string, limit int, logger *log.Logger) (*Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{TCPListener: l.(*net.TCPListener), limit: limit, log: logger, conns: make(map[*Conn]struct{}), stopped: make(chan struct{})}, nil
+}
+
+// Accept implements net.Listener. After StopAccepting it returns http.ErrServerClosed once
+// no connection waits.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.AcceptTCP()
+		l.mu.Lock()
+		if err != nil && l.stopping {
+			l.mu.Unlock()
+			return nil, l.closeStopped()
+		}
+		if err != nil {
+			l.mu.Unlock()
+			return nil, err
+		}
+		if l.stopping {
+			_ = l.SetDeadline(time.Now().Add(backlogQuietTime)) // fails only if the listener is closed
+		}
+		c := l.add(conn)
+		l.mu.Unlock()
+		if c != nil {
+			return c, nil
+		}
+		_ = conn.Close() // nothing was sent on it
+	}
+}
+
+// closeStopped closes the listener, with nothing left to accept.
+func (l *Listener) closeStopped() error {
+	_ = l.Close() // fails only if it is closed
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.stopped:
+	default:
+		close(l.stopped)
+	}
+	return http.ErrServerClosed
+}
+
+// add registers a connection. It returns nil if there are too many. The caller holds the
+// mutex.
+func (l *Listener) add(conn *net.TCPConn) *Conn {
+	now := time.Now()
+	c := &Conn{TCPConn: conn, listener: l, state: http.StateNew, changed: now}
+	if l.limit > 0 && len(l.conns) >= l.limit {
+		l.logLimit(now)
+		l.closeLongestIdle(now)
+		c.overLimit = len(l.conns) >= l.limit
+		if len(l.conns) >= l.limit+int(refusalMargin*float64(l.limit)) {
+			return nil
+		}
+	}
+	l.conns[c] = struct{}{}
+	return c
+}
+
+func (l *Listener) logLimit(now time.Time) {
+	if now.Sub(l.limitLoggedAt) < limitLogInterval {
+		return
+	}
+	l.limitLoggedAt = now
+	l.log.Warn().Int("connections", len(l.conns)).Int("limit", l.limit).Msg("Limit of caller connections reached. Idle connections are closed and requests on further ones refused.")
+}
+
+// closeLongestIdle closes the connection that has been idle for the longest time, if any.
+// The caller holds the mutex.
+func (l *Listener) closeLongestIdle(now time.Time) {
+	var longest *Conn
+	for c := range l.conns {
+		if (longest == nil || c.changed.Before(longest.changed)) && c.mayBeClosed(now) {
+			longest = c
+		}
+	}
+	if longest != nil {
+		l.closeConn(longest)
+	}
+}
+
+// closeConn closes a connection. The caller holds the mutex.
+func (l *Listener) closeConn(c *Conn) {
+	delete(l.conns, c)
+	_ = c.TCPConn.Close() // the server, which reads from it, ends with the error
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// ConnState records the state of a connection. It is the ConnState function of the
+// http.Server.
+func (l *Listener) ConnState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.state, c.changed = state, time.Now()
+	switch state {
+	case http.StateIdle:
+		c.received.Store(false)
+	case http.StateHijacked, http.StateClosed:
+		delete(l.conns, c)
+	}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// Drain accepts the connections that wait, closes the listener and waits until the open
+// requests have ended. It closes a connection once it is idle and no bytes of a request
+// are left to read. It returns the error of ctx if ctx ends first.
+func (l *Listener) Drain(ctx context.Context) error {
+	l.mu.Lock()
+	l.stopping = true
+	_ = l.SetDeadline(time.Now().Add(backlogQuietTime)) // fails only if the listener is closed
+	l.mu.Unlock()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for !l.drained() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), l.closeUnlessClosed())
+		}
+	}
+	return nil
+}
+
+// drained closes the connections that may be closed. It reports whether nothing is left to
+// accept and no connection is open.
+func (l *Listener) drained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for c := range l.conns {
+		if c.mayBeClosed(now) {
+			l.closeConn(c)
+		}
+	}
+	select {
+	case <-l.stopped:
+		return len(l.conns) == 0
+	default:
+		return false
+	}
+}
+
+func (l *Listener) closeUnlessClosed() error {
+	if err := l.Close(); !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrClosed) {
+		return err
+	}
+	return nil
+}
