edge: bound the connections of callers below the file descriptors

Cause: nothing bounds the connections of callers; accept fails with EMFILE, and net/http pauses up to 1 s and then serves what has been waiting. Dials to targets and to the store fail in that time as well. Change: 0.6 of the sockets are for callers.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -111,7 +111,7 @@
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker,
-		ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
+		Overloaded: overloaded, ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
@@ -148,7 +148,7 @@
 
 func (d *Daemon) serve(failed chan<- error) error {
 	var err error
-	if d.callers, err = ingress.Listen(d.settings.CallerListen, 0, d.logs.Logger("ingress")); err != nil {
+	if d.callers, err = ingress.Listen(d.settings.CallerListen, d.settings.callerLimit(), d.logs.Logger("ingress")); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	d.callerServer.ConnState = d.callers.ConnState
@@ -177,6 +177,12 @@
 	}
 }
 
+// overloaded reports whether the request arrived on a connection beyond the limit.
+func overloaded(r *http.Request) bool {
+	c := ingress.FromContext(r.Context())
+	return c != nil && c.OverLimit()
+}
+
 // Ready reports whether the daemon can serve requests: the configuration, the
 // targets and the budgets are loaded and it is not shutting down.
 func (d *Daemon) Ready() bool {
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -18,6 +18,7 @@
 	PeerListen    string        // UDP and TCP listen address for other hosts; empty: no listener
 	StoreAddress  string        // address of the store, IP:port
 	MemoryBytes   int64         // memory available to the process, in bytes; 0: no limit
+	Sockets       int           // sockets that the process may have open; 0: no limit
 	GracePeriod   time.Duration // time between SIGTERM and SIGKILL; 0: defaultGracePeriod
 	RetryRatio    float64       // retries allowed per request, summed over all hosts
 	RetryWindow   time.Duration // window in which retries and requests are counted; 0: defaultRetryWindow
@@ -48,6 +49,9 @@
 			problems = append(problems, fmt.Errorf("%s %q: %w", name, address, err))
 		}
 	}
+	if s.Sockets < 0 || s.Sockets > 0 && s.callerLimit() == 0 {
+		problems = append(problems, fmt.Errorf("sockets: %d leave none for callers", s.Sockets))
+	}
 	if s.MemoryBytes < 0 || s.RetryRatio < 0 || s.RetryReserve < 0 || s.GracePeriod < 0 || s.RetryWindow < 0 {
 		problems = append(problems, errors.New("memory, retry and grace settings: must not be negative"))
 	}
@@ -59,3 +63,11 @@
 	}
 	return errors.Join(problems...)
 }
+
+// callerSocketShare is the share of the sockets for connections of callers. The rest is for
+// targets, other hosts and the store.
+const callerSocketShare = 0.6
+
+// callerLimit returns the number of connections from callers beyond which requests are
+// refused, 0 for no limit.
+func (s *Settings) callerLimit() int { return int(callerSocketShare * float64(s.Sockets)) }
--- a/pkg/forward/abort.go
+++ b/pkg/forward/abort.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // abortResponse closes the connection to the caller so that the response does not look
 // complete, and ends the handler. It does not return. A response in chunks lacks the
@@ -22,8 +19,8 @@
 		c.h.Log.Warn().Str("request", c.id).Err(err).Msg("Connection of an incomplete response could not be reset. The caller may take the response for complete.")
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // makes Close reset the connection; fails only if it is closed already
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // makes Close reset the connection; fails only if it is closed already
 	}
 	_ = conn.Close() // the connection is not used again
 }
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -24,6 +24,9 @@
 	Client        *upstream.Client
 	Budgets       *escrow.Manager
 	CrashTracker  *CrashTracker
+	// Overloaded reports whether the host has too many connections to serve the request.
+	// Nil: it never has.
+	Overloaded func(*http.Request) bool
 	// ShuttingDown reports whether the host is shutting down. Responses then close the
 	// connection to the caller.
 	ShuttingDown func() bool
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -161,3 +161,15 @@
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Assert(t, got.closed)
 }
+
+// Guards against a host that serves requests on connections beyond its limit until it has no file descriptor left for targets.
+func TestRequestBeyondConnectionLimitIsRefused(t *testing.T) {
+	r := newFixture(t, 1)
+	r.handler.Overloaded = func(*http.Request) bool { return true }
+	refused := r.post("r1", "/unsafe/")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	assert.Assert(t, refused.closed, "the connection stays open")
+	assert.Equal(t, r.totalRuns(), 0)
+	assert.Equal(t, r.observer.refused[HostFull], 1)
+}
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -17,6 +17,7 @@
 const (
 	retryAfterNoConfiguration   = 500 * time.Millisecond
 	retryAfterNoTarget          = 300 * time.Millisecond
+	retryAfterHostFull          = 300 * time.Millisecond
 	retryAfterTargetFull        = 200 * time.Millisecond
 	retryAfterBudgetUnreachable = 500 * time.Millisecond
 )
@@ -48,6 +49,10 @@
 // prepare authenticates and validates the request, chooses the service and
 // reserves the tokens. It returns a refusal if the request must not be sent.
 func (c *call) prepare() *Refusal {
+	if c.h.Overloaded != nil && c.h.Overloaded(c.r) {
+		c.w.Header().Set("Connection", "close")
+		return refuseNotRun(HostFull, withJitter(retryAfterHostFull))
+	}
 	if c.config == nil {
 		return refuseNotRun(NoConfiguration, retryAfterNoConfiguration)
 	}
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -35,6 +35,7 @@
 	ConnectionLimit   Reason = "connection_limit" // nothing was sent, as the connection limit to the target was reached
 	DeadlinePassed    Reason = "deadline_passed"
 	CallerGone        Reason = "caller_gone"     // the caller disconnected
+	HostFull          Reason = "host_full"       // this host has too many connections of callers
 	CrashesTargets    Reason = "crashes_targets" // the request has crashed too many targets
 )
 
@@ -43,7 +44,7 @@
 	return []Reason{
 		NoConfiguration, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
 		BudgetExhausted, BudgetUnreachable, NoTarget, TargetFull, TargetReplaced,
-		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, CrashesTargets,
+		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, CrashesTargets,
 	}
 }
 
