forward: do not send requests whose caller has closed its connection

Cause: the server learns that a caller has left only when a goroutine reads the end of the connection. On a busy host, requests that waited in the accept queue are sent first.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -111,7 +111,7 @@
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker,
-		Overloaded: overloaded, ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
+		Overloaded: overloaded, CallerClosed: callerClosed, ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
@@ -183,6 +183,12 @@
 	return c != nil && c.OverLimit()
 }
 
+// callerClosed reports whether the caller of a request has closed its connection.
+func callerClosed(ctx context.Context) bool {
+	c := ingress.FromContext(ctx)
+	return c != nil && c.PeerClosed()
+}
+
 // Ready reports whether the daemon can serve requests: the configuration, the
 // targets and the budgets are loaded and it is not shutting down.
 func (d *Daemon) Ready() bool {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -39,6 +39,10 @@
 	unsentAttempts := 0
 	var forwardErrorResponse func() // sends the last 5xx response of a target
 	for {
+		if c.callerClosed() {
+			c.stoppedBy = stopDeadline
+			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CallerGone)
+		}
 		attempt, err := c.pickTarget()
 		if err != nil {
 			c.stoppedBy = stopNoTarget
@@ -73,6 +77,12 @@
 	return nil
 }
 
+// callerClosed reports whether the caller has closed its connection. A busy host may not
+// have read that yet, and would send a request that nobody waits for.
+func (c *call) callerClosed() bool {
+	return c.h.CallerClosed != nil && c.h.CallerClosed(c.r.Context())
+}
+
 func (c *call) pickTarget() (*balance.Attempt, error) {
 	return c.h.Targets.Pick(balance.Request{
 		Service:      c.service.Name,
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -27,6 +28,10 @@
 	// Overloaded reports whether the host has too many connections to serve the request.
 	// Nil: it never has.
 	Overloaded func(*http.Request) bool
+	// CallerClosed reports whether the caller of the request with this context has closed
+	// its connection, also if the server has not read that yet. Nil: only the end of the
+	// context tells.
+	CallerClosed func(context.Context) bool
 	// ShuttingDown reports whether the host is shutting down. Responses then close the
 	// connection to the caller.
 	ShuttingDown func() bool
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -173,3 +173,12 @@
 	assert.Equal(t, r.totalRuns(), 0)
 	assert.Equal(t, r.observer.refused[HostFull], 1)
 }
+
+// Guards against a request that is sent to a target although its caller has closed the connection.
+func TestRequestOfCallerThatHasLeftIsNotSent(t *testing.T) {
+	r := newFixture(t, 1)
+	r.handler.CallerClosed = func(context.Context) bool { return true }
+	r.post("r1", "/safe/")
+	assert.Equal(t, r.totalRuns(), 0)
+	assert.Equal(t, r.observer.refused[CallerGone], 1)
+}
