--- /dev/null
+++ b/pkg/edge/budget_calls.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/relay"
+)
+
+// The RPC methods by which a host asks the broker of a budget account to change its share,
+// to reserve tokens of the broker's share for a request, and to settle such reservations.
+const (
+	methodChangeShare = "budget.share"
+	methodReserve     = "budget.reserve"
+	methodSettle      = "budget.settle"
+)
+
+// handleBudgetCalls makes a server serve the calls of hosts for which this one is a broker.
+func (d *Daemon) handleBudgetCalls(server *relay.Server) {
+	handle(server, methodChangeShare, d.budgets.ChangeShare)
+	handle(server, methodReserve, d.budgets.ReserveFor)
+	handle(server, methodSettle, func(_ context.Context, request escrow.SettleRequest) (struct{}, error) {
+		d.budgets.SettleFor(request)
+		return struct{}{}, nil
+	})
+}
+
+// handle registers a method whose parameters are a request.
+func handle[Q, R any](server *relay.Server, method string, serve func(context.Context, Q) (R, error)) {
+	server.Handle(method, func(ctx context.Context, params json.RawMessage) (any, error) {
+		var request Q
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, fmt.Errorf("%s: %w", method, err)
+		}
+		return serve(ctx, request)
+	})
+}
+
+// requestShareChange asks the host at addr to change this host's share of a
+// budget account.
+func (d *Daemon) requestShareChange(ctx context.Context, addr string, request escrow.ShareRequest) (reply escrow.ShareReply, err error) {
+	err = d.store.Call(ctx, addr, methodChangeShare, request, &reply)
+	return reply, err
+}
+
+// requestReservation asks the host at addr to reserve tokens for a request of this host.
+func (d *Daemon) requestReservation(ctx context.Context, addr string, request escrow.ReserveRequest) (reply escrow.ReserveReply, err error) {
+	err = d.store.Call(ctx, addr, methodReserve, request, &reply)
+	return reply, err
+}
+
+// sendSettlements settles reservations that the host at addr has made for this host.
+func (d *Daemon) sendSettlements(ctx context.Context, addr string, request escrow.SettleRequest) error {
+	var reply struct{}
+	return d.store.Call(ctx, addr, methodSettle, request, &reply)
+}
+
+// announceShortage notifies the holders of shares, or other hosts if these are not known,
+// that this host has too few tokens of a customer for a request.
+func (d *Daemon) announceShortage(customer string, holders []string) {
+	switch {
+	case d.gossip == nil:
+	case holders == nil:
+		d.gossip.Send(gossip.Message{Customer: customer})
+	default:
+		d.gossip.SendTo(gossip.Message{Customer: customer}, holders)
+	}
+}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -107,7 +107,9 @@
 	d.directStore = newMeteredRows(store, d.metrics.registry)
 	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
 	d.budgets = escrow.NewManager(ctx, escrow.Options{
-		Rows: d.store, AccountTable: l.AccountTable, UsageTable: l.UsageTable, HostTable: l.HostTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.HostCount, AnnounceShortage: d.announceShortage, RequestShare: d.requestShareChange, CountWrittenOff: d.metrics.countWrittenOff, Log: logs.Logger("budget"),
+		Rows: d.store, AccountTable: l.AccountTable, UsageTable: l.UsageTable, HostTable: l.HostTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.HostCount, WritesPerSecond: s.StoreWritesPerSecond,
+		AnnounceShortage: d.announceShortage, RequestShare: d.requestShareChange, RequestReservation: d.requestReservation, SendSettlements: d.sendSettlements,
+		CountWrittenOff: d.metrics.countWrittenOff, Log: logs.Logger("budget"),
 	})
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker,
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"slices"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
-	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 )
@@ -117,7 +115,7 @@
 		return fmt.Errorf("listen for other hosts: %w", err)
 	}
 	server := relay.NewServer(d.directStore, d.logs.Logger("relay"))
-	server.Handle(methodChangeShare, d.handleShareChange)
+	d.handleBudgetCalls(server)
 	go func() {
 		if err := server.Serve(ctx, l); err != nil {
 			failed <- err
@@ -125,32 +123,3 @@
 	}()
 	return nil
 }
-
-// announceShortage notifies other hosts that this host has too few tokens of a
-// customer's budget for a request.
-func (d *Daemon) announceShortage(customer string) {
-	if d.gossip != nil {
-		d.gossip.Send(gossip.Message{Customer: customer})
-	}
-}
-
-// methodChangeShare is the RPC method by which a host asks another host to change
-// the requesting host's share of a budget account.
-const methodChangeShare = "budget.share"
-
-// handleShareChange serves methodChangeShare: it changes the requesting host's
-// share of a budget account.
-func (d *Daemon) handleShareChange(ctx context.Context, params json.RawMessage) (any, error) {
-	var request escrow.ShareRequest
-	if err := json.Unmarshal(params, &request); err != nil {
-		return nil, fmt.Errorf("%s: %w", methodChangeShare, err)
-	}
-	return d.budgets.ChangeShare(ctx, request)
-}
-
-// requestShareChange asks the host at addr to change this host's share of a
-// budget account.
-func (d *Daemon) requestShareChange(ctx context.Context, addr string, request escrow.ShareRequest) (reply escrow.ShareReply, err error) {
-	err = d.store.Call(ctx, addr, methodChangeShare, request, &reply)
-	return reply, err
-}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -12,17 +12,20 @@
 	Host          string // host name, unique in the fleet
 	FailureDomain string
 	Region        string
-	CallerListen  string        // listen address for callers, IP:port
-	ReadyListen   string        // listen address for readiness checks of the load balancer
-	AdminListen   string        // listen address for operators and metrics; empty: no listener
-	PeerListen    string        // UDP and TCP listen address for other hosts; empty: no listener
-	StoreAddress  string        // address of the store, IP:port
-	MemoryBytes   int64         // memory available to the process, in bytes; 0: no limit
-	Sockets       int           // sockets that the process may have open; 0: no limit
-	GracePeriod   time.Duration // time between SIGTERM and SIGKILL; 0: defaultGracePeriod
-	RetryRatio    float64       // retries allowed per request, summed over all hosts
-	RetryWindow   time.Duration // window in which retries and requests are counted; 0: defaultRetryWindow
-	RetryReserve  float64       // retries allowed per window regardless of the number of requests, summed over all hosts
+	CallerListen  string // listen address for callers, IP:port
+	ReadyListen   string // listen address for readiness checks of the load balancer
+	AdminListen   string // listen address for operators and metrics; empty: no listener
+	PeerListen    string // UDP and TCP listen address for other hosts; empty: no listener
+	StoreAddress  string // address of the store, IP:port
+	// StoreWritesPerSecond is the number of writes per second that the store takes from all
+	// hosts together; 0: a default.
+	StoreWritesPerSecond float64
+	MemoryBytes          int64         // memory available to the process, in bytes; 0: no limit
+	Sockets              int           // sockets that the process may have open; 0: no limit
+	GracePeriod          time.Duration // time between SIGTERM and SIGKILL; 0: defaultGracePeriod
+	RetryRatio           float64       // retries allowed per request, summed over all hosts
+	RetryWindow          time.Duration // window in which retries and requests are counted; 0: defaultRetryWindow
+	RetryReserve         float64       // retries allowed per window regardless of the number of requests, summed over all hosts
 }
 
 const (
@@ -52,6 +55,9 @@
 	if s.Sockets < 0 || s.Sockets > 0 && s.callerLimit() == 0 {
 		problems = append(problems, fmt.Errorf("sockets: %d leave none for callers", s.Sockets))
 	}
+	if s.StoreWritesPerSecond < 0 {
+		problems = append(problems, fmt.Errorf("writes per second of the store: %v must not be negative", s.StoreWritesPerSecond))
+	}
 	if s.MemoryBytes < 0 || s.RetryRatio < 0 || s.RetryReserve < 0 || s.GracePeriod < 0 || s.RetryWindow < 0 {
 		problems = append(problems, errors.New("memory, retry and grace settings: must not be negative"))
 	}
--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -60,6 +60,9 @@
 			continue
 		}
 		o.Amount += s.Amount
+		if s.Amount > 0 {
+			o.Holders++
+		}
 		u, known := usageOf(s)
 		if !known {
 			o.Unreported += s.Amount
--- a/pkg/escrow/broker_client.go
+++ b/pkg/escrow/broker_client.go
@@ -40,7 +40,7 @@
 		p.brokerCallFailed(ctx, broker, request, err)
 		return false
 	}
-	return p.applyReply(request, reply)
+	return p.applyReply(broker, request, reply)
 }
 
 // planShareRequest returns the next share request, and whether one is needed.
@@ -52,7 +52,7 @@
 	if m.leaving && p.ledger.reserved > 0 {
 		return request, false
 	}
-	recent := p.brokerReply != nil && now-p.loadedAt <= maxBrokerReplyAge
+	recent := (p.brokerReply != nil && now-p.loadedAt <= maxBrokerReplyAge) || (p.pooled() && p.ledger.amount == 0)
 	amount := p.ledger.amount
 	if p.brokerReply != nil || m.leaving {
 		amount = p.plannedAmount(p.view(p.account))
@@ -66,7 +66,7 @@
 	usage := p.usage()
 	request.Usage = &usage
 	for incarnation, e := range m.endedProcesses {
-		if e.Report.Host == m.options.Host && !p.reportedEnded[incarnation] {
+		if p.mayHoldShare(e) && !p.reportedEnded[incarnation] {
 			request.EndedProcesses = append(request.EndedProcesses, EndedProcess{Report: e.Report.forCustomer(p.ledger.customer), EndedBy: e.EndedBy})
 		}
 	}
@@ -87,11 +87,12 @@
 
 // applyReply updates the account summary and the share from the broker's reply.
 // It returns true once all shares are returned.
-func (p *tokenPool) applyReply(request ShareRequest, reply ShareReply) (returned bool) {
+func (p *tokenPool) applyReply(broker string, request ShareRequest, reply ShareReply) (returned bool) {
 	p.manager.mu.Lock()
 	defer p.manager.mu.Unlock()
 	p.lastCallAt = p.now()
 	p.loaded, p.loadedAt, p.conflicted = true, p.lastCallAt, false
+	delete(p.manager.brokerRetryAt, broker)
 	p.brokerReply = &reply
 	for _, e := range request.EndedProcesses {
 		p.markReportedEnded(e.Report.Incarnation)
@@ -142,13 +143,7 @@
 			p.ledger.pendingAmount = nil
 		}
 	} else {
-		alreadyDown := p.now() < m.brokerRetryAt[broker]
-		m.brokerRetryAt[broker] = p.now() + brokerRetryDelay
-		event := m.options.Log.Info()
-		if alreadyDown {
-			event = m.options.Log.Debug() // already logged at info level for this broker
-		}
-		event.Err(err).Str("peer", broker).Str("customer", p.ledger.customer).Msg("Account broker did not answer. It is not asked again for 2 s.")
+		m.recordBrokerFailure(broker, p.ledger.customer, err)
 	}
 	p.markUnreachable(err)
 	m.mu.Unlock()
--- a/pkg/escrow/broker_selection.go
+++ b/pkg/escrow/broker_selection.go
@@ -38,39 +38,44 @@
 
 func (p *tokenPool) peersKnown() bool {
 	m := p.manager
-	if m.Hosts() > maxDirectHosts {
-		return true
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(p.queue) > 0 || (m.hasPredecessor && m.membership.read) || m.options.Clock()-m.startedAt >= peerDiscoveryTimeout
+	return m.hostCount() > maxDirectHosts || len(p.queue) > 0 || (m.hasPredecessor && m.membership.read) || m.options.Clock()-m.startedAt >= peerDiscoveryTimeout
 }
 
-// minReportInterval returns the minimum time between two usage reports of this
-// host.
-func minReportInterval(hosts int) time.Duration {
-	return max(minCallInterval, time.Duration(hosts)*time.Second/reportsPerSecond)
+// minReportInterval returns the minimum time between two usage reports of this host.
+func (o Options) minReportInterval() time.Duration {
+	return max(minCallInterval, interval(o.Hosts(), o.writesPerSecond()*reportWritesFraction))
 }
 
 // minChangeInterval returns the minimum time between two changes of one
 // account by its broker.
-func minChangeInterval(accounts int) time.Duration {
-	return max(minCallInterval, time.Duration(accounts)*time.Second/changesPerSecond)
+func (o Options) minChangeInterval(accounts int) time.Duration {
+	return max(minCallInterval, interval(accounts, o.writesPerSecond()*changeWritesFraction))
+}
+
+// interval returns the time between two writes of each of count writers that together make
+// perSecond writes per second.
+func interval(count int, perSecond float64) time.Duration {
+	return time.Duration(float64(count) / perSecond * float64(time.Second))
+}
+
+func (o Options) writesPerSecond() float64 {
+	if o.WritesPerSecond <= 0 {
+		return defaultWritesPerSecond
+	}
+	return o.WritesPerSecond
 }
 
 // brokerOf returns the address of the host that changes a customer's account
 // for the others, or "" if this host changes it itself. In that case noBroker
 // tells whether the reason is that no broker answers.
 func (m *Manager) brokerOf(customer string) (addr string, noBroker bool) {
-	if m.options.RequestShare == nil {
-		return "", false
-	}
-	hosts := m.rankHosts(customer)
-	if len(hosts) <= maxDirectHosts {
+	if m.options.RequestShare == nil || m.hostCount() <= maxDirectHosts {
 		return "", false
 	}
 	clock := m.options.Clock()
-	for _, h := range hosts[:maxBrokers] {
+	for _, h := range m.brokers(customer) {
 		if h.name == m.options.Host {
 			return "", false
 		}
@@ -81,39 +86,68 @@
 	return "", true
 }
 
-// rankingTTL is how long a ranking of hosts is cached.
-const rankingTTL = 500 * time.Millisecond
-
 // brokerCandidate is a host that may be the broker of an account.
 type brokerCandidate struct {
 	name, addr string
 	score      uint64
 }
 
-// ranking is the cached order of broker candidates for one customer.
+// ranking holds the brokers of one customer.
 type ranking struct {
-	hosts []brokerCandidate
-	at    time.Duration // when the order was computed, on the local clock
+	brokers    []brokerCandidate // at most maxBrokers, the first one first
+	generation int               // of the membership from which the ranking was computed
 }
 
-// rankHosts returns the running hosts, ordered by rendezvous
-// score for the customer, the highest first.
-func (m *Manager) rankHosts(customer string) []brokerCandidate {
-	clock := m.options.Clock()
-	if r, ok := m.rankings[customer]; ok && clock-r.at < rankingTTL {
-		return r.hosts
+// brokers returns the running hosts with the highest rendezvous scores for the customer.
+func (m *Manager) brokers(customer string) []brokerCandidate {
+	if r, ok := m.rankings[customer]; ok && r.generation == m.membership.generation {
+		return r.brokers
 	}
-	var hosts []brokerCandidate
-	for name, addr := range m.liveHosts() {
-		if addr != "" || name == m.options.Host {
-			hosts = append(hosts, brokerCandidate{name, addr, rendezvous.Score(customer, name)})
+	r := ranking{generation: m.membership.generation}
+	for name, row := range m.membership.rows {
+		if row.Addr != "" && name != m.options.Host {
+			r.add(brokerCandidate{name, row.Addr, rendezvous.Score(customer, name)})
 		}
 	}
-	slices.SortFunc(hosts, func(a, b brokerCandidate) int { return cmp.Compare(b.score, a.score) })
-	m.rankings[customer] = ranking{hosts: hosts, at: clock}
-	return hosts
+	r.add(brokerCandidate{m.options.Host, m.options.Addr, rendezvous.Score(customer, m.options.Host)})
+	m.rankings[customer] = r
+	return r.brokers
+}
+
+// add adds a candidate if its score is among the highest.
+func (r *ranking) add(c brokerCandidate) {
+	i, _ := slices.BinarySearchFunc(r.brokers, c, func(a, b brokerCandidate) int { return cmp.Compare(b.score, a.score) })
+	if i < maxBrokers {
+		r.brokers = slices.Insert(r.brokers, i, c)
+		r.brokers = r.brokers[:min(len(r.brokers), maxBrokers)]
+	}
 }
 
 // clearBrokerFailures makes all brokers eligible again, after this host could
 // not reach the table itself.
 func (m *Manager) clearBrokerFailures() { clear(m.brokerRetryAt) }
+
+// lenderOf returns the address of the broker to ask for a reservation, or "" if this host
+// takes the tokens itself. A broker that did not answer before is asked by one request at
+// a time until it does.
+func (m *Manager) lenderOf(customer string) string {
+	if m.options.RequestReservation == nil {
+		return ""
+	}
+	broker, _ := m.brokerOf(customer)
+	if _, failed := m.brokerRetryAt[broker]; failed {
+		m.brokerRetryAt[broker] = m.options.Clock() + remoteReserveTimeout
+	}
+	return broker
+}
+
+// recordBrokerFailure records that a broker did not answer a call for a customer.
+func (m *Manager) recordBrokerFailure(broker, customer string, err error) {
+	clock := m.options.Clock()
+	event := m.options.Log.Info()
+	if clock < m.brokerRetryAt[broker] {
+		event = m.options.Log.Debug() // already logged at info level for this broker
+	}
+	m.brokerRetryAt[broker] = clock + brokerRetryDelay
+	event.Err(err).Str("peer", broker).Str("customer", customer).Msg("Account broker did not answer. It is not asked again for 2 s.")
+}
--- a/pkg/escrow/cluster_test.go
+++ b/pkg/escrow/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,6 +38,8 @@
 	announcesShortages bool
 	// usesBrokers makes hosts send share requests to brokers.
 	usesBrokers bool
+	// pools makes hosts with little demand spend from the shares of brokers.
+	pools bool
 	// lossPercent is the percentage of share requests, and of the replies to
 	// them, that are lost.
 	lossPercent atomic.Int32
@@ -58,6 +61,8 @@
 	rows    *rowstore.Client
 	traffic *receivedRows // counts what Manager receives through rows
 	cancel  context.CancelFunc
+	// isolated makes calls from and to other hosts fail.
+	isolated atomic.Bool
 }
 
 func newTestCluster(t *testing.T, hosts int) *testCluster {
@@ -105,7 +110,7 @@
 		Rows: n.traffic, AccountTable: accounts, UsageTable: usages, HostTable: hostRows, Host: host, Incarnation: incarnation, Addr: host,
 		Hosts:            func() int { return c.hosts },
 		Clock:            c.clock,
-		AnnounceShortage: func(customer string) { c.announceShortage(host, customer) },
+		AnnounceShortage: func(customer string, holders []string) { c.announceShortage(host, customer, holders) },
 		CountWrittenOff:  c.countWrittenOff,
 		Log:              newDiscardLog(),
 	}
@@ -113,7 +118,16 @@
 		o.Log = &log.Logger{Writer: log.IOWriter{Writer: c.log}}
 	}
 	if c.usesBrokers {
-		o.RequestShare = c.callBroker
+		o.RequestShare = unlessIsolated(n, c.callBroker)
+	}
+	if c.pools {
+		o.RequestReservation = unlessIsolated(n, c.callLender)
+		o.SendSettlements = func(ctx context.Context, addr string, request SettleRequest) error {
+			if n.isolated.Load() {
+				return storage.ErrUnavailable
+			}
+			return c.settleAtLender(ctx, addr, request)
+		}
 	}
 	n.Manager = NewManager(ctx, o)
 	n.SetBudgets(budgets)
@@ -124,37 +138,73 @@
 	return n
 }
 
+// unlessIsolated makes calls of a process fail while it is isolated.
+func unlessIsolated[Q, R any](n *testProcess, call func(context.Context, string, Q) (R, error)) func(context.Context, string, Q) (R, error) {
+	return func(ctx context.Context, addr string, request Q) (none R, err error) {
+		if n.isolated.Load() {
+			return none, storage.ErrUnavailable
+		}
+		return call(ctx, addr, request)
+	}
+}
+
 // callBroker delivers a share request to the host at an address.
 func (c *testCluster) callBroker(ctx context.Context, addr string, request ShareRequest) (ShareReply, error) {
+	return deliver(ctx, c, addr, func(to *testProcess) (ShareReply, error) { return to.ChangeShare(ctx, request) })
+}
+
+// callLender delivers a request for a reservation to the host at an address.
+func (c *testCluster) callLender(ctx context.Context, addr string, request ReserveRequest) (ReserveReply, error) {
+	return deliver(ctx, c, addr, func(to *testProcess) (ReserveReply, error) { return to.ReserveFor(ctx, request) })
+}
+
+// settleAtLender delivers settlements to the host at an address.
+func (c *testCluster) settleAtLender(ctx context.Context, addr string, request SettleRequest) error {
+	_, err := deliver(ctx, c, addr, func(to *testProcess) (struct{}, error) {
+		to.SettleFor(request)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// deliver makes a call to the host at an address, with the loss of messages of the cluster.
+func deliver[T any](ctx context.Context, c *testCluster, addr string, call func(*testProcess) (T, error)) (none T, err error) {
+	to := c.processAt(addr)
+	if to == nil || to.ctx.Err() != nil || to.isolated.Load() || c.loseMessage() {
+		return none, storage.ErrUnavailable
+	}
+	reply, err := call(to)
+	if c.loseMessage() || ctx.Err() != nil || to.ctx.Err() != nil {
+		return none, storage.ErrUnavailable
+	}
+	return reply, err
+}
+
+// processAt returns the latest process of the host at an address, nil if there is none.
+func (c *testCluster) processAt(addr string) *testProcess {
 	c.mu.Lock()
-	var to *testProcess
+	defer c.mu.Unlock()
+	var latest *testProcess
 	for _, n := range c.processes {
-		if n.options.Host == addr {
-			to = n // the latest process of the host
+		if n.options.Addr == addr {
+			latest = n
 		}
 	}
-	c.mu.Unlock()
-	if to == nil || to.ctx.Err() != nil || c.loseMessage() {
-		return ShareReply{}, storage.ErrUnavailable
-	}
-	reply, err := to.ChangeShare(ctx, request)
-	if c.loseMessage() || ctx.Err() != nil {
-		return ShareReply{}, storage.ErrUnavailable
-	}
-	return reply, err
+	return latest
 }
 
 func (c *testCluster) loseMessage() bool { return rand.Int32N(100) < c.lossPercent.Load() }
 
-// announceShortage delivers the announcement of a shortage to the other hosts.
-func (c *testCluster) announceShortage(host, customer string) {
+// announceShortage delivers the announcement of a shortage to the holders, or to all other
+// hosts if these are not known.
+func (c *testCluster) announceShortage(host, customer string, holders []string) {
 	if !c.announcesShortages {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, n := range c.processes {
-		if n.options.Host != host {
+		if n.options.Host != host && (holders == nil || slices.Contains(holders, n.options.Addr)) {
 			go n.NoteShortage(customer)
 		}
 	}
--- a/pkg/escrow/demand_meter.go
+++ b/pkg/escrow/demand_meter.go
@@ -28,6 +28,7 @@
 	long                 float64       // tokens per second, averaged over longDecay
 	longVariance         float64       // estimated variance of long that is due to chance, (tokens per second)²
 	peakRequest          float64       // tokens of the largest reservation, decaying with time
+	requests             float64       // number of reservations, decaying with longDecay
 	meanRequest          float64       // mean size of a reservation in tokens
 	startedAt, updatedAt time.Duration // first and last update of the averages
 }
@@ -51,6 +52,7 @@
 	increase := float64(tokens) / longDecay.Seconds()
 	m.long += increase
 	m.longVariance += increase * increase
+	m.requests++
 }
 
 // correctSpent replaces the tokens that a request has reserved by those that it has
@@ -103,6 +105,13 @@
 	m.short *= math.Exp(-elapsed / shortDecay.Seconds())
 	m.medium *= math.Exp(-elapsed / mediumDecay.Seconds())
 	m.long *= math.Exp(-elapsed / longDecay.Seconds())
+	m.requests *= math.Exp(-elapsed / longDecay.Seconds())
 	m.longVariance *= math.Exp(-2 * elapsed / longDecay.Seconds())
 	m.peakRequest *= math.Exp(-elapsed / mediumDecay.Seconds())
 }
+
+// recentRequests returns the number of reservations within about longDecay.
+func (m *demandMeter) recentRequests(now time.Duration) float64 {
+	m.decay(now)
+	return m.requests
+}
--- a/pkg/escrow/doc.go
+++ b/pkg/escrow/doc.go
@@ -34,6 +34,12 @@
 // changes per second, and the writes of many hosts would conflict. Each request
 // carries what its host has used, so no host reads the reports of all others.
 //
+// Divided among hundreds of hosts, a budget gives shares smaller than one request. A host
+// whose callers send few requests of a customer therefore has no share: it asks the broker,
+// call by call, to reserve tokens of the broker's share (ReserveRequest), and settles what
+// was spent. The broker counts what is never settled as spent. A host with steady demand
+// has a share of its own, from which it serves without a call and while it is cut off.
+//
 // Hosts know each other from small rows of their own (HostRow), which they renew
 // every few seconds.
 //
@@ -54,5 +60,6 @@
 //     another host lacks.
 //   - A large fleet divides a budget into shares smaller than a large request.
 //     A part of the budget then stays in the account and is given only to hosts
-//     on which a reservation waits.
+//     on which a reservation waits, and hosts with little demand spend from the
+//     share of the broker.
 package escrow
--- a/pkg/escrow/holder_usage.go
+++ b/pkg/escrow/holder_usage.go
@@ -26,9 +26,13 @@
 	}
 }
 
-// usageOf returns the last known usage of a share: the one that its holder sent to
-// this broker, or the one in a usage report if that is newer.
+// usageOf returns the last known usage of a share: that of this process, the one that its
+// holder sent to this broker, or the one in a usage report if that is newer.
 func (p *tokenPool) usageOf(s Share) (Usage, bool) {
+	if s.key() == p.ownShare().key() {
+		m := &p.ledger.meter
+		return Usage{Epoch: s.Epoch, Used: p.ledger.used(), LongTermDemand: int64(m.longTermDemand()), DemandSquare: int64(m.longTermDemandSquare()), PeakRequest: int64(m.peakRequest)}, true
+	}
 	sent, wasSent := p.holderUsage[s.key()]
 	report, known := p.manager.peerReports[s.Incarnation]
 	u, listed := report.Customers[p.ledger.customer]
--- a/pkg/escrow/manager.go
+++ b/pkg/escrow/manager.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/pause"
 )
 
 // Manager holds this host's shares of all budgets. It is safe for concurrent
@@ -28,6 +30,9 @@
 	storeTimeReadAt time.Duration            // local clock when storeTime was received
 	stateChanged    chan struct{}            // closed and replaced whenever waiting reservations must check again
 	leaving         bool                     // Leave was called
+	lender          lender
+	settlements     settlementQueue
+	lastReservation int64 // number of the last reservation asked of a broker
 }
 
 // NewManager returns a manager without budgets. Its goroutines stop when ctx
@@ -39,7 +44,7 @@
 	m := &Manager{
 		options: o, ctx: ctx, pools: make(map[string]*tokenPool), peerReports: make(map[string]UsageReport),
 		endedProcesses: make(map[string]EndedProcess), membership: membership{rows: make(map[string]HostRow)}, stateChanged: make(chan struct{}), brokerRetryAt: make(map[string]time.Duration), rankings: make(map[string]ranking),
-		startedAt: o.Clock(),
+		startedAt: o.Clock(), lender: lender{lent: make(map[lentKey]lentReservation)}, settlements: newSettlementQueue(),
 	}
 	m.reporter = newReporter(m)
 	return m
@@ -54,6 +59,8 @@
 	go m.loadPredecessors(m.ctx)
 	go m.followReports(m.ctx)
 	go m.runReclaim(m.ctx)
+	go m.runLender(m.ctx)
+	go m.runSettlements(m.ctx)
 }
 
 // SetBudgets sets the prepaid totals in tokens, by customer. A customer that is
@@ -92,7 +99,8 @@
 }
 
 // Loaded reports whether the table has stored a usage report of this process
-// and the state of every account was received at least once.
+// and the state of every account was received at least once. In a large fleet an account
+// is read when a request needs it.
 func (m *Manager) Loaded() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -100,7 +108,7 @@
 		return false
 	}
 	for _, p := range m.pools {
-		if !p.loaded {
+		if !p.loaded && !p.pooled() {
 			return false
 		}
 	}
@@ -127,7 +135,23 @@
 			return ctx.Err()
 		}
 	}
-	return nil
+	return m.awaitSettlements(ctx)
+}
+
+// awaitSettlements waits until all settlements are sent.
+func (m *Manager) awaitSettlements(ctx context.Context) error {
+	for {
+		m.mu.Lock()
+		settled := m.settlements.settled()
+		m.mu.Unlock()
+		if settled {
+			return nil
+		}
+		pause.For(ctx, firstResendDelay)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
 }
 
 // Status returns the state of this host's share of every budget.
@@ -145,33 +169,29 @@
 func (m *Manager) Hosts() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.liveHosts())
+	return m.hostCount()
+}
+
+// hostCount is Hosts for a caller that holds the mutex.
+func (m *Manager) hostCount() int {
+	count := len(m.membership.rows)
+	if _, listed := m.membership.rows[m.options.Host]; !listed {
+		count++
+	}
+	return count
 }
 
 // PeerAddrs returns the addresses of the other running hosts.
 func (m *Manager) PeerAddrs() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var addrs []string
-	for host, addr := range m.liveHosts() {
-		if addr != "" && host != m.options.Host {
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs
-}
-
-// liveHosts returns the running hosts, including this one: their addresses by host
-// name, "" for a host without an address.
-func (m *Manager) liveHosts() map[string]string {
-	hosts := make(map[string]string, len(m.membership.rows)+1)
+	addrs := make([]string, 0, len(m.membership.rows))
 	for host, r := range m.membership.rows {
-		if m.membership.live(r) {
-			hosts[host] = r.Addr
+		if r.Addr != "" && host != m.options.Host {
+			addrs = append(addrs, r.Addr)
 		}
 	}
-	hosts[m.options.Host] = m.options.Addr
-	return hosts
+	return addrs
 }
 
 // recordStoreTime records the store's clock from the answer to a call that was
--- a/pkg/escrow/manager_test.go
+++ b/pkg/escrow/manager_test.go
@@ -167,15 +167,16 @@
 	for _, tc := range []struct {
 		desc             string
 		hosts            int
-		brokers          bool
+		brokers, pools   bool
 		prepaid, atLeast int64
 	}{
-		{"each host changes the account", 4, false, 40_000, 10_000},
-		{"brokers change the account", maxDirectHosts + 4, true, 80_000, 20_000},
+		{"each host changes the account", 4, false, false, 40_000, 10_000},
+		{"brokers change the account", maxDirectHosts + 4, true, false, 80_000, 20_000},
+		{"hosts spend from the shares of brokers", maxDirectHosts + 4, true, true, 80_000, 20_000},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
 			c := newTestCluster(t, tc.hosts)
-			c.usesBrokers = tc.brokers
+			c.usesBrokers, c.pools = tc.brokers, tc.pools
 			spent, prepaid := spendUnderFaults(t, c, tc.prepaid)
 			assert.Assert(t, spent <= prepaid, "spent %d of %d prepaid tokens", spent, prepaid)
 			assert.Assert(t, spent >= tc.atLeast, "spent only %d tokens", spent)
@@ -212,9 +213,11 @@
 	}
 	for step := range 40 {
 		i := random.IntN(c.hosts)
-		switch random.IntN(7) {
+		switch random.IntN(8) {
 		case 0:
 			processes[i].rows.SetFaults(rowstore.Faults{Cut: true})
+		case 7:
+			processes[i].isolated.Store(!processes[i].isolated.Load())
 		case 1:
 			processes[i].rows.SetFaults(rowstore.Faults{LoseReplies: true})
 		case 2:
@@ -255,5 +258,5 @@
 	time.Sleep(1500 * time.Millisecond) // until both hosts have read each other's reports
 	start := time.Now()
 	assert.Equal(t, b.spend(t, "regie", 20_000), int64(20_000))
-	assert.Assert(t, time.Since(start) < maxReserveWait, "the reservation took %v", time.Since(start))
+	assert.Assert(t, time.Since(start) < minReserveWait, "the reservation took %v", time.Since(start))
 }
--- a/pkg/escrow/membership.go
+++ b/pkg/escrow/membership.go
@@ -34,6 +34,8 @@
 	rows   map[string]HostRow // by host
 	readAt time.Duration      // store clock at the last read; rows do not age while the store cannot be read
 	read   bool               // the rows were read at least once
+	// generation changes whenever a host joins, leaves or gets another address.
+	generation int
 }
 
 // live reports whether a row is recent, as of the last read.
@@ -57,14 +59,20 @@
 			failed = errors.Join(failed, err)
 			continue
 		}
-		if known, ok := s.rows[row.Key]; !ok || known.StoreTimeMs <= r.StoreTimeMs {
-			s.rows[row.Key] = r
+		known, ok := s.rows[row.Key]
+		if ok && known.StoreTimeMs > r.StoreTimeMs {
+			continue
+		}
+		s.rows[row.Key] = r
+		if !ok || known.Addr != r.Addr {
+			s.generation++
 		}
 	}
 	s.readAt, s.read = max(s.readAt, storeTime), true
 	for host, r := range s.rows {
 		if !s.live(r) {
 			delete(s.rows, host)
+			s.generation++
 		}
 	}
 	return failed
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -19,20 +19,24 @@
 	// minCallInterval is the minimum time between two calls for the same
 	// account, and between two usage reports of a process.
 	minCallInterval = 30 * time.Millisecond
-	// reportsPerSecond is the maximum rate of usage reports of all hosts
-	// together. changesPerSecond is the maximum rate of account changes of all
-	// brokers together. The store takes at least 800 calls per second.
-	reportsPerSecond = 500
-	changesPerSecond = 200
+	// reportWritesFraction is the fraction of the store's write rate for the usage reports
+	// of all hosts together, changeWritesFraction that for the account changes of all
+	// brokers together.
+	reportWritesFraction = 1.0 / 3
+	changeWritesFraction = 2.0 / 15
+	// defaultWritesPerSecond is the write rate of the store if Options sets none.
+	defaultWritesPerSecond = 1500
 	// callTimeout is the time limit of one call to the table.
 	callTimeout = 1200 * time.Millisecond
 	// firstResendDelay and maxResendDelay bound the time between two
 	// submissions of a transaction that got no answer.
 	firstResendDelay = 60 * time.Millisecond
 	maxResendDelay   = 400 * time.Millisecond
-	// maxReserveWait is the longest time that a reservation waits for the
-	// table.
-	maxReserveWait = 250 * time.Millisecond
+	// A reservation waits for the table for one of reserveWaitParts equal parts of the time
+	// that its request has left, but at least minReserveWait and at most maxReserveWait.
+	reserveWaitParts = 4
+	minReserveWait   = 250 * time.Millisecond
+	maxReserveWait   = time.Second
 	// reportOverdueAfter is how long a report may stay unanswered before
 	// requests no longer wait for the table, which normally answers within
 	// about 10 ms.
@@ -71,15 +75,25 @@
 	Addr        string // address at which other hosts reach this one; empty: none
 	// Hosts returns the number of known hosts, including this one.
 	Hosts func() int
+	// WritesPerSecond is the number of writes per second that the store takes from all
+	// hosts together; 0: a default.
+	WritesPerSecond float64
 	// AnnounceShortage tells other hosts that a request lacks tokens which
-	// they hold. It must not block. If it is nil, other hosts learn of the
+	// they hold. holders are the addresses of the hosts with shares, nil if they are not
+	// known. It must not block. If it is nil, other hosts learn of the
 	// shortage from the next usage report.
-	AnnounceShortage func(customer string)
+	AnnounceShortage func(customer string, holders []string)
 	// RequestShare sends a share request to the host at an address, which
 	// calls Manager.ChangeShare. An error that is storage.ErrNotApplied means
 	// that nothing was changed. If RequestShare is nil, every host changes the
 	// accounts itself.
 	RequestShare func(ctx context.Context, addr string, request ShareRequest) (ShareReply, error)
+	// RequestReservation sends a request for a reservation to the host at an address, which
+	// calls Manager.ReserveFor. An error that is storage.ErrNotApplied means that nothing
+	// was reserved. If RequestReservation is nil, a host spends only from its own shares.
+	// SendSettlements sends settlements of such reservations, for Manager.SettleFor.
+	RequestReservation func(ctx context.Context, addr string, request ReserveRequest) (ReserveReply, error)
+	SendSettlements    func(ctx context.Context, addr string, request SettleRequest) error
 	// CountWrittenOff counts tokens that are counted as spent by an ended process
 	// beyond its last report. It must not block. Nil: they are not counted.
 	CountWrittenOff func(cause WriteOffCause, tokens int64)
--- a/pkg/escrow/outage_loss_test.go
+++ b/pkg/escrow/outage_loss_test.go
@@ -205,7 +205,7 @@
 		Host: name, Incarnation: name, Log: newDiscardLog(),
 		Hosts: func() int { return hosts },
 		Clock: func() time.Duration { return s.now },
-		AnnounceShortage: func(customer string) {
+		AnnounceShortage: func(customer string, _ []string) {
 			for _, other := range s.hosts {
 				if other.manager.options.Host != name && !s.unreachable {
 					other.manager.NoteShortage(customer)
@@ -373,7 +373,7 @@
 	if !p.ledger.reserve(s.now, h.manager.ownReports, r.reserved) {
 		return false
 	}
-	if p.needsHigherCeiling() && s.now-h.manager.reporter.sentAt >= minReportInterval(len(s.hosts)) {
+	if p.needsHigherCeiling() && s.now-h.manager.reporter.sentAt >= h.manager.options.minReportInterval() {
 		s.report(h)
 	}
 	if p.ledger.amount-p.ledger.used() < int64(peakRequestsCovered*p.ledger.meter.peakRequest) {
--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -224,35 +224,28 @@
 	}
 }
 
+// closedProcesses returns the ended processes of this host whose shares are all closed.
 func (m *Manager) closedProcesses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	open := make(map[string]struct{})
-	for _, p := range m.pools {
-		if !p.loaded {
-			return nil
-		}
-		if p.brokerReply != nil {
-			for incarnation := range m.endedProcesses {
-				if !p.reportedEnded[incarnation] {
-					open[incarnation] = struct{}{}
-				}
-			}
-			continue
-		}
-		for _, s := range p.account.Shares {
-			open[s.Incarnation] = struct{}{}
-		}
-	}
 	var closed []string
 	for incarnation, e := range m.endedProcesses {
-		if _, isOpen := open[incarnation]; !isOpen && e.Report.Host == m.options.Host {
+		if e.Report.Host == m.options.Host && m.allClosed(incarnation, e) {
 			closed = append(closed, incarnation)
 		}
 	}
 	return closed
 }
 
+func (m *Manager) allClosed(incarnation string, e EndedProcess) bool {
+	for _, p := range m.pools {
+		if p.mayHoldShare(e) && !p.closedHere(incarnation) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Manager) removeReport(ctx context.Context, incarnation string) error {
 	for _, suffix := range reportPartSuffixes {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/pkg/escrow/plan.go
+++ b/pkg/escrow/plan.go
@@ -9,6 +9,9 @@
 	// demandCoverTime is the time for which a share should cover the demand:
 	// ten seconds without the store at twice the long-term demand.
 	demandCoverTime = 20 * time.Second
+	// lentCoverTime replaces demandCoverTime for the demand of other hosts that spend from
+	// this host's share. They reach it only while they are not cut off.
+	lentCoverTime = 12 * time.Second
 	// shortageCoverTime replaces demandCoverTime while another host lacks
 	// tokens.
 	shortageCoverTime = time.Second
@@ -86,7 +89,11 @@
 	peakRequest    int64   // tokens of the largest recent reservation
 	meanRequest    float64 // mean size of a reservation in tokens
 	largestWaiting int64   // tokens of the largest reservation that waits for a larger share; 0: none
-	hosts          int     // number of known hosts, including this one
+	totalWaiting   int64   // tokens of all reservations that wait
+	hosts          int     // number of hosts that share the budget, including this one
+	pooled         bool    // hosts with little demand spend from the share of the broker
+	holds          bool    // this host should hold unspent tokens; always true unless pooled
+	lentDemand     float64 // part of recentDemand that is due to other hosts, tokens per second
 	brokered       bool    // others is the summary of a broker
 	others         otherShares
 }
@@ -94,6 +101,7 @@
 // otherShares sums up what is known of the shares of other processes.
 type otherShares struct {
 	Amount         int64   `json:"amount"`         // tokens of all these shares
+	Holders        int     `json:"holders"`        // number of these shares that are not empty
 	Used           int64   `json:"spent"`          // tokens used from the shares with a usage report, open reservations included
 	Unreported     int64   `json:"unknown"`        // tokens of the shares without a usage report
 	LongTermDemand float64 `json:"usual"`          // tokens per second
@@ -189,20 +197,40 @@
 	if v.others.Shortage {
 		coverTime = shortageCoverTime
 	}
+	if v.pooled && !v.holds {
+		return 0
+	}
 	unspent := float64(v.unspent() - v.reserved())
 	evenlyDivided := v.evenlyDividedFraction()
 	allocation := int64(unspent * (evenlyDivided*v.perHostFraction() + (allocatableFraction-evenlyDivided)*v.demandFraction()))
-	covered := int64(v.plannedDemand()*coverTime.Seconds()) + peakRequestsCovered*v.largestPeakRequest()
+	lent := min(v.lentDemand, v.plannedDemand())
+	covered := int64((v.plannedDemand()-lent)*coverTime.Seconds()+lent*min(coverTime, lentCoverTime).Seconds()) + v.coveredPeaks()
+	if v.pooled {
+		return min(covered, allocation)
+	}
 	return max(min(covered, allocation), int64(minEvenFraction*v.perHostFraction()*unspent))
 }
 
+// coveredPeaks returns the tokens for large requests that the share covers in addition to
+// the planned demand. With pooled shares a host covers only its own largest requests, and
+// none while another one lacks tokens: it gets them from the broker when it needs them.
+func (v budgetView) coveredPeaks() int64 {
+	switch {
+	case !v.pooled:
+		return peakRequestsCovered * v.largestPeakRequest()
+	case v.others.Shortage && v.lentDemand == 0:
+		return 0
+	}
+	return peakRequestsCovered * v.peakRequest
+}
+
 // waitingNeed returns the unspent tokens that the largest waiting reservation needs,
 // and those that smaller ones may take until it is checked again. It is 0 if none waits.
 func (v budgetView) waitingNeed() int64 {
 	if v.largestWaiting == 0 {
 		return 0
 	}
-	return v.largestWaiting + int64(v.plannedDemand()*maxReserveWait.Seconds()+v.meanRequest)
+	return v.largestWaiting + int64(v.plannedDemand()*minReserveWait.Seconds()+v.meanRequest)
 }
 
 // nextAmount returns the share that the host should hold, in tokens. It never
@@ -217,7 +245,7 @@
 	}
 	switch {
 	case remaining < v.largestWaiting:
-		return v.amount + max(0, min(v.free(), v.waitingNeed()-remaining), min(v.free()-v.reserved(), desired-remaining))
+		return v.amount + max(0, min(v.free(), v.waitingNeed()-remaining), min(v.free()-v.reserved(), max(desired, v.totalWaiting)-remaining))
 	case float64(remaining) < refillThreshold*float64(desired):
 		return v.amount + max(0, min(v.free()-v.reserved(), desired-remaining))
 	case v.brokered && v.others.Unreported > 0 && !v.others.Shortage:
@@ -260,7 +288,7 @@
 func (v budgetView) usage(epoch int) Usage {
 	wanted := v.plannedDemand()*v.headroomTime().Seconds() + v.meanRequest
 	even := min(minHeadroomFraction, minHeadroomFleetFraction*v.perHostFraction()) * float64(v.prepaid)
-	headroom := max(int64(max(even, min(wanted, v.hostPart(maxHeadroomFraction)))), v.waitingNeed())
+	headroom := max(int64(max(even, min(wanted, v.hostPart(maxHeadroomFraction)))), v.waitingNeed(), v.totalWaiting)
 	rate, burst := v.expectedDemand(), max(1, v.burst())
 	return Usage{
 		Epoch:          epoch,
--- a/pkg/escrow/plan_test.go
+++ b/pkg/escrow/plan_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,3 +157,16 @@
 		}
 	})
 }
+
+// Guards against a refusal whose figures contradict each other, so that nobody can tell where the tokens are.
+func TestFiguresOfRefusalAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := drawBudgetView(t)
+		var prepaid, spent, here, others, unknown, free, age int64
+		_, err := fmt.Sscanf((&tokenPool{}).describe(v, time.Second), "of %d prepaid tokens %d are spent, %d held by this host, %d by other hosts, %d by hosts whose use is not known, and %d are free, as of %d ms ago",
+			&prepaid, &spent, &here, &others, &unknown, &free, &age)
+		assert.NilError(t, err)
+		assert.Equal(t, prepaid, v.prepaid)
+		assert.Equal(t, spent+here+others+unknown+free, prepaid)
+	})
+}
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -51,7 +51,7 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		pause.For(ctx, r.sentAt+minReportInterval(r.manager.options.Hosts())-r.manager.options.Clock())
+		pause.For(ctx, r.sentAt+r.manager.options.minReportInterval()-r.manager.options.Clock())
 	}
 }
 
@@ -78,7 +78,7 @@
 		return true
 	}
 	for _, p := range m.pools {
-		if p.needsHigherCeiling() || (p.usageChanged() && sinceLast >= reportInterval) {
+		if p.needsHigherCeiling() || p.awaitsListing() || (p.usageChanged() && sinceLast >= reportInterval) {
 			return true
 		}
 	}
@@ -132,8 +132,10 @@
 	}
 	for customer, p := range m.pools {
 		// A share can be spent from only once a stored report lists its epoch, so
-		// customers without a share are listed too.
-		report.Customers[customer] = p.usage()
+		// customers of which a share may be needed are listed too.
+		if p.mustBeListed() {
+			report.Customers[customer] = p.usage()
+		}
 		// A share of an earlier epoch may still be open.
 		report.Complete = report.Complete && p.ledger.epoch == 0
 	}
@@ -196,8 +198,8 @@
 			p.expireLease()
 		}
 	}
-	if m.ownReports.confirmed == nil {
-		for _, p := range m.pools {
+	for _, p := range m.pools {
+		if m.ownReports.confirmed == nil || p.wantsListing {
 			p.trigger() // shares may be taken from now on
 		}
 	}
--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -45,6 +45,12 @@
 	inDoubt       bool                   // an earlier change of the own share may still be applied
 	noBroker      bool                   // this host changes the account because no broker answers
 	reportedEnded map[string]bool        // ended processes of this host that the broker knows of, by incarnation
+
+	// The fields below are used in a large fleet, where a host without a share of its own
+	// spends from that of the broker.
+	lentMeter    demandMeter   // demand of other hosts that spend from this host's share
+	lendingUntil time.Duration // until then this host acts as the broker, as another host has asked it
+	wantsListing bool          // the next usage report must list the customer, as a share is needed
 }
 
 func newTokenPool(m *Manager, customer string) *tokenPool {
@@ -89,7 +95,7 @@
 	view := budgetView{
 		prepaid: p.prepaid, settled: account.Settled, amount: p.ledger.amount, used: p.ledger.used(),
 		recentDemand: p.ledger.meter.recentDemand(now), longTermDemand: p.ledger.meter.longTermDemand(), demandSquare: p.ledger.meter.longTermDemandSquare(), peakRequest: int64(p.ledger.meter.peakRequest), meanRequest: p.ledger.meter.meanRequest,
-		largestWaiting: p.waiting.largest(), hosts: p.manager.options.Hosts(),
+		largestWaiting: p.waiting.largest(), totalWaiting: p.waiting.total(), hosts: p.manager.options.Hosts(),
 	}
 	if p.brokerReply != nil {
 		view.settled, view.others, view.brokered = p.brokerReply.Settled, p.brokerReply.Others, true
@@ -97,6 +103,11 @@
 		view.others = account.summarizeOthers(p.ownShare().key(), p.usageOf)
 	}
 	view.others.Shortage = view.others.Shortage || p.peerShortage()
+	if p.pooled() {
+		view.pooled, view.holds = true, p.holdsShare(now)
+		view.hosts = view.others.Holders + 1
+		view.lentDemand = p.lentMeter.recentDemand(now)
+	}
 	return view
 }
 
@@ -116,7 +127,13 @@
 	case p.manager.ownReports.confirmed == nil:
 		return min(view.nextAmount(), p.ledger.amount)
 	}
-	return view.nextAmount()
+	amount := view.nextAmount()
+	if amount > p.ledger.amount && p.pooled() && !p.listed() {
+		p.wantsListing = true
+		p.manager.reporter.trigger()
+		return p.ledger.amount
+	}
+	return amount
 }
 
 // usage returns the customer's entry in the next usage report.
@@ -175,6 +192,9 @@
 func (p *tokenPool) nextReviewDelay() time.Duration {
 	p.manager.mu.Lock()
 	defer p.manager.mu.Unlock()
+	if p.idle() {
+		return idleReviewInterval
+	}
 	if p.conflicted || !p.loaded || p.manager.leaving {
 		return minCallInterval / 4
 	}
@@ -189,7 +209,7 @@
 	defer p.manager.mu.Unlock()
 	interval := minCallInterval
 	if p.brokerReply == nil && p.manager.options.Hosts() > maxDirectHosts {
-		interval = minChangeInterval(len(p.manager.pools))
+		interval = p.manager.options.minChangeInterval(len(p.manager.pools))
 	}
 	if p.noBroker {
 		interval = rand.N(maxNoBrokerDelay)
@@ -202,6 +222,9 @@
 // step reads or changes the account if needed. It returns true once all shares
 // are returned.
 func (p *tokenPool) step(ctx context.Context) (returned bool) {
+	if p.isIdle() {
+		return false
+	}
 	if broker := p.chooseBroker(); broker != "" {
 		return p.changeThroughBroker(ctx, broker)
 	}
@@ -227,7 +250,7 @@
 	p.manager.mu.Lock()
 	defer p.manager.mu.Unlock()
 	broker, p.noBroker = p.manager.brokerOf(p.ledger.customer)
-	if len(p.queue) > 0 {
+	if len(p.queue) > 0 || p.lending() {
 		broker, p.noBroker = "", false
 	}
 	if broker == "" && p.brokerReply != nil {
@@ -282,7 +305,7 @@
 		return
 	}
 	p.account, p.accountVersion = account, version
-	p.loaded, p.loadedAt = true, p.now()
+	p.loaded, p.loadedAt, p.brokerReply = true, p.now(), nil
 	if own, held := account.Shares[p.ownShare().key()]; held {
 		p.ledger.amount, p.confirmedSeq = own.Amount, own.Seq
 	} else if p.ledger.amount > 0 {
--- a/pkg/escrow/token_pool_change.go
+++ b/pkg/escrow/token_pool_change.go
@@ -33,7 +33,7 @@
 func (p *tokenPool) planChange() (next *accountChange, mustRead bool) {
 	p.manager.mu.Lock()
 	defer p.manager.mu.Unlock()
-	if !p.loaded {
+	if !p.loaded || p.brokerReply != nil {
 		return nil, true
 	}
 	if p.manager.leaving && p.ledger.reserved > 0 {
@@ -72,6 +72,9 @@
 // refused and the next usage report includes the shortage. It returns true if
 // the account must be read first, because another host may have returned tokens.
 func (p *tokenPool) handleUnmetReservation(view budgetView) (mustRead bool) {
+	if p.awaitsListing() {
+		return false // the share is taken once the usage report is stored
+	}
 	if view.largestWaiting == 0 || view.amount-view.used >= view.largestWaiting {
 		p.returnChecks = 0
 		return false
@@ -82,7 +85,7 @@
 	}
 	if p.mayRequestReturn(view) {
 		if p.returnChecks == 0 {
-			p.manager.options.AnnounceShortage(p.ledger.customer)
+			p.manager.options.AnnounceShortage(p.ledger.customer, p.holderAddrs())
 		}
 		p.returnChecks++
 		p.lastReturnCheckAt = now
@@ -105,6 +108,21 @@
 	return view.others.Amount-view.others.Used-view.others.Unreported >= view.largestWaiting
 }
 
+// holderAddrs returns the addresses of the other hosts with shares, nil if the account is
+// not known here.
+func (p *tokenPool) holderAddrs() []string {
+	if p.brokerReply != nil {
+		return nil
+	}
+	addrs := make([]string, 0, len(p.account.Shares))
+	for _, s := range p.account.Shares {
+		if r, known := p.manager.membership.rows[s.Host]; known && r.Addr != "" && s.Host != p.manager.options.Host && s.Amount > 0 {
+			addrs = append(addrs, r.Addr)
+		}
+	}
+	return addrs
+}
+
 // recordClosedShares logs and counts what a change that was applied has written off
 // by closing the shares of ended processes.
 func (p *tokenPool) recordClosedShares(before, after Account) {
--- a/pkg/escrow/token_pool_reserve.go
+++ b/pkg/escrow/token_pool_reserve.go
@@ -8,13 +8,47 @@
 	"github.com/peppertrail/peppertrail/pkg/pause"
 )
 
-// reserve takes tokens for a request. If the limit does not cover them, it
-// wakes the goroutines that enlarge the share and write usage reports, and waits
-// until the limit covers the tokens, the reservation is refused or
-// maxReserveWait has passed.
+// reserve takes tokens for a request: from the share of this host if its limit covers
+// them, otherwise, in a large fleet, from the share of the account's broker.
 func (p *tokenPool) reserve(ctx context.Context, tokens int64) (*Reservation, error) {
+	if r := p.reserveNow(tokens); r != nil {
+		return r, nil
+	}
+	if r, decided, err := p.reserveAtBroker(ctx, tokens); decided {
+		return r, err
+	}
+	return p.reserveHere(ctx, tokens, reserveWait(ctx))
+}
+
+// reserveWait returns how long a request may wait for tokens: a part of the time that it
+// has left.
+func reserveWait(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return maxReserveWait
+	}
+	return min(max(minReserveWait, time.Until(deadline)/reserveWaitParts), maxReserveWait)
+}
+
+// reserveNow takes tokens from the share of this host, and returns nil if the limit does
+// not cover them.
+func (p *tokenPool) reserveNow(tokens int64) *Reservation {
+	m := p.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !p.ledger.reserve(p.now(), m.ownReports, tokens) {
+		return nil
+	}
+	p.triggerRefill()
+	return &Reservation{pool: p, epoch: p.ledger.epoch, tokens: tokens}
+}
+
+// reserveHere takes tokens from the share of this host. If the limit does not cover them,
+// it wakes the goroutines that enlarge the share and write usage reports, and waits
+// until the limit covers the tokens, the reservation is refused or wait has passed.
+func (p *tokenPool) reserveHere(ctx context.Context, tokens int64, wait time.Duration) (*Reservation, error) {
 	m := p.manager
-	timer := time.NewTimer(maxReserveWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	r := &Reservation{pool: p, tokens: tokens}
 	m.mu.Lock()
@@ -42,7 +76,7 @@
 		p.waiting[r] = tokens
 		p.trigger()
 		m.reporter.trigger()
-		if err := p.awaitChange(ctx, timer.C, tokens); err != nil {
+		if err := p.awaitChange(ctx, timer.C, tokens, wait); err != nil {
 			return nil, err
 		}
 	}
@@ -51,7 +85,7 @@
 // awaitChange waits for a change of the process's shares or reports. It returns an error
 // if the request ends or the timer expires first. The caller holds the manager's mutex,
 // which is released meanwhile.
-func (p *tokenPool) awaitChange(ctx context.Context, expired <-chan time.Time, tokens int64) error {
+func (p *tokenPool) awaitChange(ctx context.Context, expired <-chan time.Time, tokens int64, wait time.Duration) error {
 	m := p.manager
 	stateChanged := m.stateChanged
 	m.mu.Unlock()
@@ -60,7 +94,7 @@
 	case <-stateChanged:
 		return nil
 	case <-expired:
-		return &UnreachableError{Reason: p.unconfirmedReason(tokens), RetryAfter: retryAfterSlowTable}
+		return &UnreachableError{Reason: p.unconfirmedReason(tokens, wait), RetryAfter: retryAfterSlowTable}
 	case <-ctx.Done():
 		return &UnreachableError{Reason: "the request was cancelled or timed out"}
 	}
@@ -74,16 +108,16 @@
 	}
 }
 
-// unconfirmedReason returns why a reservation that has waited for maxReserveWait is
+// unconfirmedReason returns why a reservation that has waited for the given time is
 // refused: whether the share or the spending limit does not cover it, and how long the
 // process has waited for the table.
-func (p *tokenPool) unconfirmedReason(tokens int64) string {
+func (p *tokenPool) unconfirmedReason(tokens int64, wait time.Duration) string {
 	m := p.manager
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now, used, amount := p.now(), p.ledger.used(), p.ledger.guaranteed()
 	reason := fmt.Sprintf("no larger share or spending limit was confirmed within %d ms: the request needs %d, this host has %d of its %d tokens left and its spending limit covers %d, account confirmed %d ms ago",
-		maxReserveWait.Milliseconds(), tokens, amount-used, amount, p.ledger.limit(now, m.ownReports)-used, (now - p.loadedAt).Milliseconds())
+		wait.Milliseconds(), tokens, amount-used, amount, p.ledger.limit(now, m.ownReports)-used, (now - p.loadedAt).Milliseconds())
 	if pending := m.ownReports.pending; pending != nil {
 		reason += fmt.Sprintf(", usage report unconfirmed for %d ms", (now - pending.sentAt).Milliseconds())
 	}
@@ -137,13 +171,20 @@
 	}
 }
 
+// describe returns how the prepaid total is divided as far as this host knows, for the
+// message of a refusal. The parts add up to the prepaid total.
+func (p *tokenPool) describe(v budgetView, now time.Duration) string {
+	return fmt.Sprintf("of %d prepaid tokens %d are spent, %d held by this host, %d by other hosts, %d by hosts whose use is not known, and %d are free, as of %d ms ago",
+		v.prepaid, v.settled+v.used+v.others.Used, v.amount-v.used, v.others.Amount-v.others.Used-v.others.Unreported, v.others.Unreported, v.prepaid-v.settled-v.amount-v.others.Amount, (now - p.loadedAt).Milliseconds())
+}
+
 // refusal returns an error if a reservation above the limit cannot succeed by
 // waiting, or nil if it may.
 func (p *tokenPool) refusal(now, start time.Duration, tokens int64) error {
 	view := p.view(p.account)
 	remaining := view.prepaid - view.settled - view.used - view.others.Used
 	if p.loaded && now-p.loadedAt <= maxAccountAge && tokens > remaining {
-		return fmt.Errorf("%w: %d of %d tokens remain, request needs %d", ErrExhausted, max(0, remaining), view.prepaid, tokens)
+		return fmt.Errorf("%w: the request needs %d tokens; %s", ErrExhausted, tokens, p.describe(view, now))
 	}
 	switch {
 	case p.manager.leaving:
@@ -154,14 +195,8 @@
 		}
 		return &UnreachableError{Reason: "the budget table does not answer and the spending limit of this host does not cover the request", RetryAfter: retryAfterShareReturn}
 	case p.unmetAt >= start && p.unmetTokens >= tokens:
-		reason := fmt.Sprintf("other hosts hold %d of %d unspent tokens, %d are free, this host has %d of its %d tokens left", view.others.Amount-view.others.Used, view.unspent(), view.free(), view.amount-view.used, view.amount)
+		reason := fmt.Sprintf("other hosts hold the tokens that the request needs, %d; %s", tokens, p.describe(view, now))
 		return &UnreachableError{Reason: reason, RetryAfter: retryAfterShareReturn}
 	}
 	return nil
 }
-
-func (p *tokenPool) settle(r *Reservation, spent int64) {
-	p.manager.mu.Lock()
-	defer p.manager.mu.Unlock()
-	p.ledger.settle(p.now(), r.epoch, r.tokens, spent)
-}
--- a/pkg/escrow/waiting.go
+++ b/pkg/escrow/waiting.go
@@ -12,3 +12,12 @@
 	}
 	return largest
 }
+
+// total returns the tokens of all waiting reservations.
+func (w waitingReservations) total() int64 {
+	total := int64(0)
+	for _, tokens := range w {
+		total += tokens
+	}
+	return total
+}
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -67,25 +67,36 @@
 
 // SetPeers replaces the addresses of the other hosts. Invalid addresses are ignored.
 func (n *Node) SetPeers(addresses []string) {
-	peers := make([]netip.AddrPort, 0, len(addresses))
+	peers := parseAddresses(addresses)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = peers
+}
+
+func parseAddresses(addresses []string) []netip.AddrPort {
+	parsed := make([]netip.AddrPort, 0, len(addresses))
 	for _, address := range addresses {
 		if addr, err := netip.ParseAddrPort(address); err == nil {
-			peers = append(peers, addr)
+			parsed = append(parsed, addr)
 		}
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.peers = peers
+	return parsed
 }
 
 // Send sends a message to other hosts without waiting for them to receive it.
-func (n *Node) Send(m Message) {
+func (n *Node) Send(m Message) { n.sendTo(m, n.selectPeers()) }
+
+// SendTo sends a message to the hosts at the given addresses. Invalid addresses are
+// ignored.
+func (n *Node) SendTo(m Message, addresses []string) { n.sendTo(m, parseAddresses(addresses)) }
+
+func (n *Node) sendTo(m Message, peers []netip.AddrPort) {
 	m.Host = n.host
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
 		return // host, target and customer names are too short for this to happen
 	}
-	for _, peer := range n.selectPeers() {
+	for _, peer := range peers {
 		if _, err := n.conn.WriteToUDPAddrPort(data, peer); err != nil {
 			n.logFirstError(err)
 		}
