balance: send nothing to targets that say they leave or ask for a pause

A host went on sending to a leaving target until the registry said so, which it may do seconds later, or never, with the store away; after a 503 it came back after 150 ms. Change: the first answer with the header takes the target, by id and start, out of use on this host, whatever its registration says later, and a datagram tells other hosts. What is under way ends. A pause is kept, plus up to a quarter of it and 1 s at random, so that the hosts do not come back together; with no other target the request is refused at once with a Retry-After after the pause. Unreadable values are logged once for each header and change nothing; 0 is no pause, more than 5 min counts as 5 min. A line tells which targets were passed over and why when none is left. The soak lets targets do both.

--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,9 +8,6 @@
 	"github.com/peppertrail/peppertrail/pkg/rendezvous"
 )
 
-// ErrNoTarget means that no target of the service can take the request.
-var ErrNoTarget = errors.New("no target available")
-
 const (
 	// baseFirstByteTime and firstByteTimePerToken give the expected time to the
 	// first byte, to which the measured time is compared.
@@ -29,7 +25,8 @@
 	promptTokensPerRequest = 1000
 )
 
-// Pick chooses a target and counts the request in its load until End.
+// Pick chooses a target and counts the request in its load until End. Without one it
+// returns an error that wraps ErrNoTarget.
 func (s *Set) Pick(r Request) (*Attempt, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,7 +35,7 @@
 	}
 	candidates := s.candidates(r)
 	if len(candidates) == 0 {
-		return nil, ErrNoTarget
+		return nil, s.noTarget(r)
 	}
 	chosen, rank := choose(candidates, r)
 	a := s.startAttempt(chosen, r)
--- a/pkg/balance/set.go
+++ b/pkg/balance/set.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -11,22 +12,27 @@
 	// at the first byte of the answer or the end of the attempt. It must not block.
 	// Nil: prompts are not announced.
 	Announce func(PromptUpdate)
+	// AnnounceLeaving is called when a target has told this host that it leaves. It must
+	// not block. Nil: other hosts are not told.
+	AnnounceLeaving func(id string, born int64)
 
 	mu                sync.Mutex
 	byID              map[string]*state
 	services          map[string][]*state
-	pools             map[string]*poolSplit // by service
-	hostCount         int                   // hosts that send requests to the targets
+	pools             map[string]*poolSplit     // by service
+	leaving           map[incarnation]time.Time // since when it is known
+	hostCount         int                       // hosts that send requests to the targets
 	lastAttemptNumber uint64
 }
 
 // NewSet returns a set without targets.
 func NewSet() *Set {
-	return &Set{byID: make(map[string]*state), services: make(map[string][]*state), pools: make(map[string]*poolSplit), hostCount: 1}
+	return &Set{byID: make(map[string]*state), services: make(map[string][]*state), pools: make(map[string]*poolSplit), leaving: make(map[incarnation]time.Time), hostCount: 1}
 }
 
 // Apply replaces the registered targets. The state of a target is kept as long
-// as its ID is registered.
+// as its ID is registered with the same start. A registration of an earlier start is
+// ignored.
 func (s *Set) Apply(targets []Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -34,8 +40,12 @@
 	services := make(map[string][]*state)
 	for _, t := range targets {
 		known := s.byID[t.ID]
-		if known == nil {
+		if known != nil && t.Born != 0 && t.Born < known.Born {
+			t = known.Target
+		}
+		if known == nil || t.Born != known.Born {
 			known = newState(t)
+			_, known.leaving = s.leaving[incarnation{t.ID, t.Born}]
 		}
 		if known.Addr != t.Addr || known.Service != t.Service {
 			known.replaced = false
@@ -72,6 +82,8 @@
 	Load        float64 `json:"load"`      // estimated number of open requests of all hosts
 	Slowness    float64 `json:"slowness"`  // factor by which the target is slower than expected
 	FailedShare float64 `json:"failed_share"`
+	Leaving     bool    `json:"leaving,omitempty"` // the target has said that it leaves
+	Paused      bool    `json:"paused,omitempty"`  // the target has asked this host for a pause
 	Available   bool    `json:"available"`
 }
 
@@ -84,7 +96,30 @@
 		all = append(all, Status{
 			Target: t.Target, InFlight: t.inFlight, Load: t.load(now, s.hostCount),
 			Slowness: t.slowness(now), FailedShare: t.failedShare, Available: t.available(now),
+			Leaving: t.leaving, Paused: now.Before(t.pausedUntil),
 		})
 	}
 	return all
 }
+
+// maxUnavailableNamed is the number of targets that Unavailable names.
+const maxUnavailableNamed = 8
+
+// Unavailable names targets of a service that get no requests now, each with the reason,
+// for a log line.
+func (s *Set) Unavailable(service string, now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var named []string
+	for _, t := range s.services[service] {
+		reason := t.unavailableReason(now)
+		if reason == "" {
+			continue
+		}
+		if len(named) == maxUnavailableNamed {
+			return strings.Join(append(named, "and others"), ", ")
+		}
+		named = append(named, t.ID+":"+reason)
+	}
+	return strings.Join(named, ", ")
+}
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -50,6 +50,8 @@
 	quarantinedUntil    time.Time
 	fullUntil           time.Time // end of the back-off after a rejection
 	replaced            bool      // another target is at the address
+	leaving             bool      // the target has said that it leaves
+	pausedUntil         time.Time // the target wants no requests from this host before this time
 }
 
 func newState(t Target) *state {
@@ -69,7 +71,7 @@
 
 // available reports whether the target may get a request.
 func (s *state) available(now time.Time) bool {
-	if s.Draining || s.replaced || now.Before(s.fullUntil) {
+	if s.withdrawn(now) || now.Before(s.fullUntil) {
 		return false
 	}
 	if now.Before(s.quarantinedUntil) {
@@ -81,7 +83,31 @@
 // availableDespiteFailures reports whether the target may get a request when no target
 // is available. It allows quarantined targets, as they may have recovered.
 func (s *state) availableDespiteFailures(now time.Time) bool {
-	return !s.Draining && !s.replaced && !now.Before(s.fullUntil)
+	return !s.withdrawn(now) && !now.Before(s.fullUntil)
+}
+
+// withdrawn reports whether the target must get no request of this host.
+func (s *state) withdrawn(now time.Time) bool {
+	return s.Draining || s.replaced || s.leaving || now.Before(s.pausedUntil)
+}
+
+// unavailableReason returns why the target gets no request, "" if it may get one.
+func (s *state) unavailableReason(now time.Time) string {
+	switch {
+	case s.leaving:
+		return "leaving"
+	case s.Draining:
+		return "draining"
+	case now.Before(s.pausedUntil):
+		return "paused"
+	case s.replaced:
+		return "replaced"
+	case now.Before(s.fullUntil):
+		return "full"
+	case !s.available(now):
+		return "failing"
+	}
+	return ""
 }
 
 // quarantineAfter is the number of consecutive failures from which a target is
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -4,7 +4,8 @@
 
 // Target is a replica of a service, as registered.
 type Target struct {
-	ID            string // changes with each start of the target
+	ID            string // mostly changes with each start of the target
+	Born          int64  // start of the target in Unix milliseconds, which tells starts with the same ID apart; 0: unknown
 	Service       string
 	Addr          string // IP address and port
 	FailureDomain string
--- a/pkg/dialect/default.go
+++ b/pkg/dialect/default.go
@@ -23,6 +23,7 @@
 		Priority:       "Peppertrail-Priority",
 		NotRun:         "Peppertrail-Not-Run",
 		Load:           "Peppertrail-Load",
+		Leaving:        "Peppertrail-Leaving",
 		LastEventID:    "Last-Event-Id",
 		ParseTimeout:   time.ParseDuration,
 		FormatTimeout:  time.Duration.String,
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -95,6 +95,11 @@
 		case m.CrashFingerprint != 0:
 			d.crashTracker.Record(m.CrashFingerprint, m.Target, time.Now())
 			return
+		case m.Leaves:
+			if d.targets.RecordLeaving(m.Target, m.Born, time.Now()) {
+				d.log.Info().Str("target", m.Target).Str("peer", m.Host).Msg("Target leaves, says another host. It gets no further requests.")
+			}
+			return
 		}
 		d.targets.RecordRemotePrompt(m.Host, balance.PromptUpdate{Number: m.Number, Target: m.Target, Tokens: m.Tokens}, time.Now())
 	}
@@ -109,6 +114,9 @@
 	d.crashTracker.Announce = func(fingerprint uint64, target string) {
 		node.Send(gossip.Message{CrashFingerprint: fingerprint, Target: target})
 	}
+	d.targets.AnnounceLeaving = func(id string, born int64) {
+		node.Send(gossip.Message{Target: id, Leaves: true, Born: born})
+	}
 	go node.Run(ctx)
 	l, err := net.Listen("tcp", d.settings.PeerListen)
 	if err != nil {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -46,6 +46,7 @@
 		attempt, err := c.pickTarget()
 		if err != nil {
 			c.stoppedBy = stopNoTarget
+			c.noteNoTarget(err)
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, NoTarget)
 		}
 		c.attemptOutcomes = append(c.attemptOutcomes, attempt.Target.ID)
@@ -83,6 +84,15 @@
 	return c.h.CallerClosed != nil && c.h.CallerClosed(c.r.Context())
 }
 
+// noteNoTarget logs why no target is left, and takes over when one will be.
+func (c *call) noteNoTarget(err error) {
+	var paused *balance.PausedError
+	if errors.As(err, &paused) {
+		c.targetsPausedFor = paused.Wait
+	}
+	c.h.Log.Info().Str("request", c.id).Str("service", c.service.Name).Str("passed_over", c.h.Targets.Unavailable(c.service.Name, time.Now())).Err(err).Msg("No target is available.")
+}
+
 func (c *call) pickTarget() (*balance.Attempt, error) {
 	return c.h.Targets.Pick(balance.Request{
 		Service:      c.service.Name,
@@ -112,7 +122,7 @@
 	case DeadlinePassed:
 		return refuseNotRun(r, 0)
 	}
-	return refuseNotRun(r, withJitter(retryAfterNoTarget))
+	return refuseNotRun(r, withJitter(max(retryAfterNoTarget, c.targetsPausedFor)))
 }
 
 // sendTo sends the request to one target and handles the response or the failure.
@@ -125,7 +135,8 @@
 	}
 	defer response.Close()
 	c.sentAttempts++
-	targetLoad := c.reportedLoad(response)
+	c.recordTargetState(a, response)
+	targetLoad := c.reportedLoad(a.Target.ID, response)
 	a.FirstByteReceived(time.Now(), targetLoad)
 	return c.handleResponse(a, response)
 }
@@ -142,14 +153,14 @@
 
 // reportedLoad returns the load in a response, nil if there is none or it cannot be
 // parsed.
-func (c *call) reportedLoad(response *upstream.Response) *balance.Load {
+func (c *call) reportedLoad(target string, response *upstream.Response) *balance.Load {
 	value := response.Header.Get(c.h.Dialect.Load)
 	if value == "" {
 		return nil
 	}
 	load, err := c.h.Dialect.ParseLoad(value)
 	if err != nil {
-		c.h.Log.Warn().Str("request", c.id).Err(err).Msg("Ignored the load that a target reported: header could not be parsed.")
+		c.h.logUnreadable(c.h.Dialect.Load, target, err)
 		return nil
 	}
 	return &load
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -76,6 +76,7 @@
 	bodies      bodyMemory
 	mu          sync.Mutex
 	retryLimits map[string]*retrylimit.Limit // by service name
+	unreadable  sync.Map                     // names of the headers of targets that could not be parsed
 }
 
 // New returns a handler with options o.
--- /dev/null
+++ b/pkg/forward/target_state.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/upstream"
+)
+
+// recordTargetState records what the header of a response says of its target: that it
+// leaves, or that it wants a pause.
+func (c *call) recordTargetState(a *balance.Attempt, response *upstream.Response) {
+	switch value := response.Header.Get(c.h.Dialect.Leaving); value {
+	case "", "0":
+	case "1":
+		if a.Leaving(time.Now()) {
+			c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Msg("Target leaves, says its answer. It gets no further requests.")
+		}
+	default:
+		c.h.logUnreadable(c.h.Dialect.Leaving, a.Target.ID, fmt.Errorf("%q is neither 0 nor 1", value))
+	}
+	value := response.Header.Get("Retry-After")
+	if response.Status != http.StatusServiceUnavailable || value == "" {
+		return
+	}
+	pause, err := parseRetryAfter(value)
+	if err != nil {
+		c.h.logUnreadable("Retry-After", a.Target.ID, err)
+		return
+	}
+	if pause > 0 {
+		a.Pause(time.Now(), pause)
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Dur("pause", pause).Msg("Target asked for a pause. It gets no requests of this host meanwhile.")
+	}
+}
+
+// parseRetryAfter parses the time for which a target that has rejected a request with
+// status 503 wants no others: a number of seconds, which may have a fraction. 0 asks for
+// no pause. A value above balance.MaxPause is cut to it, as a target that sends one in
+// error would otherwise stay without requests. A negative value, NaN and what is no number
+// are errors.
+func parseRetryAfter(value string) (time.Duration, error) {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if math.IsInf(seconds, 1) {
+		err = nil // also a number beyond the range of a float64
+	}
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0, fmt.Errorf("%q is not a non-negative number of seconds", value)
+	}
+	return time.Duration(min(seconds, balance.MaxPause.Seconds()) * float64(time.Second)), nil
+}
+
+// logUnreadable logs a header of a target that cannot be parsed and is ignored, once for
+// each header.
+func (h *Handler) logUnreadable(header, target string, err error) {
+	if _, logged := h.unreadable.LoadOrStore(header, struct{}{}); !logged {
+		h.Log.Warn().Str("target", target).Str("header", header).Err(err).Msg("Header of a target could not be parsed and is ignored. Further ones are not logged.")
+	}
+}
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -25,9 +25,9 @@
 	maxFanout = 24
 )
 
-// Message reports one of three events: a prompt was sent to a target or the target
+// Message reports one of four events: a prompt was sent to a target or the target
 // has finished processing it; the sending host lacks tokens of a customer's budget for
-// a request; or a request crashed its target.
+// a request; a request crashed its target; or a target has said that it leaves.
 type Message struct {
 	Host             string `json:"h"`
 	Number           uint64 `json:"n,omitempty"` // identifies the prompt among those of the sending host
@@ -35,6 +35,8 @@
 	Tokens           int64  `json:"p,omitempty"` // prompt length; 0: the target has finished processing the prompt
 	Customer         string `json:"c,omitempty"` // customer of whose budget the sending host lacks tokens for a request
 	CrashFingerprint uint64 `json:"x,omitempty"` // fingerprint of a request that crashed Target
+	Leaves           bool   `json:"l,omitempty"` // Target leaves
+	Born             int64  `json:"b,omitempty"` // with Leaves: start of Target in Unix milliseconds; 0: unknown
 }
 
 // Node exchanges messages with other hosts. It is safe for concurrent use.
--- a/pkg/standin/replica/faults.go
+++ b/pkg/standin/replica/faults.go
@@ -13,4 +13,6 @@
 	AbortRegularly   bool          // with AbortAfterEvents: ends the body like a complete one instead of breaking it off
 	FrameByClose     bool          // sends streams with neither a length nor chunks; the end of the connection ends them
 	LoseResponse     bool          // runs requests and closes the connection without a response
+	Leaving          string        // value of the header that says that the replica leaves; empty: no header
+	RetryAfter       string        // with RejectAll: value of the Retry-After header; empty: no header
 }
--- a/pkg/standin/replica/replica.go
+++ b/pkg/standin/replica/replica.go
@@ -34,7 +34,8 @@
 // concurrent use, except that EventCount must not be set while a request is served.
 type Replica struct {
 	ID         string
-	EventCount int // number of events in a stream
+	EventCount int   // number of events in a stream
+	Born       int64 // start of the replica in Unix milliseconds, for its registration; 0: not registered
 	dialect    dialect.Dialect
 	server     *httptest.Server
 
@@ -73,6 +74,12 @@
 	r.faults = f
 }
 
+func (r *Replica) currentFaults() Faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
 // Runs returns the requests that the replica has started to execute, oldest first.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -90,6 +97,9 @@
 func (r *Replica) serve(w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get(r.dialect.RequestID)
 	w.Header().Set(r.dialect.RequestID, id)
+	if leaving := r.currentFaults().Leaving; leaving != "" {
+		w.Header().Set(r.dialect.Leaving, leaving)
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
@@ -100,6 +110,9 @@
 	}
 	faults, run := r.begin(id, request, string(body))
 	if faults.RejectAll {
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
 		r.reject(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -50,6 +50,7 @@
 		p := s.randomTarget()
 		p.SetFaults(replica.Faults{})
 		p.SetEndless(replica.Endless{})
+		p.replaceIfLeaving()
 	}},
 	{"target partitioned", 2, func(s *scenario) { s.randomTarget().setPartitioned(true) }},
 	{"target partition ended", 3, func(s *scenario) { s.randomTarget().setPartitioned(false) }},
@@ -76,6 +77,7 @@
 			break
 		}
 	}
+	s.withdrawRandomTarget()
 	s.recorder.latestVersion.Store(int64(s.version))
 	time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
 }
@@ -118,6 +120,35 @@
 	p.SetEndless(e)
 }
 
+// withdrawRandomTarget lets a target ask for a pause, or say that it leaves, with a
+// probability of withdrawalPercent. It draws from withdrawalRandom, so that seeds from
+// before it inject the same other faults.
+func (s *scenario) withdrawRandomTarget() {
+	if s.withdrawalRandom.IntN(100) >= withdrawalPercent {
+		return
+	}
+	withdrawals := []replica.Faults{
+		{RejectAll: true, RetryAfter: "0.7"}, {RejectAll: true, RetryAfter: "3"}, {RejectAll: true, RetryAfter: "-1"},
+		{RejectAll: true, RetryAfter: "soon"}, {Leaving: "1"}, {Leaving: "perhaps"},
+	}
+	f, p := withdrawals[s.withdrawalRandom.IntN(len(withdrawals))], s.targets[s.withdrawalRandom.IntN(len(s.targets))]
+	s.recorder.logEvent("target %s: leaving %q, retry after %q", p.ID, f.Leaving, f.RetryAfter)
+	s.injected["withdrawal"]++
+	p.SetFaults(f)
+	p.leaves = p.leaves || f.Leaving == "1"
+}
+
+// withdrawalPercent is the probability of a withdrawal with each fault, in percent.
+const withdrawalPercent = 15
+
+// replaceIfLeaving starts a target again that has said that it leaves.
+func (p *targetProxy) replaceIfLeaving() {
+	if p.leaves {
+		p.leaves = false
+		p.Born++
+	}
+}
+
 // endlessPause is the time between two writes of a slow response without end.
 const endlessPause = 10 * time.Millisecond
 
--- a/test/soak/scenario_test.go
+++ b/test/soak/scenario_test.go
@@ -38,10 +38,13 @@
 	random        *rand.Rand // source of the fault sequence; used by one goroutine only
 	streamRandom  *rand.Rand // source of the framing and the ends of streams; used by one goroutine only
 	endlessRandom *rand.Rand // source of the responses without end; used by one goroutine only
-	fleet         *rig.Fleet
-	hosts         []*host
-	targets       []*targetProxy // targets, each behind its own proxy
-	recorder      recorder
+	// withdrawalRandom is the source of pauses and departures of targets; used by one
+	// goroutine only.
+	withdrawalRandom *rand.Rand
+	fleet            *rig.Fleet
+	hosts            []*host
+	targets          []*targetProxy // targets, each behind its own proxy
+	recorder         recorder
 
 	version           int          // newest configuration version
 	prepaidTokens     atomic.Int64 // tokens of the initial budget and all top-ups
@@ -82,7 +85,7 @@
 	t.Logf("seed %d", seed)
 	fleet, err := rig.New(t.TempDir(), "../../cmd/peppertraild", 0)
 	assert.NilError(t, err)
-	s := &scenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), streamRandom: rand.New(rand.NewPCG(seed, 2)), endlessRandom: rand.New(rand.NewPCG(seed, 3)), fleet: fleet, injected: make(map[string]int)}
+	s := &scenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), streamRandom: rand.New(rand.NewPCG(seed, 2)), endlessRandom: rand.New(rand.NewPCG(seed, 3)), withdrawalRandom: rand.New(rand.NewPCG(seed, 4)), fleet: fleet, injected: make(map[string]int)}
 	s.recorder.init(t)
 	for i := range envInt(t, "SOAK_TARGETS", defaultTargets) {
 		r := replica.New(fmt.Sprintf("i-%d", i), rig.PlatformDialect())
@@ -136,6 +139,7 @@
 		p.SetFaults(replica.Faults{})
 		p.SetEndless(replica.Endless{})
 		p.setPartitioned(false)
+		p.replaceIfLeaving()
 		s.fleet.Register(p.Replica, p.proxy.Addr(), "ready")
 	}
 	s.prepaidTokens.Add(finalTopUpTokens)
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -15,6 +15,7 @@
 	proxy *proxy.Proxy
 
 	partitioned atomic.Bool
+	leaves      bool // the target has said that it leaves, since its last start; used by one goroutine only
 }
 
 func newTargetProxy(r *replica.Replica) (*targetProxy, error) {
