upstream: do not reuse a connection for an id that was sent on it

Seen by operators of similar systems: a target sends a second copy of an answer, late, on a connection that is in use again, and the next caller gets it. Looked for here: responses are matched by the echoed id, so a late copy is skipped (TestResponseToEarlierRequestIsSkipped). But a caller may repeat an id, and a request may have none; then the copy is taken for the answer of the later request. Change: a connection is not used for an id that was among the last 32 sent on it, and is closed after a request without an id. Measured: TestSecondResponseToRepeatedIDIsNotReturned fails before ("first once more").

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -51,7 +51,7 @@
 // When ctx ends, the connection is closed.
 func (c *Client) Send(ctx context.Context, addr string, r *Request, limit int) (*Response, error) {
 	p := c.pool(addr)
-	connection, err := c.connect(ctx, p, addr, limit)
+	connection, err := c.connect(ctx, p, addr, limit, r.ID)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -83,8 +83,10 @@
 	return p
 }
 
-func (c *Client) connect(ctx context.Context, p *pool, addr string, limit int) (*conn, error) {
-	idle, mayOpen := p.get(time.Now(), limit)
+// connect returns an idle connection on which no request with this id was sent, or opens
+// one.
+func (c *Client) connect(ctx context.Context, p *pool, addr string, limit int, id string) (*conn, error) {
+	idle, mayOpen := p.get(time.Now(), limit, id)
 	if idle != nil {
 		return idle, nil
 	}
@@ -137,6 +139,7 @@
 }
 
 func (e *exchange) run() (*Response, error) {
+	e.conn.recordSent(e.request.ID)
 	head := e.request.encode()
 	if len(head)+len(e.request.Body) > concurrentWriteSize {
 		go func() { e.writeDone <- e.write(head) }()
@@ -223,11 +226,12 @@
 }
 
 // release returns the connection to the pool if the request was written in full
-// and no unread bytes are left. Otherwise it closes the connection.
+// and no unread bytes are left. Otherwise it closes the connection, also after a request
+// without an id: a second response to it could not be told from that to the next one.
 func (e *exchange) release() {
 	select {
 	case err := <-e.writeDone:
-		if err == nil && e.stop() && e.conn.reader.Buffered() == 0 {
+		if err == nil && e.stop() && e.conn.reader.Buffered() == 0 && e.request.ID != "" {
 			e.pool.put(e.conn, time.Now())
 			return
 		}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// Guards against a late second response to a request that is taken for the response to a later one with the same id, or to one without an id.
+func TestSecondResponseToRepeatedIDIsNotReturned(t *testing.T) {
+	for _, id := range []string{"1", ""} {
+		addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+			for n := 1; ; n++ {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				if n == 2 {
+					io.WriteString(c, responseText(id, "first once more"))
+				}
+				io.WriteString(c, responseText(id, "first"))
+			}
+		})
+		c := New()
+		for range 3 {
+			body, err := send(t, c, addr, id)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "first", "id %q", id)
+		}
+	}
+}
+
 // Guards against reusing a connection on which the target sent bytes after a
 // complete response: the next caller would receive them.
 func TestExtraBytesCloseTheConnection(t *testing.T) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -41,6 +42,7 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	reused    bool
+	sentIDs   []string // ids of the last requests sent, at most maxSentIDs
 	// headStartedAt is when the first byte of the head that is being read arrived; zero:
 	// none has arrived.
 	headStartedAt time.Time
@@ -51,6 +53,21 @@
 	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBufferSize), idleLimit: defaultIdleLimit}
 }
 
+// maxSentIDs is the number of requests whose ids a connection remembers.
+const maxSentIDs = 32
+
+// recordSent remembers the id of a request that is sent.
+func (c *conn) recordSent(id string) {
+	if len(c.sentIDs) == maxSentIDs {
+		c.sentIDs = c.sentIDs[1:]
+	}
+	c.sentIDs = append(c.sentIDs, id)
+}
+
+// hasSent reports whether a request with this id was among the last ones sent, or the id
+// is empty and tells nothing.
+func (c *conn) hasSent(id string) bool { return id == "" || slices.Contains(c.sentIDs, id) }
+
 // readHead reads the head of a response to a request with the given method. A head of
 // more than maxHeadBytes is an error: net/http limits neither the lines nor their
 // number.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -14,10 +14,12 @@
 	lastUsed time.Time // last lookup of the pool; guarded by Client.mu
 }
 
-// get returns a usable idle connection. If there is none, it returns nil, and
+// get returns a usable idle connection on which no request with this id was sent: a late
+// second response to that request could not be told from the response to this one. If
+// there is none, it returns nil, and
 // mayOpen reports whether the caller may open a new connection. If it may, get has
 // already counted the new connection as open.
-func (p *pool) get(now time.Time, limit int) (c *conn, mayOpen bool) {
+func (p *pool) get(now time.Time, limit int, id string) (c *conn, mayOpen bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -25,7 +27,7 @@
 		c = p.idle[last]
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
-		if c.usable(now) {
+		if c.usable(now) && !c.hasSent(id) {
 			c.reused = true
 			return c, true
 		}
