forward: end streams that complete no event for 30 s

Seen by operators of similar systems: slow but sound streams are cut, and stalled ones that send a byte now and then never end. Looked for here: a stream ends at the deadline of its request, whatever arrives, and no pause is limited before. A request without a deadline, in its header or its route, had neither: a target that sends comments or single bytes kept it open for ever. Change: completed events with data are progress, bytes are not; without progress for 30 s the stream counts as broken off, and is resumed where the route allows it. Requests without a deadline end after one hour. Measured: TestStreamEndsWithoutProgressOnly. Without the interrupt both stalled streams run to their end; with bytes as progress they do too; without progress() the slow one is cut.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -74,7 +74,8 @@
 	return c.deadline.Sub(now)
 }
 
-// timeoutWithoutDeadline is the remaining time of a request without a deadline.
+// timeoutWithoutDeadline bounds a request without a deadline, which would otherwise stay
+// open for ever if its target sends bytes now and then.
 const timeoutWithoutDeadline = time.Hour
 
 // priority returns the customer's priority, or the route's if the customer has none.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -50,8 +50,11 @@
 	// buffered before they are forwarded, apart from a small part of each. 0 selects a
 	// default.
 	BufferedBytes int64
-	Observer      Observer
-	Log           *log.Logger
+	// StreamStallTimeout is the longest time in which a target completes no event of a
+	// stream. 0 selects a default.
+	StreamStallTimeout time.Duration
+	Observer           Observer
+	Log                *log.Logger
 }
 
 // Observer is notified of the results of requests, for metrics.
@@ -84,6 +87,9 @@
 	if o.BufferedBytes <= 0 {
 		o.BufferedBytes = defaultBufferedBytes
 	}
+	if o.StreamStallTimeout <= 0 {
+		o.StreamStallTimeout = defaultStreamStallTimeout
+	}
 	return &Handler{Options: o, bodies: bodyMemory{max: o.BufferedBytes}, retryLimits: make(map[string]*retrylimit.Limit)}
 }
 
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -40,7 +40,7 @@
 		timeout = c.route.Timeout
 	}
 	if timeout == 0 {
-		return context.WithCancel(c.r.Context())
+		return context.WithTimeout(c.r.Context(), timeoutWithoutDeadline)
 	}
 	c.deadline = c.receivedAt.Add(timeout)
 	return context.WithDeadline(c.r.Context(), c.deadline)
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -34,10 +34,16 @@
 	}
 	splitter := &eventSplitter{}
 	buffer := make([]byte, streamBufferBytes)
+	stall := newStallTimer(c.h.StreamStallTimeout, response)
+	defer stall.stop()
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
+			outputs := splitter.outputs
 			events := splitter.add(buffer[:n])
+			if splitter.outputs > outputs {
+				stall.progress()
+			}
 			if splitter.outputs > c.maxOutputEvents() {
 				return c.handleStreamEnd(a, response, splitter, errTooManyEvents)
 			}
@@ -53,6 +59,9 @@
 		if err == nil && splitter.tooLong() {
 			err = errEventTooLong
 		}
+		if err != nil && stall.expired() {
+			err = errStreamStalled
+		}
 		if err != nil {
 			return c.handleStreamEnd(a, response, splitter, err)
 		}
--- a/pkg/forward/stream_end.go
+++ b/pkg/forward/stream_end.go
@@ -20,6 +20,7 @@
 	StreamInterrupted StreamEnd = "interrupted"      // the connection failed before the end of the body
 	StreamLongEvent   StreamEnd = "event_too_long"   // an event exceeded maxEventBytes
 	StreamOverrun     StreamEnd = "too_many_events"  // there were more events than the request can produce
+	StreamStalled     StreamEnd = "stalled"          // no event with data was completed for Options.StreamStallTimeout
 	StreamCancelled   StreamEnd = "cancelled"        // the caller disconnected, or the deadline passed
 )
 
@@ -29,6 +30,9 @@
 // errTooManyEvents is the end of a stream with more events than maxOutputEvents.
 var errTooManyEvents = fmt.Errorf("%w: more events than the request can produce", upstream.ErrInvalidResponse)
 
+// errStreamStalled is the end of a stream that made no progress for too long.
+var errStreamStalled = errors.New("no event was completed for too long")
+
 // eventsWithoutToken is the number of events with data that a model engine may send in
 // addition to those that hold output tokens, such as an event for the end.
 const eventsWithoutToken = 16
@@ -61,6 +65,8 @@
 		return StreamLongEvent
 	case errors.Is(err, errTooManyEvents):
 		return StreamOverrun
+	case errors.Is(err, errStreamStalled):
+		return StreamStalled
 	}
 	return StreamInterrupted
 }
--- a/pkg/forward/stream_test.go
+++ b/pkg/forward/stream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -159,3 +161,43 @@
 		assert.Equal(t, ids, "123456")
 	})
 }
+
+// Guards against a stalled stream that never ends because its target sends bytes, but no event, now and then, and against a slow but sound one that is cut.
+func TestStreamEndsWithoutProgressOnly(t *testing.T) {
+	const timeout, pause = 500 * time.Millisecond, 150 * time.Millisecond
+	for name, tc := range map[string]struct {
+		parts    []string // written with a pause before each
+		complete bool
+	}{
+		"slow and sound":   {[]string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n"}, true},
+		"events in halves": {[]string{"id: 1\n", "data: a\n\n", "id: 2\n", "data: b\n\n"}, true},
+		"comments only":    {[]string{"id: 1\ndata: a\n\n", ": a\n\n", ": b\n\n", ": c\n\n", ": d\n\n", ": e\n\n", ": f\n\n", "id: 2\ndata: b\n\n"}, false},
+		"a byte at a time": {strings.Split("id: 1\ndata: a\n\n", ""), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, 0)
+			r.handler.StreamStallTimeout = timeout
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				w.Header().Set(dialect.Default().RequestID, request.Header.Get(dialect.Default().RequestID))
+				w.Header().Set("Content-Type", "text/event-stream")
+				for _, part := range tc.parts {
+					time.Sleep(pause)
+					_, _ = io.WriteString(w, part)
+					w.(http.Flusher).Flush()
+				}
+			}))
+			t.Cleanup(target.Close)
+			r.handler.Targets.Apply([]balance.Target{{ID: "slow", Service: testService, Addr: strings.TrimPrefix(target.URL, "http://")}})
+			start := time.Now()
+			got := r.post("r1", "/stream/")
+			if tc.complete {
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, strings.Join(tc.parts, ""))
+				return
+			}
+			assert.Assert(t, got.err != nil || got.status != http.StatusOK, "%d %q", got.status, got.body)
+			assert.Assert(t, time.Since(start) < pause+2*timeout+200*time.Millisecond, "ended after %v", time.Since(start))
+		})
+	}
+}
--- a/pkg/upstream/response.go
+++ b/pkg/upstream/response.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// Interrupt makes reads of the body fail, also one in progress. The connection is not used
+// again.
+func (r *Response) Interrupt() {
+	_ = r.exchange.conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed, which ends reads as well
+}
+
 // Close ends the exchange. The connection is reused if the complete response was
 // read.
 func (r *Response) Close() {
