--- a/pkg/escrow/lender.go
+++ b/pkg/escrow/lender.go
@@ -58,7 +58,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.Wait)
 	defer cancel()
-	r, err := p.reserveHere(ctx, request.Tokens, request.Wait)
+	var r *Reservation
+	if err = p.checkSize(request.Tokens); err == nil {
+		r, err = p.reserveHere(ctx, request.Tokens, request.Wait)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reply := p.lendingReply(err)
--- a/pkg/escrow/token_pool_reserve.go
+++ b/pkg/escrow/token_pool_reserve.go
@@ -11,6 +11,9 @@
 // reserve takes tokens for a request: from the share of this host if its limit covers
 // them, otherwise, in a large fleet, from the share of the account's broker.
 func (p *tokenPool) reserve(ctx context.Context, tokens int64) (*Reservation, error) {
+	if err := p.checkSize(tokens); err != nil {
+		return nil, err
+	}
 	if r := p.reserveNow(tokens); r != nil {
 		return r, nil
 	}
@@ -20,6 +23,20 @@
 	return p.reserveHere(ctx, tokens, reserveWait(ctx))
 }
 
+// checkSize returns an error for a request that the whole prepaid total does not cover. Its
+// size must not count as that of a usual request, for which hosts hold tokens.
+func (p *tokenPool) checkSize(tokens int64) error {
+	p.manager.mu.Lock()
+	defer p.manager.mu.Unlock()
+	switch {
+	case tokens < 0:
+		return fmt.Errorf("%w: the request needs %d tokens", ErrExhausted, tokens)
+	case tokens > p.prepaid:
+		return fmt.Errorf("%w: the request needs %d tokens, %d are prepaid in all", ErrExhausted, tokens, p.prepaid)
+	}
+	return nil
+}
+
 // reserveWait returns how long a request may wait for tokens: a part of the time that it
 // has left.
 func reserveWait(ctx context.Context) time.Duration {
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -182,3 +182,12 @@
 	assert.Equal(t, r.totalRuns(), 0)
 	assert.Equal(t, r.observer.refused[CallerGone], 1)
 }
+
+// Guards against a stated cost whose sum overflows and adds to the budget of the customer.
+func TestCostThatOverflowsIsRefused(t *testing.T) {
+	r := newFixture(t, 1)
+	const most = "9223372036854775807"
+	assert.Equal(t, r.post("r1", "/safe/", dialect.Default().Cost, "prompt="+most+" output="+most).status, http.StatusBadRequest)
+	assert.Equal(t, r.post("r2", "/safe/", dialect.Default().Cost, "prompt=2000 output=0").status, http.StatusPaymentRequired) // 1000 are prepaid
+	assert.Equal(t, r.totalRuns(), 0)
+}
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"math"
@@ -99,6 +100,9 @@
 		if c.cost, err = d.ParseCost(value); err != nil {
 			return c.refuseHeader(d.Cost, err)
 		}
+		if c.cost.Prompt > maxCostTokens || c.cost.MaxOutput > maxCostTokens {
+			return c.refuseHeader(d.Cost, fmt.Errorf("%q exceeds %d tokens", value, int64(maxCostTokens)))
+		}
 	}
 	if value := c.r.Header.Get(d.PromptParts); value != "" {
 		if c.parts, err = d.ParseParts(value); err != nil {
@@ -112,6 +116,10 @@
 	return nil
 }
 
+// maxCostTokens bounds the tokens of a prompt and of an output. The sum of larger numbers
+// could overflow and add to a budget.
+const maxCostTokens = 1 << 40
+
 // refuseHeader logs a header that cannot be parsed and returns the refusal.
 func (c *call) refuseHeader(name string, err error) *Refusal {
 	c.h.Log.Warn().Str("request", c.id).Str("header", name).Err(err).Msg("Refused request: header could not be parsed.")
