escrow, relay, gossip, watch: survive malformed messages of hosts and rows

Looked for because operators report that one malformed message took a process down. Found: a share request with a negative amount or use was applied, and let shares exceed the prepaid total; a panic while a call, a datagram or a changed table is handled ended the process, with a row of the store every process that reads it, also after its restart. Change: share requests, usage reports and account rows with negative numbers are rejected with a log line; calls, datagrams and states that cannot be handled are logged with their stack and the process goes on.

--- a/pkg/escrow/account.go
+++ b/pkg/escrow/account.go
@@ -36,6 +36,14 @@
 	if a.Shares == nil {
 		a.Shares = make(map[string]Share)
 	}
+	if a.Settled < 0 {
+		return a, fmt.Errorf("account row: %d settled tokens", a.Settled)
+	}
+	for key, s := range a.Shares {
+		if s.Amount < 0 {
+			return a, fmt.Errorf("account row: share %s of %d tokens", key, s.Amount)
+		}
+	}
 	return a, nil
 }
 
--- a/pkg/escrow/broker_server.go
+++ b/pkg/escrow/broker_server.go
@@ -56,6 +56,10 @@
 // change was not accepted, its outcome is unknown or the table does not
 // answer.
 func (m *Manager) ChangeShare(ctx context.Context, request ShareRequest) (ShareReply, error) {
+	if err := request.validate(); err != nil {
+		m.options.Log.Warn().Err(err).Str("customer", request.Customer).Str("holder", request.Share.Host).Msg("Share request rejected.")
+		return ShareReply{}, err
+	}
 	m.mu.Lock()
 	p := m.pools[request.Customer]
 	if p == nil || m.leaving || len(p.queue) >= maxQueued {
--- a/pkg/escrow/usage.go
+++ b/pkg/escrow/usage.go
@@ -105,6 +105,9 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return r, fmt.Errorf("usage row: %w", err)
 	}
+	if err := r.validate(); err != nil {
+		return r, fmt.Errorf("usage row: %w", err)
+	}
 	return r, nil
 }
 
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -147,6 +148,16 @@
 			n.log.Debug().Err(err).Msg("Datagram is malformed or from this host. It is ignored.")
 			continue
 		}
-		n.onMessage(m)
+		n.deliver(m)
 	}
 }
+
+// deliver calls onMessage. A panic must not end the process.
+func (n *Node) deliver(m Message) {
+	defer func() {
+		if p := recover(); p != nil {
+			n.log.Error().Str("peer", m.Host).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("Message of another host could not be handled. The process goes on.")
+		}
+	}()
+	n.onMessage(m)
+}
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -65,7 +66,7 @@
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
-	result, err := s.call(ctx, r.Method, *r.Params)
+	result, err := s.callSafely(ctx, r.Method, *r.Params)
 	if err != nil {
 		s.log.Debug().Str("method", r.Method).Err(err).Msg("Call from another host failed. The error is returned to that host.")
 		return nil, toWire(err)
@@ -73,6 +74,18 @@
 	return result, nil
 }
 
+// callSafely is call with an error in place of a panic: an unexpected message must not end
+// the process.
+func (s *Server) callSafely(ctx context.Context, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error().Str("method", method).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("Call from another host failed unexpectedly. The process goes on.")
+			err = fmt.Errorf("%s failed unexpectedly", method)
+		}
+	}()
+	return s.call(ctx, method, params)
+}
+
 func (s *Server) call(ctx context.Context, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case methodTransact:
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -209,7 +210,14 @@
 	return changed
 }
 
+// apply passes the state on. A state that Apply cannot handle must not end the process:
+// every process that reads it, also after a restart, would end.
 func (w *Watcher) apply(changed []storage.PartRow) {
+	defer func() {
+		if p := recover(); p != nil {
+			w.options.Log.Error().Str("table", w.options.Table).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("State of the table could not be applied. What was applied before stays in use.")
+		}
+	}()
 	w.options.Apply(State{Rows: w.rows, Changed: changed})
 }
 
