edge: ask other hosts for targets that leave after a start

Looked for because operators report that a server that had left was in use again after a restart of one of the system's processes. Found: what a target says in its answers is known to the process alone. After a restart the host sent to it again as long as the store listed it as ready. Change: a new process asks three other hosts which targets leave. Measured: TestRestartedDaemonLearnsWhichTargetsLeave does not end without the call.

--- a/pkg/balance/leaving.go
+++ b/pkg/balance/leaving.go
@@ -54,3 +54,22 @@
 	}
 	return news
 }
+
+// LeavingTarget is a target that has said that it leaves.
+type LeavingTarget struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born,omitempty"` // Target.Born
+}
+
+// LeavingTargets returns the targets that are known to leave, registered or not.
+func (s *Set) LeavingTargets(now time.Time) []LeavingTarget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]LeavingTarget, 0, len(s.leaving))
+	for i, since := range s.leaving {
+		if now.Sub(since) <= leavingTTL {
+			all = append(all, LeavingTarget{ID: i.id, Born: i.born})
+		}
+	}
+	return all
+}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -139,6 +139,7 @@
 	go d.watchConfiguration(componentsCtx)
 	go d.watchTargets(componentsCtx)
 	go d.updateHosts(componentsCtx)
+	go d.learnLeavingTargets(componentsCtx)
 	d.log.Info().Str("host", d.settings.Host).Str("callers", d.settings.CallerListen).Str("store", d.settings.StoreAddress).Msg("Daemon started.")
 	select {
 	case err := <-failed:
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -123,7 +123,7 @@
 		return fmt.Errorf("listen for other hosts: %w", err)
 	}
 	server := relay.NewServer(d.directStore, d.logs.Logger("relay"))
-	d.handleBudgetCalls(server)
+	d.handlePeerCalls(server)
 	go func() {
 		if err := server.Serve(ctx, l); err != nil {
 			failed <- err
--- /dev/null
+++ b/pkg/edge/leaving.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/pause"
+)
+
+// methodLeaving is the RPC method that returns the targets of which a host knows that they
+// leave.
+const methodLeaving = "targets.leaving"
+
+const (
+	// leavingPeers is the number of hosts that a new process asks for targets that leave.
+	leavingPeers = 3
+	// leavingCallTimeout bounds one such call.
+	leavingCallTimeout = 500 * time.Millisecond
+	// leavingSearchTime is how long a new process waits for hosts to ask.
+	leavingSearchTime = 15 * time.Second
+	// leavingSearchPause is the time between two looks for hosts to ask.
+	leavingSearchPause = 50 * time.Millisecond
+)
+
+// learnLeavingTargets asks other hosts for targets that leave. The process that ran on this
+// host before may have known of them, and their registrations may still say that they are
+// ready.
+func (d *Daemon) learnLeavingTargets(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leavingSearchTime)
+	defer cancel()
+	asked := make(map[string]bool)
+	answers := 0
+	for answers < leavingPeers && ctx.Err() == nil {
+		peers := d.budgets.PeerAddrs()
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, peer := range peers {
+			if !asked[peer] && answers < leavingPeers {
+				asked[peer] = true
+				answers += d.learnLeavingFrom(ctx, peer)
+			}
+		}
+		pause.For(ctx, leavingSearchPause)
+	}
+}
+
+// learnLeavingFrom asks one host. It returns 1 if the host has answered, 0 otherwise.
+func (d *Daemon) learnLeavingFrom(ctx context.Context, peer string) int {
+	ctx, cancel := context.WithTimeout(ctx, leavingCallTimeout)
+	defer cancel()
+	var targets []balance.LeavingTarget
+	if err := d.store.Call(ctx, peer, methodLeaving, struct{}{}, &targets); err != nil {
+		d.log.Debug().Err(err).Str("peer", peer).Msg("Targets that leave could not be asked of another host. Others are asked.")
+		return 0
+	}
+	for _, t := range targets {
+		if d.targets.RecordLeaving(t.ID, t.Born, time.Now()) {
+			d.log.Info().Str("target", t.ID).Str("peer", peer).Msg("Target leaves, says another host. It gets no further requests.")
+		}
+	}
+	return 1
+}
--- a/pkg/edge/budget_calls.go
+++ b/pkg/edge/peer_calls.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
+	"github.com/peppertrail/peppertrail/pkg/balance"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/relay"
@@ -18,10 +20,13 @@
 	methodSettle      = "budget.settle"
 )
 
-// handleBudgetCalls makes a server serve the calls of hosts for which this one is a broker.
-func (d *Daemon) handleBudgetCalls(server *relay.Server) {
+// handlePeerCalls makes a server serve the calls of other hosts that are not for the store.
+func (d *Daemon) handlePeerCalls(server *relay.Server) {
 	handle(server, methodChangeShare, d.budgets.ChangeShare)
 	handle(server, methodReserve, d.budgets.ReserveFor)
+	handle(server, methodLeaving, func(context.Context, struct{}) ([]balance.LeavingTarget, error) {
+		return d.targets.LeavingTargets(time.Now()), nil
+	})
 	handle(server, methodSettle, func(_ context.Context, request escrow.SettleRequest) (struct{}, error) {
 		d.budgets.SettleFor(request)
 		return struct{}{}, nil
