balance: pass over targets to which no connection is available

Cause: a host may have 650/89 = 7 connections to a target. With all of them in use the attempt failed and the next target was chosen, up to four times for each request: 400 to 1,100 failed attempts and log lines per second on that host, while it answered 20 to 60 requests. Change: the choice asks for each target whether a connection is available, in the other pool as well, and the request is refused at once if none is. TestTargetWithoutConnectionIsPassedOver fails without the check. Tried and dropped: refusing requests while the link is full, by bytes sent and received and the time of new connections.

--- a/pkg/balance/pause.go
+++ b/pkg/balance/pause.go
@@ -20,6 +20,10 @@
 // ErrNoTarget means that no target of the service can take the request.
 var ErrNoTarget = errors.New("no target available")
 
+// ErrNoConnection means that this host has no connection left to any target that can take
+// the request.
+var ErrNoConnection = fmt.Errorf("%w: the connection limits of all targets are reached", ErrNoTarget)
+
 // PausedError is an ErrNoTarget for a service of which targets have asked this host for a
 // pause.
 type PausedError struct {
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -37,12 +37,30 @@
 	if len(candidates) == 0 {
 		return nil, s.noTarget(r)
 	}
-	chosen, rank := choose(candidates, r)
+	chosen, rank, found := chooseReachable(candidates, r)
+	if !found { // the other pool may have a connection left
+		chosen, rank, found = chooseReachable(s.filter(s.services[r.Service], r, (*state).available), r)
+	}
+	if !found {
+		return nil, ErrNoConnection
+	}
 	a := s.startAttempt(chosen, r)
 	a.Load, a.Rank = chosen.load, rank
 	return a, nil
 }
 
+// chooseReachable is choose among the candidates to which a connection is available.
+func chooseReachable(candidates []candidate, r Request) (c candidate, rank int, found bool) {
+	for len(candidates) > 0 {
+		c, rank = choose(candidates, r)
+		if r.Reachable == nil || r.Reachable(c.Target) {
+			return c, rank, true
+		}
+		candidates = slices.DeleteFunc(candidates, func(other candidate) bool { return other.state == c.state })
+	}
+	return candidate{}, 0, false
+}
+
 // candidate is a target that may get a request, with its load for that request.
 type candidate struct {
 	*state
--- a/pkg/balance/pick_test.go
+++ b/pkg/balance/pick_test.go
@@ -205,3 +205,18 @@
 	s.Apply(restarted)
 	assert.Assert(t, s.Status(now)[0].Available)
 }
+
+// Guards against a request that tries one target after another for which this host has no connection left, and is refused although another target has one.
+func TestTargetWithoutConnectionIsPassedOver(t *testing.T) {
+	now := time.Now()
+	s := newTestSet(9)
+	r := promptRequest(now, 900, "menu")
+	for _, target := range testTargets(9) {
+		r.Reachable = func(other Target) bool { return other.ID == target.ID }
+		assert.Equal(t, pick(t, s, r).Target.ID, target.ID)
+	}
+	r.Reachable = func(Target) bool { return false }
+	_, err := s.Pick(r)
+	assert.ErrorIs(t, err, ErrNoConnection)
+	assert.ErrorIs(t, err, ErrNoTarget)
+}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -34,6 +34,8 @@
 	OutputTokens int64    // expected length of the output
 	Excluded     []string // IDs of targets that the request was already sent to
 	Now          time.Time
+	// Reachable reports whether a connection to a target is available. Nil: it always is.
+	Reachable func(Target) bool
 }
 
 // Outcome is the result of an attempt, as far as it says something about the target.
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -46,8 +46,7 @@
 		attempt, err := c.pickTarget()
 		if err != nil {
 			c.stoppedBy = stopNoTarget
-			c.noteNoTarget(err)
-			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, NoTarget)
+			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, c.noteNoTarget(err))
 		}
 		c.attemptOutcomes = append(c.attemptOutcomes, attempt.Target.ID)
 		result := c.sendTo(attempt)
@@ -84,16 +83,22 @@
 	return c.h.CallerClosed != nil && c.h.CallerClosed(c.r.Context())
 }
 
-// noteNoTarget logs why no target is left, and takes over when one will be.
-func (c *call) noteNoTarget(err error) {
+// noteNoTarget logs why no target is left, and takes over when one will be. It returns the
+// reason of the refusal.
+func (c *call) noteNoTarget(err error) Reason {
+	if errors.Is(err, balance.ErrNoConnection) {
+		return ConnectionLimit
+	}
 	var paused *balance.PausedError
 	if errors.As(err, &paused) {
 		c.targetsPausedFor = paused.Wait
 	}
 	c.h.Log.Info().Str("request", c.id).Str("service", c.service.Name).Str("passed_over", c.h.Targets.Unavailable(c.service.Name, time.Now())).Err(err).Msg("No target is available.")
+	return NoTarget
 }
 
 func (c *call) pickTarget() (*balance.Attempt, error) {
+	limit := c.targetConnectionLimit()
 	return c.h.Targets.Pick(balance.Request{
 		Service:      c.service.Name,
 		Parts:        c.parts,
@@ -101,6 +106,7 @@
 		OutputTokens: c.outputHint,
 		Excluded:     c.excluded,
 		Now:          time.Now(),
+		Reachable:    func(t balance.Target) bool { return c.h.Client.Available(t.Addr, limit) },
 	})
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -71,6 +71,15 @@
 	return nil, &SendError{Sent: true, Err: err}
 }
 
+// Available reports whether a request to an address would get a connection within the limit
+// of Send. Another request may take it first.
+func (c *Client) Available(addr string, limit int) bool {
+	c.mu.Lock()
+	p := c.pools[addr]
+	c.mu.Unlock()
+	return p == nil || p.available(limit)
+}
+
 func (c *Client) pool(addr string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -41,6 +41,13 @@
 	return nil, true
 }
 
+// available reports whether get would return a connection or let the caller open one.
+func (p *pool) available(limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return limit <= 0 || p.open < limit || len(p.idle) > 0
+}
+
 // put adds an idle connection for reuse.
 func (p *pool) put(c *conn, now time.Time) {
 	p.mu.Lock()
