forward, retrylimit: log prompt parts of broken attempts and the use of the retry limit

The lines of the hosts name neither the parts of a prompt nor how much of the limit is used, so that the hypotheses of docs/incidents/2026-12-04-crashing-prompt-parts-and-retries.md cannot be told apart.

The lines of attempts that broke name the shared parts of the prompt; the line of a request that was stopped by the retry limit says how many requests and retries count. No logic is changed.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -188,7 +188,7 @@
 		}
 		return attemptResult{reason: DeadlinePassed, mayHaveRun: upstream.MayHaveRun(err)}
 	}
-	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Err(err).Msg("Attempt failed before a response header arrived.")
+	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Strs("parts", c.sharedPartIDs()).Err(err).Msg("Attempt failed before a response header arrived.")
 	switch {
 	case errors.Is(err, upstream.ErrConnLimit):
 		a.End(now, balance.ConnectionLimit)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -115,3 +115,13 @@
 func (c *call) answerLost() bool {
 	return c.refusal != nil && c.events == 0 && c.refusal.Reason != DeadlinePassed && c.refusal.Reason != CallerGone
 }
+
+// sharedPartIDs returns the ids of the parts of the prompt that other requests may share:
+// all but the last.
+func (c *call) sharedPartIDs() []string {
+	var ids []string
+	for _, part := range c.parts[:max(0, len(c.parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -23,7 +23,7 @@
 			a.End(now, balance.Cancelled)
 			return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
 		}
-		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Err(err).Msg("Response body of a target could not be read to its end.")
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Strs("parts", c.sharedPartIDs()).Err(err).Msg("Response body of a target could not be read to its end.")
 		if errors.Is(err, errBodyMemory) {
 			a.End(now, balance.Failed)
 			return attemptResult{reason: TargetFailed, mayHaveRun: true}
@@ -117,7 +117,12 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.h.Log.Info().Str("request", c.id).Str("route", route).Str("customer", c.customerName()).Int64("cost", c.usedTokens()).Int64("prompt", c.cost.Prompt).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).Str("stopped_by", string(c.stoppedBy)).
+	line := c.h.Log.Info().Str("request", c.id).Str("route", route).Str("customer", c.customerName()).Int64("cost", c.usedTokens()).Int64("prompt", c.cost.Prompt).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).Str("stopped_by", string(c.stoppedBy))
+	if c.stoppedBy == stopRetryLimit {
+		usage := c.h.retryLimit(c.service.Name).Usage(time.Now())
+		line = line.Int("window_requests", usage.Requests).Int("window_retries", usage.Retries)
+	}
+	line.
 		Bool("may_have_run", c.possibleRuns > 0).Strs("targets", c.attemptOutcomes).Int64("events", c.events).Dur("after", time.Since(c.receivedAt)).Msg("Request ended without a complete response of a target.")
 	if c.headerSent {
 		c.abortResponse()
--- a/pkg/retrylimit/limit.go
+++ b/pkg/retrylimit/limit.go
@@ -65,12 +65,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	slot := l.advance(now)
-	requests, retries, byRatio := 0, 0, 0.0
-	for i := range l.requests {
-		requests += l.requests[i]
-		retries += l.retries[i]
-		byRatio += l.byRatio[i]
-	}
+	requests, retries, byRatio := l.totals()
 	left := min(max(0, l.ratio*float64(requests)-byRatio), 1) // part of this retry that the ratio allows
 	l.accrue(now)
 	if left+l.accrued < 1 || float64(retries+1) > l.ratio*float64(requests)+l.reserve {
@@ -82,6 +77,32 @@
 	return true
 }
 
+// totals returns the requests and retries that count, and the part of the retries that the
+// ratio allowed. The caller holds the mutex.
+func (l *Limit) totals() (requests, retries int, byRatio float64) {
+	for i := range l.requests {
+		requests += l.requests[i]
+		retries += l.retries[i]
+		byRatio += l.byRatio[i]
+	}
+	return requests, retries, byRatio
+}
+
+// Usage is what counts towards the limit at a moment.
+type Usage struct {
+	Requests int // requests that allow retries
+	Retries  int // retries that were allowed
+}
+
+// Usage returns what counts at the time now, for logs.
+func (l *Limit) Usage(now time.Time) Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	requests, retries, _ := l.totals()
+	return Usage{Requests: requests, Retries: retries}
+}
+
 // accrue adds the part of the reserve that has accrued since the last call. The caller
 // holds the mutex.
 func (l *Limit) accrue(now time.Time) {
