Add failing tests of the retry limit and of a prompt part that crashes targets

TestLimitHoldsInEveryWindow allowed the requests of a window and a tenth; the users' rule counts those of the window, so its bound is that now, and it fails: 16 retries, 15.5 allowed. - TestPartThatCrashesTargetsIsRefused: three daemons, 30 stand-in replicas that crash for good when they begin the answer to a request with the part; all 30 crash, 12 requests reach replicas too late, 3 are allowed, and no sound request is served.

The stand-in replica gains CrashPart and EventPause.

--- a/pkg/retrylimit/limit_test.go
+++ b/pkg/retrylimit/limit_test.go
@@ -30,7 +30,7 @@
 		}
 		for _, end := range retries {
 			from := end.Add(-window)
-			got, allowed := float64(countBetween(retries, from, end)), ratio*float64(countBetween(requests, from.Add(-window/windowSlots), end))+reserve
+			got, allowed := float64(countBetween(retries, from, end)), ratio*float64(countBetween(requests, from, end))+reserve
 			assert.Assert(t, got <= allowed, "window that ends %v after the start: %v retries, allowed: %v", end.Sub(l.startedAt), got, allowed)
 		}
 	})
--- a/pkg/standin/replica/replica.go
+++ b/pkg/standin/replica/replica.go
@@ -44,6 +44,7 @@
 	endless  Endless
 	runs     []Run
 	rejected int
+	crashed  bool
 }
 
 // New starts a replica with an id on a loopback address.
@@ -127,7 +128,10 @@
 		close(run.Disconnected)
 		return
 	}
-	if faults.LoseResponse {
+	if r.hasPart(request, faults.CrashPart) {
+		r.crash()
+	}
+	if faults.LoseResponse || r.Crashed() {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(IDHeader, r.ID)
@@ -189,6 +193,7 @@
 			}
 			return
 		}
+		time.Sleep(f.EventPause)
 		if body.write(eventText(n, run.ID)) != nil {
 			return
 		}
