retrylimit: count requests for less than the window and retries for more

Cause: a host counted requests and retries in the same slots, for up to 11 s. When retries begin at once after a quiet time, the requests of the second before the window allow retries that all arrive within it: up to a tenth of what the ratio allows. Retries were also counted when they were allowed, up to 0.4 s before they arrive over a new connection.

Change: requests count for 9 to 9.5 s of a window of 10 s, retries for 10.5 to 11 s, in slots of half a second. So each period of 10 s in which retries arrive holds the requests that allow them, also if either is late by half a second.

--- a/pkg/retrylimit/limit.go
+++ b/pkg/retrylimit/limit.go
@@ -8,10 +8,19 @@
 	"time"
 )
 
-// windowSlots is the number of slots that the window is divided into. Requests and
-// retries count for one slot longer than the window, so that the limit holds for any
-// period of the window's length and not only for periods that begin with a slot.
-const windowSlots = 10
+const (
+	// windowSlots is the number of slots that the window is divided into.
+	windowSlots = 20
+	// requestSlots is the number of slots for which a request counts, the current one
+	// included. It is less than the window, so that any period of the window's length in
+	// which retries arrive holds the requests that allow them, also if a host has read a
+	// request up to a slot after it was sent.
+	requestSlots = windowSlots - 1
+	// retrySlots is the number of slots for which a retry counts, the current one included.
+	// It is more than the window, as the limit must hold for any period of that length, and
+	// a retry may arrive up to a slot after it was allowed: a connection is opened first.
+	retrySlots = windowSlots + 2
+)
 
 // burstShare is the part of the reserve that can be used at once. The rest accrues over
 // the window, so that the reserve holds for any period of the window's length.
@@ -32,10 +41,10 @@
 	reserve     float64    // retries per window regardless of requests
 	accrued     float64    // part of the reserve that can be used
 	accruedAt   time.Time  // time up to which accrued is calculated
-	requests    [windowSlots + 1]int
-	retries     [windowSlots + 1]int
-	byRatio     [windowSlots + 1]float64 // retries and fractions of them that the ratio allowed; the reserve allowed the rest
-	currentSlot int64                    // number of the newest slot, counted from startedAt
+	requests    [retrySlots]int
+	retries     [retrySlots]int
+	byRatio     [retrySlots]float64 // retries and fractions of them that the ratio allowed; the reserve allowed the rest
+	currentSlot int64               // number of the newest slot, counted from startedAt
 }
 
 // New returns a limit that allows, within any window, ratio retries per request plus
@@ -80,11 +89,13 @@
 // totals returns the requests and retries that count, and the part of the retries that the
 // ratio allowed. The caller holds the mutex.
 func (l *Limit) totals() (requests, retries int, byRatio float64) {
-	for i := range l.requests {
-		requests += l.requests[i]
+	for i := range l.retries {
 		retries += l.retries[i]
 		byRatio += l.byRatio[i]
 	}
+	for number := max(0, l.currentSlot-requestSlots+1); number <= l.currentSlot; number++ {
+		requests += l.requests[number%retrySlots]
+	}
 	return requests, retries, byRatio
 }
 
@@ -121,12 +132,12 @@
 	newest := max(int64(now.Sub(l.startedAt)/(l.window/windowSlots)), l.currentSlot)
 	for l.currentSlot < newest {
 		l.currentSlot++
-		if newest-l.currentSlot > windowSlots {
+		if newest-l.currentSlot >= retrySlots {
 			continue // a newer slot uses the same array element and clears it
 		}
-		l.requests[l.currentSlot%(windowSlots+1)] = 0
-		l.retries[l.currentSlot%(windowSlots+1)] = 0
-		l.byRatio[l.currentSlot%(windowSlots+1)] = 0
+		l.requests[l.currentSlot%retrySlots] = 0
+		l.retries[l.currentSlot%retrySlots] = 0
+		l.byRatio[l.currentSlot%retrySlots] = 0
 	}
-	return int(l.currentSlot % (windowSlots + 1))
+	return int(l.currentSlot % retrySlots)
 }
--- a/pkg/retrylimit/saturation_test.go
+++ b/pkg/retrylimit/saturation_test.go
@@ -40,11 +40,21 @@
 			}
 		}
 		slices.SortFunc(arrived, time.Time.Compare)
+		slices.SortFunc(sent, time.Time.Compare)
 		for _, from := range arrived {
-			end := from.Add(window)
-			requests := max(countBetween(sent, from, end), countBetween(sent, from.Add(-window/2), end.Add(-window/2)), countBetween(sent, from.Add(-window), from))
-			got, allowed := countBetween(arrived, from.Add(-1), end), ratio*float64(requests)+reserve
+			requests := 0 // of this window, the one before, or the one half a window before, whichever has most
+			for _, back := range []time.Duration{0, window / 2, window} {
+				requests = max(requests, countSorted(sent, from.Add(-back), window))
+			}
+			got, allowed := countSorted(arrived, from, window), ratio*float64(requests)+reserve
 			assert.Assert(t, float64(got) <= allowed, "seed %d: %d retries for %d requests in the %v from %v after the start, allowed: %v", seed, got, requests, window, from.Sub(start), allowed)
 		}
 	}
 }
+
+// countSorted counts the times in the period of a length from a time on.
+func countSorted(times []time.Time, from time.Time, length time.Duration) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	next, _ := slices.BinarySearchFunc(times, from.Add(length), time.Time.Compare)
+	return next - first
+}
