crashparts, forward, edge: refuse prompts with a part that crashes targets

Cause: crashes were recorded by whole request (customer, method, path, body).

Change: the new package crashparts records which parts were in the requests that a target broke off before it had answered them. A part is blocked once four targets have crashed under it without an answer to any request with it in between, twelve if it had answers within a minute. A crash counts half a second later, unless the target has answered meanwhile, and only for the part that explains it, so that the parts of requests that broke off with it stay usable. Hosts tell each other of crashes, answers and blocks by datagrams, repeat blocks twice a second for hosts that missed them, and a new process asks three others. The last part, which belongs to the request or its session, is not recorded. The state for operators lists the blocked parts.

TestFleetBlocksCrashingPart simulates 1 to 81 hosts with 5 % of the datagrams lost. gossip.Message holds a slice now, so its test compares with DeepEqual, which is as strict.

--- /dev/null
+++ b/pkg/crashparts/recent.go
@@ -0,0 +1,33 @@
+package crashparts
+
+import "time"
+
+// maxRecent bounds the entries of each generation of a recentTimes.
+const maxRecent = 8192
+
+// recentTimes holds the last time of each key, for at least ttl and less than twice as long.
+// If more than maxRecent keys get a time within ttl, the oldest ones are dropped sooner.
+type recentTimes struct {
+	ttl               time.Duration
+	current, previous map[string]time.Time
+	currentSince      time.Time
+}
+
+func newRecentTimes(ttl time.Duration) *recentTimes {
+	return &recentTimes{ttl: ttl, current: make(map[string]time.Time)}
+}
+
+func (r *recentTimes) set(key string, now time.Time) {
+	if now.Sub(r.currentSince) > r.ttl || len(r.current) >= maxRecent {
+		r.previous, r.current, r.currentSince = r.current, make(map[string]time.Time), now
+	}
+	r.current[key] = now
+}
+
+// get returns the last time of a key, the zero time if there is none.
+func (r *recentTimes) get(key string) time.Time {
+	if at, ok := r.current[key]; ok {
+		return at
+	}
+	return r.previous[key]
+}
--- /dev/null
+++ b/pkg/crashparts/tracker_test.go
@@ -0,0 +1,214 @@
+package crashparts
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// afterConfirm is a time after which crashes count.
+const afterConfirm = confirmTime + time.Millisecond
+
+func target(n int) Target { return Target{ID: fmt.Sprint("t", n)} }
+
+// crashUnder records crashes of n further targets under the given parts.
+func crashUnder(t *Tracker, first, n int, now time.Time, parts ...string) {
+	for i := range n {
+		t.Broken(target(first+i), parts, now)
+	}
+}
+
+// Guards against a part that goes on crashing targets in requests of which no two are alike.
+func TestPartIsBlockedAfterCrashes(t *testing.T) {
+	tracker, now := New(), time.Now()
+	for i := range maxCrashes {
+		assert.Assert(t, !tracker.IsBlocked([]string{"bad"}, now.Add(afterConfirm)))
+		tracker.Broken(target(i), []string{"bad", fmt.Sprint("own", i)}, now)
+		tracker.Broken(target(i), []string{"bad"}, now) // another request at the same target
+	}
+	assert.Assert(t, !tracker.IsBlocked([]string{"bad"}, now), "crashes that are not confirmed count")
+	now = now.Add(afterConfirm)
+	assert.Assert(t, tracker.IsBlocked([]string{"first", "bad"}, now))
+	assert.Assert(t, !tracker.IsBlocked([]string{"first", "own0"}, now))
+	assert.Assert(t, tracker.IsBlocked([]string{"bad"}, now.Add(blockTime-time.Second)))
+}
+
+// Guards against refusing sound requests because they broke off together with those that crash targets.
+func TestPartsOfVictimsAreNotBlocked(t *testing.T) {
+	tracker, now := New(), time.Now()
+	for i := range 2 * maxCrashes {
+		tracker.Broken(target(i), []string{"victim"}, now)
+		tracker.Broken(target(i), []string{"first", "bad"}, now.Add(time.Millisecond))
+		if i < maxCrashes+1 {
+			tracker.Broken(target(i), []string{"first", "other"}, now)
+		}
+		now = now.Add(100 * time.Millisecond)
+		tracker.Answered([]string{"first"}, now)
+	}
+	now = now.Add(afterConfirm)
+	assert.Assert(t, tracker.IsBlocked([]string{"bad"}, now))
+	for _, part := range []string{"first", "victim", "other"} {
+		assert.Equal(t, tracker.IsBlocked([]string{part}, now), false, part)
+	}
+}
+
+// Guards against refusing requests with a part that is answered in between.
+func TestAnswerClearsPart(t *testing.T) {
+	tracker, now := New(), time.Now()
+	for i := range 5 * maxCrashes {
+		tracker.Broken(target(i), []string{"popular"}, now)
+		if i%(maxCrashes-1) == 0 {
+			tracker.Answered([]string{"popular"}, now.Add(time.Millisecond))
+		}
+		now = now.Add(afterConfirm)
+		assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now))
+	}
+}
+
+// Guards against taking broken connections and targets that reset requests for crashes.
+func TestTargetThatAnswersHasNotCrashed(t *testing.T) {
+	tracker, now := New(), time.Now()
+	crashUnder(tracker, 0, 2*maxCrashes, now, "new")
+	for i := range maxCrashes + 1 {
+		tracker.Responded(target(i), now.Add(time.Millisecond), now.Add(2*time.Millisecond))
+	}
+	assert.Assert(t, !tracker.IsBlocked([]string{"new"}, now.Add(afterConfirm)))
+
+	// Answers to requests that were sent before the crash show nothing.
+	crashUnder(tracker, 100, maxCrashes, now, "bad")
+	tracker.Responded(target(100), now.Add(-time.Millisecond), now.Add(2*time.Millisecond))
+	assert.Assert(t, tracker.IsBlocked([]string{"bad"}, now.Add(afterConfirm)))
+	tracker.Responded(target(100), now.Add(afterConfirm), now.Add(afterConfirm))
+	assert.Assert(t, !tracker.IsBlocked([]string{"bad"}, now.Add(afterConfirm)), "the block outlasts its evidence")
+}
+
+// Guards against a target that has restarted under its ID and so clears the part that crashed it.
+func TestRestartedTargetDoesNotClearPart(t *testing.T) {
+	tracker, now := New(), time.Now()
+	for i := range maxCrashes {
+		tracker.Broken(Target{ID: "same", Born: int64(i + 1)}, []string{"bad"}, now)
+	}
+	back := now.Add(restartTime + time.Second)
+	for i := range maxCrashes {
+		tracker.Responded(Target{ID: "same", Born: int64(i + 1)}, back, back)
+	}
+	assert.Assert(t, tracker.IsBlocked([]string{"bad"}, back))
+}
+
+// Guards against a sound part that stays refused for minutes after all targets failed at once, and against each host letting requests through when a block runs out.
+func TestBlockOfAnsweredPartIsShort(t *testing.T) {
+	tracker, now := New(), time.Now()
+	var announced []Event
+	tracker.Announce = func(e Event) { announced = append(announced, e) }
+	tracker.Answered([]string{"popular"}, now)
+	crashUnder(tracker, 0, maxCrashesIfAnswered, now.Add(time.Millisecond), "popular")
+	now = now.Add(afterConfirm + time.Millisecond)
+	assert.Assert(t, tracker.IsBlocked([]string{"popular"}, now))
+	now = now.Add(blockTimeIfAnswered)
+	announced = nil
+	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now), "no trial")
+	assert.Assert(t, tracker.IsBlocked([]string{"popular"}, now), "a second trial")
+	assert.DeepEqual(t, announced, []Event{{Kind: Blocked, Parts: []string{"popular"}, Remaining: trialTime}})
+	tracker.Answered([]string{"popular"}, now)
+	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now))
+}
+
+// Guards against memory that grows with the parts and targets of all times.
+func TestRecordsAreBounded(t *testing.T) {
+	tracker, now := New(), time.Now()
+	for i := range 4 * maxRecent {
+		tracker.Answered([]string{fmt.Sprint("p", i)}, now)
+		tracker.Broken(target(i), []string{"x"}, now)
+	}
+	assert.Assert(t, len(tracker.crashes) <= maxCrashRecords)
+	assert.Assert(t, len(tracker.answeredAt.current)+len(tracker.answeredAt.previous) <= 2*maxRecent)
+	tracker.Broken(target(-1), []string{"x"}, now.Add(crashTTL+time.Second))
+	assert.Equal(t, len(tracker.crashes), 1)
+}
+
+// Guards against a fleet whose hosts see too few crashes each, lose datagrams or have just started: requests with a part that crashes targets reach at most three targets later than 3 s after the fifth crash, and sound requests are not refused.
+func TestFleetBlocksCrashingPart(t *testing.T) {
+	for _, hosts := range []int{1, 3, 9, 81} {
+		for seed := range uint64(20) {
+			simulateFleet(t, hosts, seed)
+		}
+	}
+}
+
+func simulateFleet(t *testing.T, hosts int, seed uint64) {
+	t.Helper()
+	const (
+		contactTime  = 3 * time.Second
+		lostShare    = 0.05
+		fanout       = 24
+		announceStep = 500 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(seed, uint64(hosts)))
+	now := time.Now()
+	trackers := make([]*Tracker, hosts)
+	deliver := func(from, peers int, e Event) {
+		for _, to := range random.Perm(hosts)[:min(peers, hosts)] {
+			if to != from && random.Float64() >= lostShare {
+				trackers[to].Receive(e, now)
+			}
+		}
+	}
+	var queue []func()
+	for i := range trackers {
+		trackers[i] = New()
+		trackers[i].Announce = func(e Event) { queue = append(queue, func() { deliver(i, fanout, e) }) }
+	}
+	flush := func() {
+		for len(queue) > 0 {
+			next := queue[0]
+			queue = queue[1:]
+			next()
+		}
+	}
+	gap := time.Duration(20+random.IntN(2000)) * time.Millisecond // between requests with the part
+	var fifthCrash time.Time
+	crashes, late, soundRefused, sound := 0, 0, 0, 0
+	nextCrash, nextAnnounce := now, now
+	for start := now; now.Before(start.Add(40 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		host := random.IntN(hosts)
+		subject := fmt.Sprint("subject", random.IntN(300))
+		first := fmt.Sprint("first", random.IntN(5))
+		sound++
+		if trackers[host].IsBlocked([]string{first, subject}, now) {
+			soundRefused++
+		} else if random.Float64() < 0.8 {
+			trackers[host].Answered([]string{first, subject}, now)
+		}
+		if !now.Before(nextCrash) {
+			nextCrash = now.Add(gap)
+			host, parts := random.IntN(hosts), []string{first, "bad"}
+			if !trackers[host].IsBlocked(parts, now) {
+				crashes++
+				if !fifthCrash.IsZero() && now.Sub(fifthCrash) > contactTime {
+					late++
+				}
+				if crashes == 5 {
+					fifthCrash = now
+				}
+				trackers[host].Broken(target(crashes), parts, now)
+				for range 10 { // sound requests that break off with it
+					trackers[random.IntN(hosts)].Broken(target(crashes), []string{fmt.Sprint("first", random.IntN(5)), fmt.Sprint("subject", random.IntN(300))}, now)
+				}
+			}
+		}
+		if !now.Before(nextAnnounce) {
+			nextAnnounce = now.Add(announceStep)
+			for i, tracker := range trackers {
+				for _, e := range tracker.BlockedParts(now) {
+					deliver(i, 3, e)
+				}
+			}
+		}
+		flush()
+	}
+	assert.Assert(t, late <= 3, "%d hosts, seed %d, a request each %v: %d crashes, %d of them late", hosts, seed, gap, crashes, late)
+	assert.Assert(t, soundRefused*50 <= sound, "%d hosts, seed %d: %d of %d sound requests refused", hosts, seed, soundRefused, sound)
+}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
@@ -75,6 +76,7 @@
 	targets      *balance.Set
 	budgets      *escrow.Manager
 	crashTracker *forward.CrashTracker
+	crashParts   *crashparts.Tracker
 	handler      *forward.Handler
 	callerServer *http.Server
 	callers      *ingress.Listener // listener of callerServer; set by serve
@@ -105,9 +107,10 @@
 	}
 	d := &Daemon{
 		settings: s, layout: l, logs: logs, log: logs.Logger("edge"),
-		client: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), metrics: newMetrics(),
+		client: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), crashParts: crashparts.New(), metrics: newMetrics(),
 		decodedTargets: make(map[string]balance.Target),
 	}
+	d.crashParts.Log = logs.Logger("crashparts")
 	d.client.OnDial = d.metrics.countDial
 	d.directStore = newMeteredRows(store, d.metrics.registry)
 	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
@@ -117,7 +120,7 @@
 		CountWrittenOff: d.metrics.countWrittenOff, Log: logs.Logger("budget"),
 	})
 	d.handler = forward.New(forward.Options{
-		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker,
+		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
 		Overloaded: overloaded, CallerClosed: callerClosed, ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
@@ -144,7 +147,8 @@
 	go d.watchConfiguration(componentsCtx)
 	go d.watchTargets(componentsCtx)
 	go d.updateHosts(componentsCtx)
-	go d.learnLeavingTargets(componentsCtx)
+	go d.learnFromPeers(componentsCtx)
+	go d.announceBlockedParts(componentsCtx)
 	d.log.Info().Str("host", d.settings.Host).Str("callers", d.settings.CallerListen).Str("store", d.settings.StoreAddress).Msg("Daemon started.")
 	select {
 	case err := <-failed:
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 )
@@ -80,8 +81,8 @@
 }
 
 // startPeerListeners starts the exchange with other hosts on the peer address:
-// over UDP it sends and receives gossip about long prompts, token shortages and
-// requests that crash targets; over TCP it serves relayed calls to the store and
+// over UDP it sends and receives gossip about long prompts, token shortages, targets that
+// leave, and requests and parts of prompts that crash targets; over TCP it serves relayed calls to the store and
 // changes of budget shares.
 func (d *Daemon) startPeerListeners(ctx context.Context, failed chan<- error) error {
 	if d.settings.PeerListen == "" {
@@ -95,6 +96,9 @@
 		case m.CrashFingerprint != 0:
 			d.crashTracker.Record(m.CrashFingerprint, m.Target, time.Now())
 			return
+		case m.CrashEvent != "":
+			d.crashParts.Receive(crashEvent(m), time.Now())
+			return
 		case m.Leaves:
 			if d.targets.RecordLeaving(m.Target, m.Born, time.Now()) {
 				d.log.Info().Str("target", m.Target).Str("peer", m.Host).Msg("Target leaves, says another host. It gets no further requests.")
@@ -114,6 +118,7 @@
 	d.crashTracker.Announce = func(fingerprint uint64, target string) {
 		node.Send(gossip.Message{CrashFingerprint: fingerprint, Target: target})
 	}
+	d.crashParts.Announce = func(e crashparts.Event) { node.Send(crashEventMessage(e)) }
 	d.targets.AnnounceLeaving = func(id string, born int64) {
 		node.Send(gossip.Message{Target: id, Leaves: true, Born: born})
 	}
--- a/pkg/edge/leaving.go
+++ b/pkg/edge/leaving.go
@@ -24,10 +24,10 @@
 	leavingSearchPause = 50 * time.Millisecond
 )
 
-// learnLeavingTargets asks other hosts for targets that leave. The process that ran on this
-// host before may have known of them, and their registrations may still say that they are
-// ready.
-func (d *Daemon) learnLeavingTargets(ctx context.Context) {
+// learnFromPeers asks other hosts for targets that leave and for blocked parts of prompts.
+// The process that ran on this host before may have known of them, and the registrations of
+// the targets may still say that they are ready.
+func (d *Daemon) learnFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leavingSearchTime)
 	defer cancel()
 	asked := make(map[string]bool)
@@ -38,15 +38,15 @@
 		for _, peer := range peers {
 			if !asked[peer] && answers < leavingPeers {
 				asked[peer] = true
-				answers += d.learnLeavingFrom(ctx, peer)
+				answers += d.learnFrom(ctx, peer)
 			}
 		}
 		pause.For(ctx, leavingSearchPause)
 	}
 }
 
-// learnLeavingFrom asks one host. It returns 1 if the host has answered, 0 otherwise.
-func (d *Daemon) learnLeavingFrom(ctx context.Context, peer string) int {
+// learnFrom asks one host. It returns 1 if the host has answered, 0 otherwise.
+func (d *Daemon) learnFrom(ctx context.Context, peer string) int {
 	ctx, cancel := context.WithTimeout(ctx, leavingCallTimeout)
 	defer cancel()
 	var targets []balance.LeavingTarget
@@ -59,5 +59,6 @@
 			d.log.Info().Str("target", t.ID).Str("peer", peer).Msg("Target leaves, says another host. It gets no further requests.")
 		}
 	}
+	d.learnBlockedParts(ctx, peer)
 	return 1
 }
--- a/pkg/edge/peer_calls.go
+++ b/pkg/edge/peer_calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/relay"
@@ -27,6 +28,9 @@
 	handle(server, methodLeaving, func(context.Context, struct{}) ([]balance.LeavingTarget, error) {
 		return d.targets.LeavingTargets(time.Now()), nil
 	})
+	handle(server, methodBlockedParts, func(context.Context, struct{}) ([]crashparts.Event, error) {
+		return d.crashParts.BlockedParts(time.Now()), nil
+	})
 	handle(server, methodSettle, func(_ context.Context, request escrow.SettleRequest) (struct{}, error) {
 		d.budgets.SettleFor(request)
 		return struct{}{}, nil
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -33,6 +33,7 @@
 	ConfigurationAge     time.Duration    `json:"configuration_age_ns"` // time since the configuration was applied on this host
 	Targets              []balance.Status `json:"targets"`
 	Budgets              []escrow.Status  `json:"budgets"`
+	BlockedParts         []string         `json:"blocked_parts,omitempty"` // parts of prompts that crash targets
 }
 
 // adminHandler serves the metrics and the state of the daemon.
@@ -53,6 +54,9 @@
 		Host: d.settings.Host, Ready: d.Ready(), ShuttingDown: d.shuttingDown.Load(), Hosts: d.budgets.Hosts(),
 		Targets: d.targets.Status(time.Now()), Budgets: d.budgets.Status(),
 	}
+	for _, e := range d.crashParts.BlockedParts(time.Now()) {
+		s.BlockedParts = append(s.BlockedParts, e.Parts...)
+	}
 	if c := d.configuration.Load(); c != nil {
 		s.ConfigurationVersion = c.Version
 		s.ConfigurationAge = time.Since(*d.configurationAppliedAt.Load())
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -43,6 +43,10 @@
 			c.stoppedBy = stopDeadline
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CallerGone)
 		}
+		if c.crashesTargets(time.Now()) {
+			c.stoppedBy = stopCrashes
+			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CrashesTargets)
+		}
 		attempt, err := c.pickTarget()
 		if err != nil {
 			c.stoppedBy = stopNoTarget
@@ -127,6 +131,8 @@
 		return refuseNotRun(r, withJitter(retryAfterTargetFull))
 	case DeadlinePassed:
 		return refuseNotRun(r, 0)
+	case CrashesTargets:
+		return refuseNotRun(r, retryAfterCrashes)
 	}
 	return refuseNotRun(r, withJitter(max(retryAfterNoTarget, c.targetsPausedFor)))
 }
@@ -141,6 +147,9 @@
 	}
 	defer response.Close()
 	c.sentAttempts++
+	if response.Status != http.StatusMisdirectedRequest {
+		c.h.CrashParts.Responded(crashTarget(a), c.lastAttemptAt, time.Now())
+	}
 	c.recordTargetState(a, response)
 	targetLoad := c.reportedLoad(a.Target.ID, response)
 	a.FirstByteReceived(time.Now(), targetLoad)
@@ -188,7 +197,7 @@
 		}
 		return attemptResult{reason: DeadlinePassed, mayHaveRun: upstream.MayHaveRun(err)}
 	}
-	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Strs("parts", c.sharedPartIDs()).Err(err).Msg("Attempt failed before a response header arrived.")
+	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Strs("parts", c.partKeys).Err(err).Msg("Attempt failed before a response header arrived.")
 	switch {
 	case errors.Is(err, upstream.ErrConnLimit):
 		a.End(now, balance.ConnectionLimit)
@@ -200,7 +209,7 @@
 	a.End(now, balance.Broken)
 	c.sentAttempts++
 	c.possibleRuns++
-	c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
+	c.recordBroken(a, time.Time{}, now)
 	return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -32,6 +32,7 @@
 	cost        dialect.Cost
 	outputHint  int64          // expected output in tokens
 	parts       []balance.Part // parts of the prompt that targets cache
+	partKeys    []string       // keys of the parts that other requests may share
 	reservation *escrow.Reservation
 	refusal     *Refusal // how the request has ended; nil while it is open, and if the response of a target was forwarded
 
@@ -115,13 +116,3 @@
 func (c *call) answerLost() bool {
 	return c.refusal != nil && c.events == 0 && c.refusal.Reason != DeadlinePassed && c.refusal.Reason != CallerGone
 }
-
-// sharedPartIDs returns the ids of the parts of the prompt that other requests may share:
-// all but the last.
-func (c *call) sharedPartIDs() []string {
-	var ids []string
-	for _, part := range c.parts[:max(0, len(c.parts)-1)] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
--- /dev/null
+++ b/pkg/forward/crash_parts.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/crashparts"
+)
+
+// answeringTime is how long a target has sent events of a stream when the request counts as
+// answered even if the stream breaks off. A part of a prompt that crashes targets does so
+// when they begin to answer.
+const answeringTime = time.Second
+
+func crashTarget(a *balance.Attempt) crashparts.Target {
+	return crashparts.Target{ID: a.Target.ID, Born: a.Target.Born}
+}
+
+// recordBroken records that the target of an attempt broke off its response. firstEventAt is
+// when it sent the first event of a stream, zero if it has sent none.
+func (c *call) recordBroken(a *balance.Attempt, firstEventAt, now time.Time) {
+	c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
+	if !firstEventAt.IsZero() && now.Sub(firstEventAt) >= answeringTime {
+		c.h.CrashParts.Answered(c.partKeys, now)
+		return
+	}
+	if len(c.partKeys) > 0 {
+		c.h.CrashParts.Broken(crashTarget(a), c.partKeys, now)
+	}
+}
+
+// crashesTargets reports whether the request must not be sent because it, or a part of its
+// prompt, crashes targets.
+func (c *call) crashesTargets(now time.Time) bool {
+	return c.h.CrashTracker.IsRefused(c.fingerprint, now) || c.h.CrashParts.IsBlocked(c.partKeys, now)
+}
+
+// partKeys returns the keys of the parts of the prompt that other requests may share: all
+// but the last.
+func partKeys(parts []balance.Part) []string {
+	var keys []string
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		keys = append(keys, crashparts.Key(part.ID))
+	}
+	return keys
+}
--- a/pkg/forward/fixture_test.go
+++ b/pkg/forward/fixture_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/routing"
@@ -89,7 +90,7 @@
 	set := balance.NewSet()
 	r.handler = New(Options{
 		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, Client: upstream.New(), Budgets: r.budgets,
-		CrashTracker: NewCrashTracker(), ShuttingDown: r.shuttingDown.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
+		CrashTracker: NewCrashTracker(), CrashParts: crashparts.New(), ShuttingDown: r.shuttingDown.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
 	})
 	var targets []balance.Target
 	for i := range replicas {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/retrylimit"
@@ -28,6 +29,7 @@
 	Client                 *upstream.Client
 	Budgets                *escrow.Manager
 	CrashTracker           *CrashTracker
+	CrashParts             *crashparts.Tracker
 	// Overloaded reports whether the host has too many connections to serve the request.
 	// Nil: it never has.
 	Overloaded func(*http.Request) bool
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -75,7 +75,7 @@
 		return refusal
 	}
 	c.fingerprint = c.requestFingerprint()
-	if c.h.CrashTracker.IsRefused(c.fingerprint, c.receivedAt) {
+	if c.crashesTargets(c.receivedAt) {
 		return refuseNotRun(CrashesTargets, retryAfterCrashes)
 	}
 	c.service = c.config.Service(c.route.Service(splitPosition(c.id)))
@@ -119,6 +119,7 @@
 		if c.parts, err = d.ParseParts(value); err != nil {
 			return c.refuseHeader(d.PromptParts, err)
 		}
+		c.partKeys = partKeys(c.parts)
 	}
 	c.outputHint = c.cost.MaxOutput
 	if hint, err := strconv.ParseInt(c.r.Header.Get(d.OutputHint), 10, 64); err == nil && hint >= 0 {
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -23,15 +23,16 @@
 			a.End(now, balance.Cancelled)
 			return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
 		}
-		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Strs("parts", c.sharedPartIDs()).Err(err).Msg("Response body of a target could not be read to its end.")
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Strs("parts", c.partKeys).Err(err).Msg("Response body of a target could not be read to its end.")
 		if errors.Is(err, errBodyMemory) {
 			a.End(now, balance.Failed)
 			return attemptResult{reason: TargetFailed, mayHaveRun: true}
 		}
 		a.End(now, balance.Broken)
-		c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
+		c.recordBroken(a, time.Time{}, now)
 		return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 	}
+	c.h.CrashParts.Answered(c.partKeys, now)
 	if c.headerSent {
 		// The caller has received a part of an event stream, and this response is
 		// not its continuation.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -33,6 +33,7 @@
 		return c.forwardBuffered(a, response)
 	}
 	splitter := &eventSplitter{}
+	var firstEventAt time.Time
 	buffer := make([]byte, streamBufferBytes)
 	stall := newStallTimer(c.h.StreamStallTimeout, response)
 	defer stall.stop()
@@ -41,11 +42,14 @@
 		if n > 0 {
 			outputs := splitter.outputs
 			events := splitter.add(buffer[:n])
+			if len(events) > 0 && firstEventAt.IsZero() {
+				firstEventAt = time.Now()
+			}
 			if splitter.outputs > outputs {
 				stall.progress()
 			}
 			if splitter.outputs > c.maxOutputEvents() {
-				return c.handleStreamEnd(a, response, splitter, errTooManyEvents)
+				return c.handleStreamEnd(a, response, splitter, firstEventAt, errTooManyEvents)
 			}
 			if writeErr := c.forwardEvents(response, events); writeErr != nil {
 				c.h.Observer.StreamEnded(response.Framing, StreamCancelled)
@@ -63,7 +67,7 @@
 			err = errStreamStalled
 		}
 		if err != nil {
-			return c.handleStreamEnd(a, response, splitter, err)
+			return c.handleStreamEnd(a, response, splitter, firstEventAt, err)
 		}
 	}
 }
@@ -120,8 +124,9 @@
 	c.timeToFirstByte = time.Since(c.receivedAt)
 }
 
-// handleStreamEnd handles the end of a target's event stream, complete or not.
-func (c *call) handleStreamEnd(a *balance.Attempt, response *upstream.Response, splitter *eventSplitter, err error) attemptResult {
+// handleStreamEnd handles the end of a target's event stream, complete or not. firstEventAt
+// is when its first event arrived, zero if none has.
+func (c *call) handleStreamEnd(a *balance.Attempt, response *upstream.Response, splitter *eventSplitter, firstEventAt time.Time, err error) attemptResult {
 	now := time.Now()
 	c.trailingBytes = len(splitter.remainder())
 	end := c.streamEnd(response.Framing, splitter, err)
@@ -129,6 +134,7 @@
 	switch end {
 	case StreamComplete:
 		a.End(now, balance.Served)
+		c.h.CrashParts.Answered(c.partKeys, now)
 		c.sendStreamHeader(response)
 		if remainder := splitter.remainder(); len(remainder) > 0 {
 			_, _ = c.w.Write(remainder) // an error means that the caller has disconnected
@@ -140,8 +146,8 @@
 		return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
 	}
 	a.End(now, balance.Broken)
-	c.h.CrashTracker.RecordAndAnnounce(c.fingerprint, a.Target.ID, now)
+	c.recordBroken(a, firstEventAt, now)
 	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Str("end", string(end)).
-		Int("trailing_bytes", c.trailingBytes).Strs("parts", c.sharedPartIDs()).Err(err).Msg("Event stream of a target ended before it was complete.")
+		Int("trailing_bytes", c.trailingBytes).Strs("parts", c.partKeys).Err(err).Msg("Event stream of a target ended before it was complete.")
 	return attemptResult{reason: AnswerBroken, mayHaveRun: true, overrun: end == StreamOverrun && c.headerSent}
 }
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -1,6 +1,6 @@
 // Package gossip sends datagrams that tell other hosts about long prompts that targets
 // are processing, budgets of which the sending host has too few tokens for a request,
-// and requests that crash targets. Lost datagrams are not sent again; receivers let the
+// targets that leave, and requests and parts of prompts that crash targets. Lost datagrams are not sent again; receivers let the
 // information expire.
 package gossip
 
@@ -13,6 +13,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -26,9 +27,10 @@
 	maxFanout = 24
 )
 
-// Message reports one of four events: a prompt was sent to a target or the target
+// Message reports one of five events: a prompt was sent to a target or the target
 // has finished processing it; the sending host lacks tokens of a customer's budget for
-// a request; a request crashed its target; or a target has said that it leaves.
+// a request; a request crashed its target; a target has said that it leaves; or what
+// CrashEvent says of Parts.
 type Message struct {
 	Host             string `json:"h"`
 	Number           uint64 `json:"n,omitempty"` // identifies the prompt among those of the sending host
@@ -37,7 +39,11 @@
 	Customer         string `json:"c,omitempty"` // customer of whose budget the sending host lacks tokens for a request
 	CrashFingerprint uint64 `json:"x,omitempty"` // fingerprint of a request that crashed Target
 	Leaves           bool   `json:"l,omitempty"` // Target leaves
-	Born             int64  `json:"b,omitempty"` // with Leaves: start of Target in Unix milliseconds; 0: unknown
+	Born             int64  `json:"b,omitempty"` // start of Target in Unix milliseconds; 0: unknown
+
+	CrashEvent  string   `json:"e,omitempty"` // kind of a crashparts.Event
+	Parts       []string `json:"k,omitempty"` // keys of parts of prompts
+	RemainingMs int64    `json:"r,omitempty"` // how long requests with Parts stay refused, in milliseconds
 }
 
 // Node exchanges messages with other hosts. It is safe for concurrent use.
@@ -89,6 +95,15 @@
 // Send sends a message to other hosts without waiting for them to receive it.
 func (n *Node) Send(m Message) { n.sendTo(m, n.selectPeers()) }
 
+// SendToSome sends a message to at most count other hosts, chosen at random.
+func (n *Node) SendToSome(m Message, count int) {
+	n.mu.Lock()
+	peers := slices.Clone(n.peers)
+	n.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	n.sendTo(m, peers[:min(count, len(peers))])
+}
+
 // SendTo sends a message to the hosts at the given addresses. Invalid addresses are
 // ignored.
 func (n *Node) SendTo(m Message, addresses []string) { n.sendTo(m, parseAddresses(addresses)) }
--- a/pkg/gossip/node_test.go
+++ b/pkg/gossip/node_test.go
@@ -34,7 +34,7 @@
 	a.Send(Message{Number: 7, Target: "t1", Tokens: 9000})
 	select {
 	case m := <-received:
-		assert.Equal(t, m, Message{Host: "a", Number: 7, Target: "t1", Tokens: 9000})
+		assert.DeepEqual(t, m, Message{Host: "a", Number: 7, Target: "t1", Tokens: 9000})
 	case <-time.After(2 * time.Second):
 		t.Fatal("node b received no message within 2 s")
 	}
