forward: end a stream in which a target writes the head of another response

It happens here if a stream has neither a length nor chunks: a target that fails writes an error response after its events and closes.

Cause: the head of a response ends with a blank line, as an event does, so it was forwarded as one; the end of the connection then counted as the end of a complete stream.

Change: what begins with a status line is not an event. The stream ends as broken (response_head), is resumed at another target where its route allows, and otherwise ends without the end of its body.

--- a/pkg/forward/event.go
+++ b/pkg/forward/event.go
@@ -21,6 +21,9 @@
 	scan    eventScan
 	count   int   // complete events so far
 	outputs int64 // complete events with data so far
+	// responseHead reports that the head of a response follows the last complete event. It
+	// would pass for an event, as it also ends with a blank line.
+	responseHead bool
 }
 
 // eventScan is how far the first event of some data has been scanned. The scan goes on
@@ -36,6 +39,9 @@
 	dataField = []byte("data")
 )
 
+// statusLineStart is the start of the status line of a response.
+var statusLineStart = []byte("HTTP/")
+
 // lineEnds are the bytes that end a line, alone or as CR LF.
 const lineEnds = "\r\n"
 
@@ -50,6 +56,9 @@
 			break
 		}
 		raw := slices.Clone(s.pending[start : start+length])
+		if s.responseHead = bytes.HasPrefix(bytes.TrimLeft(raw, lineEnds), statusLineStart); s.responseHead {
+			break
+		}
 		events = append(events, event{raw: raw, id: eventID(raw)})
 		if hasData(raw) {
 			s.outputs++
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -63,6 +63,9 @@
 		if err == nil && splitter.tooLong() {
 			err = errEventTooLong
 		}
+		if splitter.responseHead {
+			err = errResponseInStream
+		}
 		if err != nil && stall.expired() {
 			err = errStreamStalled
 		}
--- a/pkg/forward/stream_end.go
+++ b/pkg/forward/stream_end.go
@@ -20,6 +20,7 @@
 	StreamInterrupted StreamEnd = "interrupted"      // the connection failed before the end of the body
 	StreamLongEvent   StreamEnd = "event_too_long"   // an event exceeded maxEventBytes
 	StreamOverrun     StreamEnd = "too_many_events"  // there were more events than the request can produce
+	StreamOverwritten StreamEnd = "response_head"    // the head of another response followed an event
 	StreamStalled     StreamEnd = "stalled"          // no event with data was completed for Options.StreamStallTimeout
 	StreamCancelled   StreamEnd = "cancelled"        // the caller disconnected, or the deadline passed
 )
@@ -30,6 +31,10 @@
 // errTooManyEvents is the end of a stream with more events than maxOutputEvents.
 var errTooManyEvents = fmt.Errorf("%w: more events than the request can produce", upstream.ErrInvalidResponse)
 
+// errResponseInStream is the end of a stream in which the head of a response follows an
+// event: a target that fails writes it without regard to what it has sent.
+var errResponseInStream = fmt.Errorf("%w: head of a response within an event stream", upstream.ErrInvalidResponse)
+
 // errStreamStalled is the end of a stream that made no progress for too long.
 var errStreamStalled = errors.New("no event was completed for too long")
 
@@ -65,6 +70,8 @@
 		return StreamLongEvent
 	case errors.Is(err, errTooManyEvents):
 		return StreamOverrun
+	case errors.Is(err, errResponseInStream):
+		return StreamOverwritten
 	case errors.Is(err, errStreamStalled):
 		return StreamStalled
 	}
