crashparts: admit a trial request once; show blocked parts to operators

Callers: once the block of a part runs out, one request is let through to see whether the part still crashes targets. The check before the reservation took that trial, so the check before the send refused the very request, and a part that was blocked in error stayed blocked.

Change: IsBlocked only looks, Admit takes the trial, right before a request is sent. Keys of parts have plain characters only, so that an event always fits a datagram, and the first 64 parts of a prompt are recorded. Operators get peppertrail edge blocked-parts, the state's blocked_parts and the gauge peppertrail_edge_blocked_prompt_parts.

Result: TestBlockedPartIsRefusedUntilTrial (a blocked part is refused at once, one trial passes, a failed trial blocks again, an answer releases) and TestKeysArePlainAndShort pass.

--- a/cmd/peppertrail/edge.go
+++ b/cmd/peppertrail/edge.go
@@ -32,6 +32,7 @@
 		{"hosts", "configuration in force on each host, and its age", e.printHosts},
 		{"budgets", "what each host holds, has spent and may spend of each budget", e.printBudgets},
 		{"targets", "what each host believes of each target", e.printTargets},
+		{"blocked-parts", "parts of prompts that crash targets, whose requests each host refuses", e.printBlockedParts},
 	} {
 		sub := a.addCommand(group, c.name, c.description, func(ctx context.Context) error { return e.printStates(ctx, c.print) })
 		sub.StringSlice(&e.addresses, "", "at", "address of a daemon's operators' listener; may be repeated")
@@ -119,6 +120,17 @@
 	e.app.printTable([]string{"SERVICE", "TARGET", "ADDRESS", "HOST", "IN FLIGHT", "LOAD", "SLOWNESS", "FAILED", "AVAILABLE", "DRAINING"}, rows)
 }
 
+func (e *edgeCommands) printBlockedParts(states []edge.State) {
+	var rows [][]string
+	for _, s := range states {
+		for _, part := range s.BlockedParts {
+			rows = append(rows, []string{part, s.Host})
+		}
+	}
+	sortRows(rows)
+	e.app.printTable([]string{"PART", "HOST"}, rows)
+}
+
 func sortRows(rows [][]string) {
 	slices.SortFunc(rows, func(a, b []string) int { return slices.Compare(a, b) })
 }
--- a/pkg/crashparts/event.go
+++ b/pkg/crashparts/event.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"strings"
 	"time"
 )
 
@@ -38,12 +39,18 @@
 // maxKeyBytes is the size of a key, in bytes.
 const maxKeyBytes = 32
 
-// Key returns the key of the part with an id: the id, or a hash of it if it is long.
+// Key returns the key of the part with an id: the id, or a hash of it if it is long or has
+// characters that an encoding may escape.
 func Key(id string) string {
-	if len(id) <= maxKeyBytes {
+	if len(id) <= maxKeyBytes && !strings.ContainsFunc(id, isNotPlain) {
 		return id
 	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id)) // never fails
 	return fmt.Sprintf("hash-%x", h.Sum64())
 }
+
+// isNotPlain reports whether a character is neither an ASCII letter or digit nor one of -_.:
+func isNotPlain(r rune) bool {
+	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("-_.:", r)
+}
--- a/pkg/crashparts/tracker.go
+++ b/pkg/crashparts/tracker.go
@@ -162,29 +162,37 @@
 	}
 }
 
-// IsBlocked reports whether a request with the given parts must not be sent. It lets a
-// request through once the block of its part has run out, and blocks the next ones.
+// IsBlocked reports whether a request with the given parts would not be admitted now.
 func (t *Tracker) IsBlocked(parts []string, now time.Time) bool {
-	if len(parts) == 0 {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evaluate(now)
-	blocked := false
+	return t.isBlocked(parts, now)
+}
+
+// Admit reports whether a request with the given parts may be sent. Once the block of a part
+// has run out, it admits one request as a trial and blocks the next ones.
+func (t *Tracker) Admit(parts []string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isBlocked(parts, now) {
+		return false
+	}
 	for _, part := range parts {
-		b := t.blocks[part]
-		if b == nil {
-			continue
-		}
-		if now.Before(b.until) {
-			blocked = true
-			continue
+		if b := t.blocks[part]; b != nil {
+			b.until = now.Add(trialTime)
+			t.announce(Event{Kind: Blocked, Parts: []string{part}, Remaining: trialTime})
 		}
-		b.until = now.Add(trialTime)
-		t.announce(Event{Kind: Blocked, Parts: []string{part}, Remaining: trialTime})
 	}
-	return blocked
+	return true
+}
+
+// isBlocked is IsBlocked for a caller that holds the mutex.
+func (t *Tracker) isBlocked(parts []string, now time.Time) bool {
+	t.evaluate(now)
+	return slices.ContainsFunc(parts, func(part string) bool {
+		b := t.blocks[part]
+		return b != nil && now.Before(b.until)
+	})
 }
 
 // BlockedParts returns an event for each part that is blocked.
--- a/pkg/crashparts/tracker_test.go
+++ b/pkg/crashparts/tracker_test.go
@@ -1,12 +1,14 @@
 package crashparts
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // afterConfirm is a time after which crashes count.
@@ -109,13 +111,28 @@
 	assert.Assert(t, tracker.IsBlocked([]string{"popular"}, now))
 	now = now.Add(blockTimeIfAnswered)
 	announced = nil
-	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now), "no trial")
-	assert.Assert(t, tracker.IsBlocked([]string{"popular"}, now), "a second trial")
+	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now))
+	assert.Assert(t, tracker.Admit([]string{"popular"}, now), "no trial")
+	assert.Assert(t, tracker.IsBlocked([]string{"popular"}, now) && !tracker.Admit([]string{"popular"}, now), "a second trial")
 	assert.DeepEqual(t, announced, []Event{{Kind: Blocked, Parts: []string{"popular"}, Remaining: trialTime}})
 	tracker.Answered([]string{"popular"}, now)
 	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now))
 }
 
+// Guards against keys that make a datagram too large when they are encoded.
+func TestKeysArePlainAndShort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.String().Draw(t, "id")
+		key := Key(id)
+		encoded, err := json.Marshal(key)
+		assert.NilError(t, err)
+		assert.Assert(t, len(encoded) <= maxKeyBytes+2, "%q", encoded)
+		assert.Equal(t, key, Key(id))
+	})
+	assert.Equal(t, Key("5c1e07a2"), "5c1e07a2")
+	assert.Assert(t, Key("<<<") != Key("<<>"))
+}
+
 // Guards against memory that grows with the parts and targets of all times.
 func TestRecordsAreBounded(t *testing.T) {
 	tracker, now := New(), time.Now()
@@ -177,7 +194,7 @@
 		subject := fmt.Sprint("subject", random.IntN(300))
 		first := fmt.Sprint("first", random.IntN(5))
 		sound++
-		if trackers[host].IsBlocked([]string{first, subject}, now) {
+		if !trackers[host].Admit([]string{first, subject}, now) {
 			soundRefused++
 		} else if random.Float64() < 0.8 {
 			trackers[host].Answered([]string{first, subject}, now)
@@ -185,7 +202,7 @@
 		if !now.Before(nextCrash) {
 			nextCrash = now.Add(gap)
 			host, parts := random.IntN(hosts), []string{first, "bad"}
-			if !trackers[host].IsBlocked(parts, now) {
+			if trackers[host].Admit(parts, now) {
 				crashes++
 				if !fifthCrash.IsZero() && now.Sub(fifthCrash) > contactTime {
 					late++
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -111,6 +111,7 @@
 		decodedTargets: make(map[string]balance.Target),
 	}
 	d.crashParts.Log = logs.Logger("crashparts")
+	d.metrics.observeBlockedParts(func() int { return len(d.crashParts.BlockedParts(time.Now())) })
 	d.client.OnDial = d.metrics.countDial
 	d.directStore = newMeteredRows(store, d.metrics.registry)
 	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -54,6 +54,14 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// observeBlockedParts exports the number of parts of prompts that are blocked.
+func (m *metrics) observeBlockedParts(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "peppertrail_edge_blocked_prompt_parts", Help: "Parts of prompts that crash targets, whose requests are refused."},
+		func() float64 { return float64(count()) },
+	))
+}
+
 // countDial counts an attempt to open a connection to a target.
 func (m *metrics) countDial() { m.dials.Inc() }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -43,7 +43,7 @@
 			c.stoppedBy = stopDeadline
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CallerGone)
 		}
-		if c.crashesTargets(time.Now()) {
+		if !c.h.CrashParts.Admit(c.partKeys, time.Now()) {
 			c.stoppedBy = stopCrashes
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CrashesTargets)
 		}
--- a/pkg/forward/crash_parts.go
+++ b/pkg/forward/crash_parts.go
@@ -29,17 +29,15 @@
 	}
 }
 
-// crashesTargets reports whether the request must not be sent because it, or a part of its
-// prompt, crashes targets.
-func (c *call) crashesTargets(now time.Time) bool {
-	return c.h.CrashTracker.IsRefused(c.fingerprint, now) || c.h.CrashParts.IsBlocked(c.partKeys, now)
-}
+// maxTrackedParts is the number of parts of a prompt whose crashes are recorded. It bounds
+// the memory that one request can take.
+const maxTrackedParts = 64
 
 // partKeys returns the keys of the parts of the prompt that other requests may share: all
 // but the last.
 func partKeys(parts []balance.Part) []string {
 	var keys []string
-	for _, part := range parts[:max(0, len(parts)-1)] {
+	for _, part := range parts[:min(max(0, len(parts)-1), maxTrackedParts)] {
 		keys = append(keys, crashparts.Key(part.ID))
 	}
 	return keys
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -75,7 +75,7 @@
 		return refusal
 	}
 	c.fingerprint = c.requestFingerprint()
-	if c.crashesTargets(c.receivedAt) {
+	if c.h.CrashTracker.IsRefused(c.fingerprint, c.receivedAt) || c.h.CrashParts.IsBlocked(c.partKeys, c.receivedAt) {
 		return refuseNotRun(CrashesTargets, retryAfterCrashes)
 	}
 	c.service = c.config.Service(c.route.Service(splitPosition(c.id)))
