--- a/pkg/crashparts/tracker_test.go
+++ b/pkg/crashparts/tracker_test.go
@@ -87,6 +87,58 @@
 	assert.Assert(t, !tracker.IsBlocked([]string{"bad"}, now.Add(afterConfirm)), "the block outlasts its evidence")
 }
 
+// Guards against counting a crash of which nothing is known yet but that a connection broke.
+func TestOnlyConfirmedCrashesCount(t *testing.T) {
+	tracker, now := New(), time.Now()
+	crashUnder(tracker, 0, 1, now, "new")
+	now = now.Add(afterConfirm)
+	crashUnder(tracker, 1, maxCrashes-1, now, "new")
+	assert.Assert(t, !tracker.IsBlocked([]string{"new"}, now))
+	assert.Assert(t, tracker.IsBlocked([]string{"new"}, now.Add(afterConfirm)))
+}
+
+// Guards against blocking the first part of all requests where a later part explains the crashes as well.
+func TestLaterPartIsBlockedOfTwoAlike(t *testing.T) {
+	tracker, now := New(), time.Now()
+	crashUnder(tracker, 0, maxCrashes, now, "common", "rare")
+	now = now.Add(afterConfirm)
+	assert.Assert(t, tracker.IsBlocked([]string{"common", "rare"}, now))
+	assert.Assert(t, !tracker.IsBlocked([]string{"common", "sound"}, now))
+}
+
+// Guards against blocking frequent parts because several targets failed at once.
+func TestFailureOfSeveralTargetsDoesNotBlockAnsweredPart(t *testing.T) {
+	tracker, now := New(), time.Now()
+	tracker.Answered([]string{"popular"}, now.Add(-answeredTTL/2))
+	crashUnder(tracker, 0, maxCrashesIfAnswered-1, now, "popular")
+	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now.Add(afterConfirm)))
+}
+
+// Guards against a host that has just started and blocks a part that other hosts have answers for.
+func TestOtherHostsAnswerForReportedPart(t *testing.T) {
+	old, started, now := New(), New(), time.Now()
+	old.Answered([]string{"popular"}, now.Add(-answerReplyAge/2))
+	var reports []Event
+	for i := range maxCrashes {
+		reports = append(reports, Event{Kind: Crashed, Target: target(i), Parts: []string{"popular"}})
+		started.Receive(reports[i], now)
+	}
+	replies := 0
+	old.Announce = func(e Event) {
+		assert.DeepEqual(t, e, Event{Kind: Answered, Parts: []string{"popular"}})
+		replies++
+		started.Receive(e, now)
+	}
+	for _, report := range reports {
+		old.Receive(report, now)
+	}
+	assert.Equal(t, replies, 1)
+	assert.Assert(t, !started.IsBlocked([]string{"popular"}, now.Add(afterConfirm)))
+	started.Receive(Event{Kind: Blocked, Parts: []string{"bad"}, Remaining: time.Hour}, now)
+	assert.Assert(t, started.IsBlocked([]string{"bad"}, now))
+	assert.Assert(t, !started.IsBlocked([]string{"bad"}, now.Add(blockTime)), "a block of another host has no limit")
+}
+
 // Guards against a target that has restarted under its ID and so clears the part that crashed it.
 func TestRestartedTargetDoesNotClearPart(t *testing.T) {
 	tracker, now := New(), time.Now()
