forward, crashparts: take no end of a connection for an answer; report a part once

Callers: a part that crashes targets would be released, and crash targets again, if a crash ended a stream with neither a length nor chunks between two events, as such an end looks complete.

Change: a body that ends with its connection clears no part, unless the stream had gone on for a second. A host reports a part of a crash only if nobody has reported it: before, each of the requests that a target broke off cost a datagram to up to 24 hosts.

Result: TestStreamThatEndsWithItsConnectionClearsNoPart (200 instead of 503 before) and TestPartOfCrashIsReportedOnce (101 reports of one part before, 1 now) fail on the parent commit and pass now.

--- a/pkg/crashparts/tracker.go
+++ b/pkg/crashparts/tracker.go
@@ -100,12 +100,15 @@
 }
 
 // Broken records that a target broke off a request with the given parts before it had
-// answered it, and tells other hosts.
+// answered it. It tells other hosts of the parts that they do not know of yet.
 func (t *Tracker) Broken(target Target, parts []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	known := t.crashes[target]
+	suspects := slices.DeleteFunc(slices.Clone(parts), func(part string) bool {
+		return t.answeredWithin(part, answerReplyAge, now) || (known != nil && known.has(part))
+	})
 	t.recordCrash(target, parts, now)
-	suspects := slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return t.answeredWithin(part, answerReplyAge, now) })
 	if len(suspects) > 0 {
 		t.announce(Event{Kind: Crashed, Target: target, Parts: suspects})
 	}
--- a/pkg/crashparts/tracker_test.go
+++ b/pkg/crashparts/tracker_test.go
@@ -171,6 +171,22 @@
 	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now))
 }
 
+// Guards against a datagram for each request of a target that breaks off hundreds.
+func TestPartOfCrashIsReportedOnce(t *testing.T) {
+	tracker, now := New(), time.Now()
+	reported := map[string]int{}
+	tracker.Announce = func(e Event) {
+		for _, part := range e.Parts {
+			reported[part]++
+		}
+	}
+	for range 100 {
+		tracker.Broken(target(1), []string{"a", "b"}, now)
+	}
+	tracker.Broken(target(1), []string{"a", "c"}, now)
+	assert.DeepEqual(t, reported, map[string]int{"a": 1, "b": 1, "c": 1})
+}
+
 // Guards against keys that make a datagram too large when they are encoded.
 func TestKeysArePlainAndShort(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/forward/crash_parts.go
+++ b/pkg/forward/crash_parts.go
@@ -5,6 +5,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
 
 // answeringTime is how long a target has sent events of a stream when the request counts as
@@ -29,6 +30,16 @@
 	}
 }
 
+// recordAnswered records that the target has sent its response completely. firstEventAt is as
+// for recordBroken. A body that ends with its connection may have been broken off, so it
+// shows nothing unless the target has sent events for long enough.
+func (c *call) recordAnswered(response *upstream.Response, firstEventAt, now time.Time) {
+	if response.Framing == upstream.FramedByClose && (firstEventAt.IsZero() || now.Sub(firstEventAt) < answeringTime) {
+		return
+	}
+	c.h.CrashParts.Answered(c.partKeys, now)
+}
+
 // maxTrackedParts is the number of parts of a prompt whose crashes are recorded. It bounds
 // the memory that one request can take.
 const maxTrackedParts = 64
--- a/pkg/forward/crash_parts_test.go
+++ b/pkg/forward/crash_parts_test.go
@@ -43,3 +43,15 @@
 	r.handler.CrashParts.Receive(crashparts.Event{Kind: crashparts.Blocked, Parts: []string{"r1"}, Remaining: time.Minute}, time.Now())
 	assert.Equal(t, r.postParts("r1", "sound").status, http.StatusOK)
 }
+
+// Guards against taking a stream for answered because its connection ended between two events, as that of a crashed target may.
+func TestStreamThatEndsWithItsConnectionClearsNoPart(t *testing.T) {
+	r := newFixture(t, 1)
+	r.handler.CrashParts.Receive(crashparts.Event{Kind: crashparts.Blocked, Parts: []string{"bad"}, Remaining: time.Millisecond}, time.Now())
+	time.Sleep(5 * time.Millisecond)
+	r.setFaults(replica.Faults{FrameByClose: true, AbortAfterEvents: 1, AbortRegularly: true})
+	assert.Equal(t, r.postParts("r1", "bad").status, http.StatusOK)
+	assert.Equal(t, r.postParts("r2", "bad").status, http.StatusServiceUnavailable, "the trial was taken for answered")
+	r.setFaults(replica.Faults{FrameByClose: true, EventPause: answeringTime / 4})
+	assert.Equal(t, r.postParts("r3", "sound").status, http.StatusOK)
+}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -32,7 +32,7 @@
 		c.recordBroken(a, time.Time{}, now)
 		return attemptResult{reason: AnswerBroken, mayHaveRun: true}
 	}
-	c.h.CrashParts.Answered(c.partKeys, now)
+	c.recordAnswered(response, time.Time{}, now)
 	if c.headerSent {
 		// The caller has received a part of an event stream, and this response is
 		// not its continuation.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -137,7 +137,7 @@
 	switch end {
 	case StreamComplete:
 		a.End(now, balance.Served)
-		c.h.CrashParts.Answered(c.partKeys, now)
+		c.recordAnswered(response, firstEventAt, now)
 		c.sendStreamHeader(response)
 		if remainder := splitter.remainder(); len(remainder) > 0 {
 			_, _ = c.w.Write(remainder) // an error means that the caller has disconnected
