forward, gossip: comment what the crash records are for; wrap a package comment

Cause: read as a newcomer, the two trackers in Options did not say how they differ, and the package comment of gossip had an overlong line.

--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -28,8 +28,10 @@
 	Targets                *balance.Set
 	Client                 *upstream.Client
 	Budgets                *escrow.Manager
-	CrashTracker           *CrashTracker
-	CrashParts             *crashparts.Tracker
+	// CrashTracker and CrashParts know which requests, and which parts of prompts, crash
+	// targets.
+	CrashTracker *CrashTracker
+	CrashParts   *crashparts.Tracker
 	// Overloaded reports whether the host has too many connections to serve the request.
 	// Nil: it never has.
 	Overloaded func(*http.Request) bool
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -1,7 +1,7 @@
 // Package gossip sends datagrams that tell other hosts about long prompts that targets
 // are processing, budgets of which the sending host has too few tokens for a request,
-// targets that leave, and requests and parts of prompts that crash targets. Lost datagrams are not sent again; receivers let the
-// information expire.
+// targets that leave, and requests and parts of prompts that crash targets. Lost datagrams
+// are not sent again; receivers let the information expire.
 package gossip
 
 import (
