--- a/pkg/load/fleet/histogram.go
+++ b/pkg/load/fleet/histogram.go
@@ -33,4 +33,6 @@
 	return seconds(below)
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds rounds to nanoseconds: truncation would depend on whether the processor fuses a
+// multiplication with an addition.
+func seconds(s float64) time.Duration { return time.Duration(math.Round(s * float64(time.Second))) }
