--- a/pkg/dialect/default.go
+++ b/pkg/dialect/default.go
@@ -24,6 +24,7 @@
 		NotRun:         "Peppertrail-Not-Run",
 		Load:           "Peppertrail-Load",
 		Leaving:        "Peppertrail-Leaving",
+		RateLimit:      "Peppertrail-Rate-Limit",
 		LastEventID:    "Last-Event-Id",
 		ParseTimeout:   time.ParseDuration,
 		FormatTimeout:  time.Duration.String,
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -29,6 +29,7 @@
 	NotRun       string // in a response: the target has not run the request
 	Load         string // in a response: the load of the target
 	Leaving      string // in a response: the target leaves, if the value is 1
+	RateLimit    string // in a response: the requests per second that the target takes from all hosts together
 	LastEventID  string // id of the event after which an event stream resumes
 
 	// Reserved are further headers that only hosts may set. They are removed from the
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -87,6 +87,7 @@
 	mu          sync.Mutex
 	retryLimits map[string]*retrylimit.Limit // by service name
 	unreadable  sync.Map                     // names of the headers of targets that could not be parsed
+	rateLimits  sync.Map                     // last rate limit that each target has named, by target id
 }
 
 // New returns a handler with options o.
--- a/pkg/forward/target_state.go
+++ b/pkg/forward/target_state.go
@@ -12,8 +12,9 @@
 )
 
 // recordTargetState records what the header of a response says of its target: that it
-// leaves, or that it wants a pause.
+// leaves, how many requests it takes, or that it wants a pause.
 func (c *call) recordTargetState(a *balance.Attempt, response *upstream.Response) {
+	c.recordRateLimit(a, response)
 	switch value := response.Header.Get(c.h.Dialect.Leaving); value {
 	case "", "0":
 	case "1":
@@ -38,6 +39,36 @@
 	}
 }
 
+// recordRateLimit logs a change of the rate limit that a target names in its answers.
+func (c *call) recordRateLimit(a *balance.Attempt, response *upstream.Response) {
+	value := response.Header.Get(c.h.Dialect.RateLimit)
+	if value == "" {
+		if _, named := c.h.rateLimits.LoadAndDelete(a.Target.ID); named {
+			c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Msg("Target names no limit of its requests any longer.")
+		}
+		return
+	}
+	limit, err := parseRateLimit(value)
+	if err != nil {
+		c.h.logUnreadable(c.h.Dialect.RateLimit, a.Target.ID, err)
+		return
+	}
+	if before, _ := c.h.rateLimits.Swap(a.Target.ID, limit); before != limit {
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Float64("per_second", limit).Float64("load", a.Load).Msg("Target names a limit of its requests.")
+	}
+}
+
+// parseRateLimit parses the requests per second that a target takes from all hosts
+// together: a decimal number, which may be 0. A negative value, NaN, an infinite value and
+// what is no number are errors.
+func parseRateLimit(value string) (float64, error) {
+	limit, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0, fmt.Errorf("%q is not a non-negative number of requests per second", value)
+	}
+	return limit, nil
+}
+
 // parseRetryAfter parses the time for which a target that has rejected a request with
 // status 503 wants no others: a number of seconds, which may have a fraction. 0 asks for
 // no pause. A value above balance.MaxPause is cut to it, as a target that sends one in
