--- a/pkg/standin/replica/faults.go
+++ b/pkg/standin/replica/faults.go
@@ -14,6 +14,7 @@
 	FrameByClose     bool          // sends streams with neither a length nor chunks; the end of the connection ends them
 	LoseResponse     bool          // runs requests and closes the connection without a response
 	Leaving          string        // value of the header that says that the replica leaves; empty: no header
+	RateLimit        string        // value of the header that names the requests per second that the replica takes; empty: no header
 	EventPause       time.Duration // time before each event of a stream
 	CrashPart        string        // id of a prompt part: the replica crashes for good when it begins the response to a request with that part
 	RetryAfter       string        // with RejectAll: value of the Retry-After header; empty: no header
--- a/pkg/standin/replica/replica.go
+++ b/pkg/standin/replica/replica.go
@@ -98,8 +98,12 @@
 func (r *Replica) serve(w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get(r.dialect.RequestID)
 	w.Header().Set(r.dialect.RequestID, id)
-	if leaving := r.currentFaults().Leaving; leaving != "" {
-		w.Header().Set(r.dialect.Leaving, leaving)
+	said := r.currentFaults()
+	if said.Leaving != "" {
+		w.Header().Set(r.dialect.Leaving, said.Leaving)
+	}
+	if said.RateLimit != "" {
+		w.Header().Set(r.dialect.RateLimit, said.RateLimit)
 	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
