ratelimit, forward, balance, edge: keep the rate that a target names, across the fleet

Callers saw: nothing yet; a target in need got more than the users' rule allows, up to four times what it had named.

Cause: no host read the limit. A class of fault that the code has met before: a bound that holds for all hosts together, of which each host sees only its own part.

Change: new package ratelimit. A host sends a request to a target with a limit only with a permit of one of the target's three issuers, chosen by rendezvous hashing from the running hosts, each of which issues a third of the rate from a bucket. A host becomes an issuer after 3 s as one, so that the one before has stopped, or at once if it was restarted; a host that reaches no issuer sends nothing to the target. Limits that begin and end are told by datagram, carried by the permit calls and asked for at the start, before a process is ready. An answer to a request that was sent before the host knew the limit does not end it. A request without a permit goes to another target; after six calls only to targets without a limit; if there are none it is refused at once as rate_limited, with the time after which a permit may be had. While a quarter of a service's targets or more name limits, long prompts may use all of these and short ones all others, and short prompts leave a permit for long ones: a limit counts requests, not work.

--- a/cmd/peppertrail/edge.go
+++ b/cmd/peppertrail/edge.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -109,15 +110,19 @@
 func (e *edgeCommands) printTargets(states []edge.State) {
 	var rows [][]string
 	for _, s := range states {
+		limits := make(map[string]string)
+		for _, l := range s.RateLimits {
+			limits[l.ID] = formatDecimal(l.PerSecond)
+		}
 		for _, t := range s.Targets {
 			rows = append(rows, []string{
 				t.Service, t.ID, t.Addr, s.Host, strconv.Itoa(t.InFlight), formatDecimal(t.Load), formatDecimal(t.Slowness),
-				formatDecimal(t.FailedShare), yesNo(t.Available), yesNo(t.Draining),
+				formatDecimal(t.FailedShare), cmp.Or(limits[t.ID], "none"), yesNo(t.Available), yesNo(t.Draining),
 			})
 		}
 	}
 	sortRows(rows)
-	e.app.printTable([]string{"SERVICE", "TARGET", "ADDRESS", "HOST", "IN FLIGHT", "LOAD", "SLOWNESS", "FAILED", "AVAILABLE", "DRAINING"}, rows)
+	e.app.printTable([]string{"SERVICE", "TARGET", "ADDRESS", "HOST", "IN FLIGHT", "LOAD", "SLOWNESS", "FAILED", "LIMIT/S", "AVAILABLE", "DRAINING"}, rows)
 }
 
 func (e *edgeCommands) printBlockedParts(states []edge.State) {
--- a/pkg/balance/attempt.go
+++ b/pkg/balance/attempt.go
@@ -12,17 +12,42 @@
 	// Rank is the position of the target among the candidates in the order of their
 	// affinity to the shared prompt part; 0 is the first. It is the number of candidates
 	// if the load of all of them exceeded the limit.
-	Rank                  int
+	Rank int
+	// Light means that the request has a short prompt, while others of the service have long
+	// ones. They are worth more of the requests that a target with a rate limit takes.
+	Light                 bool
 	set                   *Set
 	state                 *state
 	promptTokens          int64
 	number                uint64 // unique on this host
 	started               time.Time
 	expectedFirstByteTime time.Duration // expected time from the start to the first byte
+	announced             bool          // other hosts were told of the prompt
 	firstByteReceived     bool
 	ended                 bool
 }
 
+// Sending records that the request is about to be sent, and announces a long prompt.
+func (a *Attempt) Sending() {
+	a.set.mu.Lock()
+	defer a.set.mu.Unlock()
+	a.announced = true
+	a.set.announcePrompt(a, a.promptTokens)
+}
+
+// Withhold ends an attempt whose request is not sent, because the target takes no more
+// requests at present. The target gets no request of this host for a time.
+func (a *Attempt) Withhold(now time.Time, wait time.Duration) {
+	a.End(now, Cancelled)
+	a.set.mu.Lock()
+	defer a.set.mu.Unlock()
+	if a.Light {
+		a.state.lightLimitedUntil = now.Add(wait)
+	} else {
+		a.state.limitedUntil = now.Add(wait)
+	}
+}
+
 // FirstByteReceived records that the first byte of the answer has arrived. load is the
 // load that the target reports in the answer, if any.
 func (a *Attempt) FirstByteReceived(now time.Time, load *Load) {
--- a/pkg/balance/pause.go
+++ b/pkg/balance/pause.go
@@ -24,21 +24,6 @@
 // the request.
 var ErrNoConnection = fmt.Errorf("%w: the connection limits of all targets are reached", ErrNoTarget)
 
-// PausedError is an ErrNoTarget for a service of which targets have asked this host for a
-// pause.
-type PausedError struct {
-	Service string
-	Wait    time.Duration // until the first of these targets takes requests again
-}
-
-// Error implements error.
-func (e *PausedError) Error() string {
-	return fmt.Sprintf("%v: a target of %s takes requests again in %v", ErrNoTarget, e.Service, e.Wait)
-}
-
-// Unwrap returns ErrNoTarget.
-func (e *PausedError) Unwrap() error { return ErrNoTarget }
-
 // Pause records that the target wants no requests from this host for a time, at most
 // MaxPause.
 func (a *Attempt) Pause(now time.Time, d time.Duration) {
@@ -55,14 +40,21 @@
 // noTarget returns the error of a request for which no target is left. The caller holds
 // the mutex.
 func (s *Set) noTarget(r Request) error {
-	wait := time.Duration(0)
+	first := &WaitError{Service: r.Service}
 	for _, t := range s.services[r.Service] {
-		if left := t.pausedUntil.Sub(r.Now); left > 0 && !t.Draining && !t.leaving && !t.evacuated && (wait == 0 || left < wait) {
-			wait = left
+		if t.Draining || t.leaving || t.evacuated {
+			continue
+		}
+		paused, limited := t.pausedUntil.Sub(r.Now), time.Duration(0)
+		if r.rateLimited(t) {
+			limited = t.limitedFor(r).Sub(r.Now)
+		}
+		if left := max(paused, limited); left > 0 && (first.Wait == 0 || left < first.Wait) {
+			first.Wait, first.RateLimited = left, limited > paused
 		}
 	}
-	if wait > 0 {
-		return &PausedError{Service: r.Service, Wait: wait}
+	if first.Wait > 0 {
+		return first
 	}
 	return ErrNoTarget
 }
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -33,6 +33,7 @@
 	if len(r.Excluded) == 0 { // first attempt: a retry excludes the targets tried before, and its work is already counted
 		s.poolSplit(r.Service).addWork(r)
 	}
+	r.light = s.poolSplit(r.Service).isLight(r)
 	candidates := s.candidates(r)
 	if len(candidates) == 0 {
 		return nil, s.noTarget(r)
@@ -70,12 +71,12 @@
 }
 
 // candidates returns the targets that may get the request. These are the available
-// targets of the request's pool. If the pool has none, or is full and the prompt is
+// targets of the request's pool, which rate limits may widen. If the pool has none, or is full and the prompt is
 // short, they are the available targets of the service. If the service has none either, they
 // include targets that are unavailable because of failures.
 func (s *Set) candidates(r Request) []candidate {
 	targets := s.services[r.Service]
-	pool := s.poolSplit(r.Service).targetsFor(targets, r)
+	pool := widenPool(s.poolSplit(r.Service).targetsFor(targets, r), targets, r)
 	all := s.filter(pool, r, (*state).available)
 	if len(all) == 0 || (isFull(all) && r.PromptTokens < longPromptTokens) {
 		all = s.filter(targets, r, (*state).available)
@@ -99,7 +100,7 @@
 func (s *Set) filter(targets []*state, r Request, eligible func(*state, time.Time) bool) []candidate {
 	all := make([]candidate, 0, len(targets))
 	for _, t := range targets {
-		if eligible(t, r.Now) && !slices.Contains(r.Excluded, t.ID) {
+		if eligible(t, r.Now) && !slices.Contains(r.Excluded, t.ID) && !t.withheld(r) {
 			all = append(all, s.candidate(t, r))
 		}
 	}
@@ -146,8 +147,12 @@
 		}
 		return 1
 	})
+	limit := mean*affinityLoadFactor + affinityLoadSlack
+	if r.light && r.RateLimited != nil {
+		limit = mean
+	}
 	for i, c := range all {
-		if c.load <= mean*affinityLoadFactor+affinityLoadSlack {
+		if c.load <= limit {
 			return c, i
 		}
 	}
@@ -167,13 +172,12 @@
 func (s *Set) startAttempt(c candidate, r Request) *Attempt {
 	s.lastAttemptNumber++
 	a := &Attempt{
-		number: s.lastAttemptNumber, Target: c.Target, set: s, state: c.state, promptTokens: r.PromptTokens, started: r.Now,
+		number: s.lastAttemptNumber, Target: c.Target, Light: r.light, set: s, state: c.state, promptTokens: r.PromptTokens, started: r.Now,
 		expectedFirstByteTime: baseFirstByteTime + time.Duration(r.PromptTokens)*firstByteTimePerToken,
 	}
 	c.inFlight++
 	c.startedSinceReport++
 	c.ownPrefillTokens += r.PromptTokens
 	c.awaitingFirstByte[a] = struct{}{}
-	s.announcePrompt(a, r.PromptTokens)
 	return a
 }
--- a/pkg/balance/remote.go
+++ b/pkg/balance/remote.go
@@ -64,7 +64,7 @@
 // announcePrompt announces that the target is processing a long prompt or, if tokens
 // is 0, that it has finished processing it. The caller holds the mutex.
 func (s *Set) announcePrompt(a *Attempt, tokens int64) {
-	if s.Announce == nil || a.promptTokens < longPromptTokens {
+	if s.Announce == nil || !a.announced || a.promptTokens < longPromptTokens {
 		return
 	}
 	s.Announce(PromptUpdate{Number: a.number, Target: a.Target.ID, Tokens: tokens})
--- a/pkg/balance/simulation_test.go
+++ b/pkg/balance/simulation_test.go
@@ -191,6 +191,7 @@
 	if err != nil {
 		panic(err)
 	}
+	attempt.Sending()
 	engineRequest := &enginemodel.Request{OutputTokens: c.outputTokens}
 	for _, p := range parts {
 		engineRequest.Parts = append(engineRequest.Parts, enginemodel.Part{ID: p.ID, Tokens: p.Tokens})
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -52,6 +52,8 @@
 	replaced            bool      // another target is at the address
 	leaving             bool      // the target has said that it leaves
 	evacuated           bool      // the operator wants no requests in the failure domain of the target
+	limitedUntil        time.Time // the target has got as many requests as it takes, until this time
+	lightLimitedUntil   time.Time // the same for light requests, which get what others leave
 	pausedUntil         time.Time // the target wants no requests from this host before this time
 }
 
@@ -103,6 +105,8 @@
 		return "evacuated"
 	case now.Before(s.pausedUntil):
 		return "paused"
+	case now.Before(s.limitedUntil):
+		return "rate limited"
 	case s.replaced:
 		return "replaced"
 	case now.Before(s.fullUntil):
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -34,6 +34,12 @@
 	OutputTokens int64    // expected length of the output
 	Excluded     []string // IDs of targets that the request was already sent to
 	Now          time.Time
+	// RateLimited reports whether a target names a limit of its requests. Nil: none does.
+	RateLimited func(Target) bool
+	// ExcludeRateLimited leaves out the targets that name a limit.
+	ExcludeRateLimited bool
+
+	light bool // the result of isLight; set by Pick
 	// Reachable reports whether a connection to a target is available. Nil: it always is.
 	Reachable func(Target) bool
 }
--- a/pkg/balance/withdrawn_test.go
+++ b/pkg/balance/withdrawn_test.go
@@ -75,7 +75,7 @@
 	b.Pause(now, 3*time.Second)
 	b.End(now, Rejected)
 	_, err := s.Pick(anyRequest(now.Add(1900 * time.Millisecond)))
-	var paused *PausedError
+	var paused *WaitError
 	assert.Assert(t, errors.As(err, &paused), "%v", err)
 	assert.Assert(t, paused.Wait >= 100*time.Millisecond && paused.Wait <= 700*time.Millisecond, "%v", paused.Wait)
 	assert.Equal(t, picked(t, s, now.Add(2600*time.Millisecond), 5)[a.Target.ID], 5)
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/peppertrail/peppertrail/pkg/forward"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/ingress"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/storage"
@@ -77,6 +78,7 @@
 	budgets      *escrow.Manager
 	crashTracker *forward.CrashTracker
 	crashParts   *crashparts.Tracker
+	rateLimits   *ratelimit.Limiter
 	handler      *forward.Handler
 	callerServer *http.Server
 	callers      *ingress.Listener // listener of callerServer; set by serve
@@ -87,6 +89,7 @@
 	configurationAppliedAt atomic.Pointer[time.Time] // time at which configuration was applied; nil before the first one
 	configurationReadAt    atomic.Pointer[time.Time] // time at which the store last confirmed configuration; nil before the first one
 	targetsLoaded          atomic.Bool
+	peersAsked             atomic.Bool  // other hosts were asked what they know of targets
 	retryHostCount         atomic.Int64 // hosts among which the retry reserve is divided; 0: unknown
 	shuttingDown           atomic.Bool
 
@@ -120,8 +123,10 @@
 		AnnounceShortage: d.announceShortage, RequestShare: d.requestShareChange, RequestReservation: d.requestReservation, SendSettlements: d.sendSettlements,
 		CountWrittenOff: d.metrics.countWrittenOff, Log: logs.Logger("budget"),
 	})
+	d.rateLimits = ratelimit.New(ratelimit.Options{Self: s.PeerListen, Ask: d.requestPermit, CountPermit: d.metrics.countPermit, Log: logs.Logger("ratelimit")})
+	d.metrics.observeLimitedTargets(func() int { return len(d.limitedTargets()) })
 	d.handler = forward.New(forward.Options{
-		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, Targets: d.targets, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
+		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
 		Overloaded: overloaded, CallerClosed: callerClosed, ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
@@ -203,9 +208,10 @@
 }
 
 // Ready reports whether the daemon can serve requests: the configuration, the
-// targets and the budgets are loaded and it is not shutting down.
+// targets and the budgets are loaded, another host was asked what it knows of the targets,
+// and it is not shutting down.
 func (d *Daemon) Ready() bool {
-	return !d.shuttingDown.Load() && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded()
+	return !d.shuttingDown.Load() && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load()
 }
 
 // newIncarnation returns a random id that distinguishes this process from earlier
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -10,12 +10,17 @@
 	"github.com/peppertrail/peppertrail/pkg/balance"
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/pause"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 )
 
 // hostCountInterval is the time between two updates of the number of hosts.
 const hostCountInterval = time.Second
 
+// membershipPoll is the time between two looks whether the other hosts are known, at the start.
+const membershipPoll = 20 * time.Millisecond
+
 // initialHostCount is the number of hosts assumed until other hosts are known.
 const initialHostCount = 12
 
@@ -24,6 +29,10 @@
 // hosts that write reports to the usage table are included.
 func (d *Daemon) updateHosts(ctx context.Context) {
 	d.targets.SetHostCount(initialHostCount)
+	for ctx.Err() == nil && !d.budgets.MembershipRead() {
+		pause.For(ctx, membershipPoll)
+	}
+	d.updatePeers()
 	var fleet fleetSize
 	ticker := time.NewTicker(hostCountInterval)
 	defer ticker.Stop()
@@ -38,10 +47,21 @@
 			d.targets.SetHostCount(hosts)
 		}
 		d.retryHostCount.Store(int64(fleet.add(hosts)))
-		if d.gossip != nil {
-			d.gossip.SetPeers(d.budgets.PeerAddrs())
-		}
+		d.updatePeers()
+	}
+}
+
+// updatePeers passes the peer addresses of the running hosts on.
+func (d *Daemon) updatePeers() {
+	peers := d.budgets.PeerAddrs()
+	if d.gossip != nil {
+		d.gossip.SetPeers(peers)
 	}
+	if !d.rateLimits.HostsKnown() && d.budgets.Restarted() {
+		d.rateLimits.Resume(peers, time.Now())
+		return
+	}
+	d.rateLimits.SetHosts(peers, time.Now())
 }
 
 // fleetSizeReadings is the number of consecutive readings of the number of hosts, one
@@ -82,8 +102,8 @@
 
 // startPeerListeners starts the exchange with other hosts on the peer address:
 // over UDP it sends and receives gossip about long prompts, token shortages, targets that
-// leave, and requests and parts of prompts that crash targets; over TCP it serves relayed calls to the store and
-// changes of budget shares.
+// leave or limit their requests, and requests and parts of prompts that crash targets; over TCP
+// it serves relayed calls to the store, changes of budget shares and permits for targets.
 func (d *Daemon) startPeerListeners(ctx context.Context, failed chan<- error) error {
 	if d.settings.PeerListen == "" {
 		return nil
@@ -99,6 +119,9 @@
 		case m.CrashEvent != "":
 			d.crashParts.Receive(crashEvent(m), time.Now())
 			return
+		case m.LimitRevision > 0:
+			d.rateLimits.Receive(rateLimitOf(m), time.Now())
+			return
 		case m.Leaves:
 			if d.targets.RecordLeaving(m.Target, m.Born, time.Now()) {
 				d.log.Info().Str("target", m.Target).Str("peer", m.Host).Msg("Target leaves, says another host. It gets no further requests.")
@@ -122,6 +145,7 @@
 	d.targets.AnnounceLeaving = func(id string, born int64) {
 		node.Send(gossip.Message{Target: id, Leaves: true, Born: born})
 	}
+	d.rateLimits.Announce = func(l ratelimit.Limit) { node.SendToSome(rateLimitMessage(l), rateLimitFanout) }
 	go node.Run(ctx)
 	l, err := net.Listen("tcp", d.settings.PeerListen)
 	if err != nil {
--- a/pkg/edge/leaving.go
+++ b/pkg/edge/leaving.go
@@ -22,14 +22,20 @@
 	leavingSearchTime = 15 * time.Second
 	// leavingSearchPause is the time between two looks for hosts to ask.
 	leavingSearchPause = 50 * time.Millisecond
+	// learningTimeout is how long a new process without an answer of another host is not
+	// ready.
+	learningTimeout = 2 * time.Second
 )
 
-// learnFromPeers asks other hosts for targets that leave and for blocked parts of prompts.
+// learnFromPeers asks other hosts for targets that leave, rate limits of targets and blocked
+// parts of prompts.
 // The process that ran on this host before may have known of them, and the registrations of
 // the targets may still say that they are ready.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leavingSearchTime)
 	defer cancel()
+	timeout := time.AfterFunc(learningTimeout, func() { d.peersAsked.Store(true) })
+	defer timeout.Stop()
 	asked := make(map[string]bool)
 	answers := 0
 	for answers < leavingPeers && ctx.Err() == nil {
@@ -41,6 +47,9 @@
 				answers += d.learnFrom(ctx, peer)
 			}
 		}
+		if answers > 0 || (len(peers) == 0 && d.budgets.MembershipRead()) {
+			d.peersAsked.Store(true)
+		}
 		pause.For(ctx, leavingSearchPause)
 	}
 }
@@ -59,6 +68,7 @@
 			d.log.Info().Str("target", t.ID).Str("peer", peer).Msg("Target leaves, says another host. It gets no further requests.")
 		}
 	}
+	d.learnRateLimits(ctx, peer)
 	d.learnBlockedParts(ctx, peer)
 	return 1
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
 
@@ -29,6 +30,7 @@
 	streams         *prometheus.CounterVec
 	dials           prometheus.Counter
 	writtenOff      *prometheus.CounterVec
+	permits         *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -43,7 +45,11 @@
 		dials:           prometheus.NewCounter(prometheus.CounterOpts{Name: "peppertrail_edge_target_connections_total", Help: "Connections opened to targets."}),
 	}
 	m.writtenOff = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_budget_written_off_tokens_total", Help: "Tokens counted as spent by ended processes beyond their last reports, by what allowed the processes to spend them."}, []string{"cause"})
-	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, m.writtenOff, collectors.NewGoCollector())
+	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_permits_total", Help: "Permits that this host has asked for, to send a request to a target with a rate limit, by result."}, []string{"result"})
+	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, m.writtenOff, m.permits, collectors.NewGoCollector())
+	for _, r := range ratelimit.Results() {
+		m.permits.WithLabelValues(string(r))
+	}
 	for _, r := range forward.Reasons() {
 		m.retries.WithLabelValues(string(r))
 	}
@@ -62,6 +68,17 @@
 	))
 }
 
+// observeLimitedTargets exports the number of targets that name a rate limit.
+func (m *metrics) observeLimitedTargets(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "peppertrail_edge_limited_targets", Help: "Targets that name a limit of the requests that they take."},
+		func() float64 { return float64(count()) },
+	))
+}
+
+// countPermit counts an answer to a request for a permit.
+func (m *metrics) countPermit(r ratelimit.Result) { m.permits.WithLabelValues(string(r)).Inc() }
+
 // countDial counts an attempt to open a connection to a target.
 func (m *metrics) countDial() { m.dials.Inc() }
 
--- a/pkg/edge/peer_calls.go
+++ b/pkg/edge/peer_calls.go
@@ -10,6 +10,7 @@
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 )
 
@@ -28,6 +29,12 @@
 	handle(server, methodLeaving, func(context.Context, struct{}) ([]balance.LeavingTarget, error) {
 		return d.targets.LeavingTargets(time.Now()), nil
 	})
+	handle(server, methodPermit, func(_ context.Context, request ratelimit.PermitRequest) (ratelimit.PermitReply, error) {
+		return d.rateLimits.Issue(request, time.Now()), nil
+	})
+	handle(server, methodRateLimits, func(context.Context, struct{}) ([]ratelimit.Limit, error) {
+		return d.rateLimits.Limits(), nil
+	})
 	handle(server, methodBlockedParts, func(context.Context, struct{}) ([]crashparts.Event, error) {
 		return d.crashParts.BlockedParts(time.Now()), nil
 	})
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -9,6 +9,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 )
 
 // readinessHandler serves the readiness check of the load balancer: status 200 if
@@ -25,15 +26,16 @@
 
 // State is the state of the daemon as shown to operators.
 type State struct {
-	Host                 string           `json:"host"`
-	Ready                bool             `json:"ready"`
-	ShuttingDown         bool             `json:"leaving"`
-	Hosts                int              `json:"hosts"` // number of hosts that report to the store
-	ConfigurationVersion int64            `json:"configuration_version"`
-	ConfigurationAge     time.Duration    `json:"configuration_age_ns"` // time since the configuration was applied on this host
-	Targets              []balance.Status `json:"targets"`
-	Budgets              []escrow.Status  `json:"budgets"`
-	BlockedParts         []string         `json:"blocked_parts,omitempty"` // parts of prompts that crash targets
+	Host                 string            `json:"host"`
+	Ready                bool              `json:"ready"`
+	ShuttingDown         bool              `json:"leaving"`
+	Hosts                int               `json:"hosts"` // number of hosts that report to the store
+	ConfigurationVersion int64             `json:"configuration_version"`
+	ConfigurationAge     time.Duration     `json:"configuration_age_ns"` // time since the configuration was applied on this host
+	Targets              []balance.Status  `json:"targets"`
+	Budgets              []escrow.Status   `json:"budgets"`
+	RateLimits           []ratelimit.Limit `json:"rate_limits,omitempty"`   // of targets that name one
+	BlockedParts         []string          `json:"blocked_parts,omitempty"` // parts of prompts that crash targets
 }
 
 // adminHandler serves the metrics and the state of the daemon.
@@ -54,6 +56,7 @@
 		Host: d.settings.Host, Ready: d.Ready(), ShuttingDown: d.shuttingDown.Load(), Hosts: d.budgets.Hosts(),
 		Targets: d.targets.Status(time.Now()), Budgets: d.budgets.Status(),
 	}
+	s.RateLimits = d.limitedTargets()
 	for _, e := range d.crashParts.BlockedParts(time.Now()) {
 		s.BlockedParts = append(s.BlockedParts, e.Parts...)
 	}
--- a/pkg/escrow/membership.go
+++ b/pkg/escrow/membership.go
@@ -34,6 +34,9 @@
 	rows   map[string]HostRow // by host
 	readAt time.Duration      // store clock at the last read; rows do not age while the store cannot be read
 	read   bool               // the rows were read at least once
+	// restarted means that a recent row of an earlier process of this host was read: the other
+	// hosts have counted this one as running all the time.
+	restarted bool
 	// generation changes whenever a host joins, leaves or gets another address.
 	generation int
 }
@@ -163,6 +166,9 @@
 	if err := m.membership.apply(page.Rows, page.Now); err != nil {
 		m.options.Log.Error().Err(err).Msg("Host row cannot be decoded. Ignoring it.")
 	}
+	if own, listed := m.membership.rows[m.options.Host]; listed && own.Incarnation != m.options.Incarnation {
+		m.membership.restarted = true
+	}
 	return page.Version, nil
 }
 
@@ -185,11 +191,12 @@
 	}
 }
 
-// ownHostRow returns the row to write, and false while the store's clock is unknown.
+// ownHostRow returns the row to write, and false while the store's clock is unknown, or the row
+// of an earlier process of this host was not looked for, which it would replace.
 func (m *Manager) ownHostRow() (HostRow, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0
+	return HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0 && m.membership.read
 }
 
 func (m *Manager) putRow(ctx context.Context, key storage.RowKey, value []byte) error {
--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -62,12 +62,21 @@
 // awaitMembership waits until the host rows were read: until then this process knows no
 // other host, although the fleet may be a large one.
 func (m *Manager) awaitMembership(ctx context.Context) {
-	for m.options.RequestShare != nil && ctx.Err() == nil && !m.membershipRead() {
+	for m.options.RequestShare != nil && ctx.Err() == nil && !m.MembershipRead() {
 		pause.For(ctx, peerDiscoveryPoll)
 	}
 }
 
-func (m *Manager) membershipRead() bool {
+// Restarted reports whether the other hosts have counted this one as running before this
+// process started.
+func (m *Manager) Restarted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.membership.restarted
+}
+
+// MembershipRead reports whether the rows of the other hosts were read at least once.
+func (m *Manager) MembershipRead() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.membership.read
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -93,25 +93,16 @@
 	if errors.Is(err, balance.ErrNoConnection) {
 		return ConnectionLimit
 	}
-	var paused *balance.PausedError
-	if errors.As(err, &paused) {
-		c.targetsPausedFor = paused.Wait
+	reason := NoTarget
+	var wait *balance.WaitError
+	if errors.As(err, &wait) {
+		c.targetsPausedFor = wait.Wait
+		if wait.RateLimited {
+			reason = RateLimited
+		}
 	}
 	c.h.Log.Info().Str("request", c.id).Str("service", c.service.Name).Str("passed_over", c.h.Targets.Unavailable(c.service.Name, time.Now())).Err(err).Msg("No target is available.")
-	return NoTarget
-}
-
-func (c *call) pickTarget() (*balance.Attempt, error) {
-	limit := c.targetConnectionLimit()
-	return c.h.Targets.Pick(balance.Request{
-		Service:      c.service.Name,
-		Parts:        c.parts,
-		PromptTokens: c.cost.Prompt,
-		OutputTokens: c.outputHint,
-		Excluded:     c.excluded,
-		Now:          time.Now(),
-		Reachable:    func(t balance.Target) bool { return c.h.Client.Available(t.Addr, limit) },
-	})
+	return reason
 }
 
 // refusalFor returns the refusal of a request whose last attempt failed for reason r.
--- a/pkg/forward/fixture_test.go
+++ b/pkg/forward/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/standin/replica"
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
@@ -89,9 +90,10 @@
 	r.budgets.Start()
 	set := balance.NewSet()
 	r.handler = New(Options{
-		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, Client: upstream.New(), Budgets: r.budgets,
+		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, RateLimits: ratelimit.New(ratelimit.Options{Log: discardLog}), Client: upstream.New(), Budgets: r.budgets,
 		CrashTracker: NewCrashTracker(), CrashParts: crashparts.New(), ShuttingDown: r.shuttingDown.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
 	})
+	r.handler.RateLimits.Resume(nil, time.Now())
 	var targets []balance.Target
 	for i := range replicas {
 		target := replica.New(fmt.Sprintf("t%d", i), dialect.Default())
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/retrylimit"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/upstream"
@@ -26,6 +27,7 @@
 	// be the newest one. Nil: it always is.
 	ConfigurationConfirmed func() bool
 	Targets                *balance.Set
+	RateLimits             *ratelimit.Limiter
 	Client                 *upstream.Client
 	Budgets                *escrow.Manager
 	// CrashTracker and CrashParts know which requests, and which parts of prompts, crash
@@ -87,7 +89,6 @@
 	mu          sync.Mutex
 	retryLimits map[string]*retrylimit.Limit // by service name
 	unreadable  sync.Map                     // names of the headers of targets that could not be parsed
-	rateLimits  sync.Map                     // last rate limit that each target has named, by target id
 }
 
 // New returns a handler with options o.
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -30,6 +30,7 @@
 	BudgetExhausted          Reason = "budget_exhausted"
 	BudgetUnreachable        Reason = "budget_unreachable"
 	NoTarget                 Reason = "no_target"
+	RateLimited              Reason = "rate_limited" // the targets have got as many requests as they take
 	TargetFull               Reason = "target_full"
 	TargetReplaced           Reason = "target_replaced"  // another target has taken over the address of the target
 	TargetUnreached          Reason = "target_unreached" // nothing was sent, as the target could not be reached
@@ -46,7 +47,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoConfiguration, ConfigurationUnconfirmed, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
-		BudgetExhausted, BudgetUnreachable, NoTarget, TargetFull, TargetReplaced,
+		BudgetExhausted, BudgetUnreachable, NoTarget, RateLimited, TargetFull, TargetReplaced,
 		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, CrashesTargets,
 	}
 }
--- a/pkg/forward/target_state.go
+++ b/pkg/forward/target_state.go
@@ -39,23 +39,22 @@
 	}
 }
 
-// recordRateLimit logs a change of the rate limit that a target names in its answers.
+// recordRateLimit records the rate of requests that a target takes, if it names one. A response
+// that another target sends for it says nothing of it.
 func (c *call) recordRateLimit(a *balance.Attempt, response *upstream.Response) {
-	value := response.Header.Get(c.h.Dialect.RateLimit)
-	if value == "" {
-		if _, named := c.h.rateLimits.LoadAndDelete(a.Target.ID); named {
-			c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Msg("Target names no limit of its requests any longer.")
-		}
+	if response.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	limit, err := parseRateLimit(value)
-	if err != nil {
-		c.h.logUnreadable(c.h.Dialect.RateLimit, a.Target.ID, err)
-		return
-	}
-	if before, _ := c.h.rateLimits.Swap(a.Target.ID, limit); before != limit {
-		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Float64("per_second", limit).Float64("load", a.Load).Msg("Target names a limit of its requests.")
+	value := response.Header.Get(c.h.Dialect.RateLimit)
+	var limit float64
+	if value != "" {
+		var err error
+		if limit, err = parseRateLimit(value); err != nil {
+			c.h.logUnreadable(c.h.Dialect.RateLimit, a.Target.ID, err)
+			return
+		}
 	}
+	c.h.RateLimits.Observe(limitedTarget(a.Target), limit, value != "", c.lastAttemptAt, time.Now())
 }
 
 // parseRateLimit parses the requests per second that a target takes from all hosts
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -1,6 +1,6 @@
 // Package gossip sends datagrams that tell other hosts about long prompts that targets
 // are processing, budgets of which the sending host has too few tokens for a request,
-// targets that leave, and requests and parts of prompts that crash targets. Lost datagrams
+// targets that leave or limit their requests, and requests and parts of prompts that crash targets. Lost datagrams
 // are not sent again; receivers let the information expire.
 package gossip
 
@@ -27,10 +27,10 @@
 	maxFanout = 24
 )
 
-// Message reports one of five events: a prompt was sent to a target or the target
+// Message reports one of six events: a prompt was sent to a target or the target
 // has finished processing it; the sending host lacks tokens of a customer's budget for
-// a request; a request crashed its target; a target has said that it leaves; or what
-// CrashEvent says of Parts.
+// a request; a request crashed its target; a target has said that it leaves; a target
+// names a limit of its requests, or none any longer; or what CrashEvent says of Parts.
 type Message struct {
 	Host             string `json:"h"`
 	Number           uint64 `json:"n,omitempty"` // identifies the prompt among those of the sending host
@@ -41,6 +41,10 @@
 	Leaves           bool   `json:"l,omitempty"` // Target leaves
 	Born             int64  `json:"b,omitempty"` // start of Target in Unix milliseconds; 0: unknown
 
+	LimitRevision uint64  `json:"v,omitempty"` // revision of what Target says of the requests that it takes; 0: nothing
+	PerSecond     float64 `json:"f,omitempty"` // requests per second that Target takes
+	LimitEnded    bool    `json:"d,omitempty"` // Target names no limit any longer
+
 	CrashEvent  string   `json:"e,omitempty"` // kind of a crashparts.Event
 	Parts       []string `json:"k,omitempty"` // keys of parts of prompts
 	RemainingMs int64    `json:"r,omitempty"` // how long requests with Parts stay refused, in milliseconds
