--- a/pkg/edge/layout.go
+++ b/pkg/edge/layout.go
@@ -15,9 +15,11 @@
 	// ConfigurationTable. While the row exists, the targets there get no requests.
 	EvacuationPrefix string
 	TargetTable      string
-	DecodeTarget     func(id string, value []byte) (balance.Target, error)
-	AccountTable     string // table of the customers' budget accounts
-	UsageTable       string // table of the usage reports of hosts
-	HostTable        string // table of the rows by which hosts know each other
-	ReadyPath        string // path of the readiness check, requested by the load balancer
+	// DecodeTarget decodes a registration. With an error, only the id and Draining of the
+	// target are set.
+	DecodeTarget func(id string, value []byte) (balance.Target, error)
+	AccountTable string // table of the customers' budget accounts
+	UsageTable   string // table of the usage reports of hosts
+	HostTable    string // table of the rows by which hosts know each other
+	ReadyPath    string // path of the readiness check, requested by the load balancer
 }
--- a/pkg/edge/targets.go
+++ b/pkg/edge/targets.go
@@ -20,7 +20,11 @@
 		}
 		t, err := d.layout.DecodeTarget(row.Key, row.Value)
 		if err != nil {
-			d.log.Error().Err(err).Str("target", row.Key).Msg("Target registration cannot be decoded. The previous registration stays in force.")
+			d.log.Error().Err(err).Str("target", row.Key).Bool("draining", t.Draining).Msg("Target registration cannot be decoded. The previous registration stays in force, except that the target may drain.")
+			if previous, known := d.decodedTargets[row.Key]; known && t.Draining {
+				previous.Draining = true
+				d.decodedTargets[row.Key] = previous
+			}
 			continue
 		}
 		if before, known := d.decodedTargets[row.Key]; !known || before != t {
