forward, edge, ingress: refuse requests that a stopping host would cut off; accept while callers come

Beside it, a host closed its listener after these 2.5 s although callers still came, as the other hosts of the failure domain were stopping too.

Change: while it stops, a host takes a request only if its deadline is before the end, or, in the first 2.5 s, if the longest of the last 64 answers of its route would fit (twice that for requests that may run only once); others are refused at once as shutting_down, not run, to come back after 0.1 s. The listener closes once no connection has come for half a second.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -89,9 +89,9 @@
 	configurationAppliedAt atomic.Pointer[time.Time] // time at which configuration was applied; nil before the first one
 	configurationReadAt    atomic.Pointer[time.Time] // time at which the store last confirmed configuration; nil before the first one
 	targetsLoaded          atomic.Bool
-	peersAsked             atomic.Bool  // other hosts were asked what they know of targets
-	retryHostCount         atomic.Int64 // hosts among which the retry reserve is divided; 0: unknown
-	shuttingDown           atomic.Bool
+	peersAsked             atomic.Bool                  // other hosts were asked what they know of targets
+	retryHostCount         atomic.Int64                 // hosts among which the retry reserve is divided; 0: unknown
+	stop                   atomic.Pointer[forward.Stop] // nil until the daemon shuts down
 
 	configurationRowVersion uint64                    // version of the configuration row read last; used only by the configuration watcher
 	decodedTargets          map[string]balance.Target // registered targets by row key; used only by the target watcher
@@ -127,7 +127,7 @@
 	d.metrics.observeLimitedTargets(func() int { return len(d.limitedTargets()) })
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
-		Overloaded: overloaded, CallerClosed: callerClosed, ShuttingDown: d.shuttingDown.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
+		Overloaded: overloaded, CallerClosed: callerClosed, Stop: d.stop.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
@@ -211,7 +211,7 @@
 // targets and the budgets are loaded, another host was asked what it knows of the targets,
 // and it is not shutting down.
 func (d *Daemon) Ready() bool {
-	return !d.shuttingDown.Load() && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load()
+	return d.stop.Load() == nil && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load()
 }
 
 // newIncarnation returns a random id that distinguishes this process from earlier
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -53,7 +53,7 @@
 
 func (d *Daemon) state() State {
 	s := State{
-		Host: d.settings.Host, Ready: d.Ready(), ShuttingDown: d.shuttingDown.Load(), Hosts: d.budgets.Hosts(),
+		Host: d.settings.Host, Ready: d.Ready(), ShuttingDown: d.stop.Load() != nil, Hosts: d.budgets.Hosts(),
 		Targets: d.targets.Status(time.Now()), Budgets: d.budgets.Status(),
 	}
 	s.RateLimits = d.limitedTargets()
--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/forward"
 )
 
 // How the grace period is divided.
@@ -19,14 +21,16 @@
 )
 
 // shutdown makes the daemon not ready, waits until the load balancer sends no new
-// connections, completes open requests and returns unspent budget shares. It
-// returns before the grace period ends.
+// connections, completes open requests and returns unspent budget shares. Requests that may not
+// have ended in time are refused meanwhile. It returns before the grace period ends.
 func (d *Daemon) shutdown() error {
 	start := time.Now()
-	d.shuttingDown.Store(true)
+	ends := start.Add(d.settings.GracePeriod - shareReturnReserve - exitReserve)
+	d.stop.Store(&forward.Stop{Ends: ends})
 	d.log.Info().Msg("Daemon is shutting down: readiness checks fail from now on.")
 	time.Sleep(min(drainDelay, d.settings.GracePeriod/3))
-	requestsCtx, cancel := context.WithDeadline(context.Background(), start.Add(d.settings.GracePeriod-shareReturnReserve-exitReserve))
+	d.stop.Store(&forward.Stop{Ends: ends, Strict: true})
+	requestsCtx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	err := d.callers.Drain(requestsCtx)
 	if err != nil {
--- a/pkg/forward/fixture_test.go
+++ b/pkg/forward/fixture_test.go
@@ -34,14 +34,14 @@
 
 // fixture is a handler with replicas as its targets.
 type fixture struct {
-	t            *testing.T
-	handler      *Handler
-	server       *httptest.Server
-	replicas     []*replica.Replica
-	config       atomic.Pointer[routing.Configuration]
-	shuttingDown atomic.Bool
-	budgets      *escrow.Manager
-	observer     countingObserver
+	t        *testing.T
+	handler  *Handler
+	server   *httptest.Server
+	replicas []*replica.Replica
+	config   atomic.Pointer[routing.Configuration]
+	stop     atomic.Pointer[Stop]
+	budgets  *escrow.Manager
+	observer countingObserver
 }
 
 // countingObserver counts refusals and retries by reason, and event streams by result.
@@ -91,7 +91,7 @@
 	set := balance.NewSet()
 	r.handler = New(Options{
 		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, RateLimits: ratelimit.New(ratelimit.Options{Log: discardLog}), Client: upstream.New(), Budgets: r.budgets,
-		CrashTracker: NewCrashTracker(), CrashParts: crashparts.New(), ShuttingDown: r.shuttingDown.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
+		CrashTracker: NewCrashTracker(), CrashParts: crashparts.New(), Stop: r.stop.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
 	})
 	r.handler.RateLimits.Resume(nil, time.Now())
 	var targets []balance.Target
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -41,9 +41,9 @@
 	// its connection, also if the server has not read that yet. Nil: only the end of the
 	// context tells.
 	CallerClosed func(context.Context) bool
-	// ShuttingDown reports whether the host is shutting down. Responses then close the
-	// connection to the caller.
-	ShuttingDown func() bool
+	// Stop returns how the host shuts down, nil while it does not. Responses close the
+	// connection to the caller then. Nil: it never does.
+	Stop func() *Stop
 	// RetryRatio is the maximum ratio of the retries to the requests of a service
 	// within RetryWindow. RetryReserve allows further retries.
 	RetryRatio float64
@@ -86,6 +86,7 @@
 type Handler struct {
 	Options
 	bodies      bodyMemory
+	answerTimes answerTimes
 	mu          sync.Mutex
 	retryLimits map[string]*retrylimit.Limit // by service name
 	unreadable  sync.Map                     // names of the headers of targets that could not be parsed
@@ -105,7 +106,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{h: h, w: w, r: r, receivedAt: time.Now(), reservation: &escrow.Reservation{}}
-	if h.ShuttingDown() {
+	if h.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	ctx, cancel := c.setRouteAndDeadline()
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -156,7 +156,7 @@
 // Guards against connections that stay open at a host that is shutting down.
 func TestHostShuttingDownClosesConnections(t *testing.T) {
 	r := newFixture(t, 1)
-	r.shuttingDown.Store(true)
+	r.stop.Store(&Stop{Ends: time.Now().Add(time.Minute)})
 	got := r.post("r1", "/safe/x")
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Assert(t, got.closed)
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -21,6 +21,7 @@
 	retryAfterNoTarget          = 300 * time.Millisecond
 	retryAfterHostFull          = 300 * time.Millisecond
 	retryAfterTargetFull        = 200 * time.Millisecond
+	retryAfterShuttingDown      = 100 * time.Millisecond
 	retryAfterBudgetUnreachable = 500 * time.Millisecond
 )
 
@@ -68,6 +69,9 @@
 			return c.refuseNotAllowed(UnknownKey)
 		}
 	}
+	if refusal := c.refuseIfCutOff(); refusal != nil {
+		return refusal
+	}
 	if refusal := c.parseCostHeaders(); refusal != nil {
 		return refusal
 	}
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -40,6 +40,7 @@
 	DeadlinePassed           Reason = "deadline_passed"
 	CallerGone               Reason = "caller_gone"     // the caller disconnected
 	HostFull                 Reason = "host_full"       // this host has too many connections of callers
+	ShuttingDown             Reason = "shutting_down"   // this host stops before the request may have ended
 	CrashesTargets           Reason = "crashes_targets" // the request has crashed too many targets
 )
 
@@ -48,7 +49,7 @@
 	return []Reason{
 		NoConfiguration, ConfigurationUnconfirmed, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
 		BudgetExhausted, BudgetUnreachable, NoTarget, RateLimited, TargetFull, TargetReplaced,
-		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, CrashesTargets,
+		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, ShuttingDown, CrashesTargets,
 	}
 }
 
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -90,7 +90,7 @@
 	if _, ok := response.Header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // nil keeps net/http from guessing a type
 	}
-	if c.h.ShuttingDown() {
+	if c.h.shuttingDown() {
 		header.Set("Connection", "close")
 	}
 }
@@ -103,6 +103,7 @@
 	if c.timeToFirstByte == 0 {
 		c.timeToFirstByte = total
 	}
+	c.h.answerTimes.add(c.route.Name, total)
 	c.h.Observer.Answered(c.service.Name, status, c.timeToFirstByte, total)
 	c.h.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("customer", c.customerName()).Strs("targets", c.attemptOutcomes).Int("status", status).
 		Int64("cost", c.usedTokens()).Int64("prompt", c.cost.Prompt).Int64("events", c.events).Str("framing", string(c.framing)).Int("trailing_bytes", c.trailingBytes).Float64("load", c.targetLoad).Int("rank", c.targetRank).
--- a/pkg/ingress/listener.go
+++ b/pkg/ingress/listener.go
@@ -19,6 +19,10 @@
 	// backlogQuietTime is the time without a new connection after which a listener that
 	// stops has accepted all that waited. Connections that wait can be accepted at once.
 	backlogQuietTime = 30 * time.Millisecond
+	// callersQuietTime is the time without a new connection after which a listener that
+	// drains stops accepting. While all other hosts are stopping as well, callers still
+	// come, and an answer that refuses them is better than no connection.
+	callersQuietTime = 500 * time.Millisecond
 	// drainPollInterval is the time between two looks at the open connections of a
 	// listener that drains.
 	drainPollInterval = 20 * time.Millisecond
@@ -39,6 +43,7 @@
 
 	mu            sync.Mutex
 	conns         map[*Conn]struct{}
+	acceptedAt    time.Time     // when the last connection was accepted
 	stopping      bool          // connections that wait are accepted, then the listener is closed
 	stopped       chan struct{} // closed once the listener is closed
 	limitLoggedAt time.Time
@@ -97,6 +102,7 @@
 // mutex.
 func (l *Listener) add(conn *net.TCPConn) *Conn {
 	now := time.Now()
+	l.acceptedAt = now
 	c := &Conn{TCPConn: conn, listener: l, state: http.StateNew, changed: now}
 	if l.limit > 0 && len(l.conns) >= l.limit {
 		l.logLimit(now)
@@ -169,14 +175,10 @@
 	return len(l.conns)
 }
 
-// Drain accepts the connections that wait, closes the listener and waits until the open
-// requests have ended. It closes a connection once it is idle and no bytes of a request
+// Drain accepts connections until none has come for a while, closes the listener and waits
+// until the open requests have ended. It closes a connection once it is idle and no bytes of a request
 // are left to read. It returns the error of ctx if ctx ends first.
 func (l *Listener) Drain(ctx context.Context) error {
-	l.mu.Lock()
-	l.stopping = true
-	_ = l.SetDeadline(time.Now().Add(backlogQuietTime)) // fails only if the listener is closed
-	l.mu.Unlock()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for !l.drained() {
@@ -200,6 +202,10 @@
 			l.closeConn(c)
 		}
 	}
+	if !l.stopping && now.Sub(l.acceptedAt) >= callersQuietTime {
+		l.stopping = true
+		_ = l.SetDeadline(now.Add(backlogQuietTime)) // fails only if the listener is closed
+	}
 	select {
 	case <-l.stopped:
 		return len(l.conns) == 0
--- a/pkg/ingress/listener_test.go
+++ b/pkg/ingress/listener_test.go
@@ -227,3 +227,31 @@
 	assert.NilError(t, c.Close())
 	assert.Equal(t, <-result, "false true")
 }
+
+// Guards against a listener that closes while callers still come to a host that stops, as all other hosts are stopping as well.
+func TestDrainAcceptsWhileCallersCome(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 0, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+	assert.NilError(t, err)
+	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = server.Serve(l) }()
+	drained := make(chan error, 1)
+	get := func() error {
+		client := &http.Client{Transport: &http.Transport{}}
+		response, err := client.Get("http://" + l.Addr().String())
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	assert.NilError(t, get())
+	go func() { drained <- l.Drain(t.Context()) }()
+	for start := time.Now(); time.Since(start) < 2*callersQuietTime; time.Sleep(callersQuietTime / 10) {
+		assert.NilError(t, get())
+	}
+	assert.Equal(t, len(drained), 0)
+	assert.NilError(t, <-drained)
+	assert.Assert(t, get() != nil)
+}
