soak: targets name rate limits among the other faults

Cause: the soak mixed pauses and departures of targets with its faults, but no rate limits.

Change: a target names a limit (0, 0.5, 3, 20, 1e9 a second, or one that is malformed) with a probability of 15% for each fault. The limits are drawn from a source of their own, so that a seed injects the same other faults as before. The soak checks its guarantees, not the arrivals.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -78,6 +78,7 @@
 		}
 	}
 	s.withdrawRandomTarget()
+	s.limitRandomTarget()
 	s.recorder.latestVersion.Store(int64(s.version))
 	time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
 }
@@ -141,6 +142,23 @@
 // withdrawalPercent is the probability of a withdrawal with each fault, in percent.
 const withdrawalPercent = 15
 
+// limitPercent is the probability with each fault that a target names a rate limit, in percent.
+const limitPercent = 15
+
+// limitRandomTarget lets a target name a rate limit with a probability of limitPercent, until
+// its next fault or recovery. It draws from limitRandom, so that seeds from before it inject the
+// same other faults.
+func (s *scenario) limitRandomTarget() {
+	if s.limitRandom.IntN(100) >= limitPercent {
+		return
+	}
+	limits := []string{"0", "0.5", "3", "20", "1e9", "-1", "many"}
+	limit, p := limits[s.limitRandom.IntN(len(limits))], s.targets[s.limitRandom.IntN(len(s.targets))]
+	s.recorder.logEvent("target %s: limit %q", p.ID, limit)
+	s.injected["rate limit"]++
+	p.SetFaults(replica.Faults{RateLimit: limit})
+}
+
 // replaceIfLeaving starts a target again that has said that it leaves.
 func (p *targetProxy) replaceIfLeaving() {
 	if p.leaves {
--- a/test/soak/scenario_test.go
+++ b/test/soak/scenario_test.go
@@ -41,6 +41,7 @@
 	// withdrawalRandom is the source of pauses and departures of targets; used by one
 	// goroutine only.
 	withdrawalRandom *rand.Rand
+	limitRandom      *rand.Rand // source of rate limits of targets; used by one goroutine only
 	fleet            *rig.Fleet
 	hosts            []*host
 	targets          []*targetProxy // targets, each behind its own proxy
@@ -85,7 +86,7 @@
 	t.Logf("seed %d", seed)
 	fleet, err := rig.New(t.TempDir(), "../../cmd/peppertraild", 0)
 	assert.NilError(t, err)
-	s := &scenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), streamRandom: rand.New(rand.NewPCG(seed, 2)), endlessRandom: rand.New(rand.NewPCG(seed, 3)), withdrawalRandom: rand.New(rand.NewPCG(seed, 4)), fleet: fleet, injected: make(map[string]int)}
+	s := &scenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), streamRandom: rand.New(rand.NewPCG(seed, 2)), endlessRandom: rand.New(rand.NewPCG(seed, 3)), withdrawalRandom: rand.New(rand.NewPCG(seed, 4)), limitRandom: rand.New(rand.NewPCG(seed, 5)), fleet: fleet, injected: make(map[string]int)}
 	s.recorder.init(t)
 	for i := range envInt(t, "SOAK_TARGETS", defaultTargets) {
 		r := replica.New(fmt.Sprintf("i-%d", i), rig.PlatformDialect())
