balance, forward, edge: refuse at once on a host that reaches no target of a service; leave the rotation

Change: three targets, or all of a service, that could not be reached within half a second and more without an answer of any mean that there is no path. Requests are refused at once as no_path, not run, to come back after 0.1 s; a host that has a path to none of the services that it was asked for lately is not ready and closes the connections on which it refuses. Three connections each 0.2 s find the path back.

Result: TestRequestWithoutPathToTargetsIsRefusedAtOnce, TestHostWithoutPathToTargetsLeavesRotation (the parent never refuses for want of a path and stays ready).

--- a/pkg/balance/attempt.go
+++ b/pkg/balance/attempt.go
@@ -57,6 +57,7 @@
 		return
 	}
 	a.firstByteReceived = true
+	a.set.path(a.Target.Service).recordReached()
 	a.set.announcePrompt(a, 0)
 	a.state.ownPrefillTokens -= a.promptTokens
 	delete(a.state.awaitingFirstByte, a)
@@ -95,7 +96,10 @@
 		s.fullUntil = now.Add(rejectionBackoff)
 	case Replaced:
 		s.replaced = true
-	case Failed, Broken, Unreached:
+	case Unreached:
+		s.recordFailure(now)
+		a.set.path(a.Target.Service).recordUnreached(a.Target.ID, now)
+	case Failed, Broken:
 		s.recordFailure(now)
 	case Cancelled, ConnectionLimit:
 	}
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -30,6 +30,7 @@
 func (s *Set) Pick(r Request) (*Attempt, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.path(r.Service).usedAt = r.Now
 	if len(r.Excluded) == 0 { // first attempt: a retry excludes the targets tried before, and its work is already counted
 		s.poolSplit(r.Service).addWork(r)
 	}
--- a/pkg/balance/set.go
+++ b/pkg/balance/set.go
@@ -20,6 +20,7 @@
 	byID              map[string]*state
 	services          map[string][]*state
 	pools             map[string]*poolSplit     // by service
+	paths             map[string]*path          // by service
 	leaving           map[incarnation]time.Time // since when it is known
 	evacuated         map[string]bool           // failure domains whose targets get no requests
 	hostCount         int                       // hosts that send requests to the targets
@@ -28,7 +29,7 @@
 
 // NewSet returns a set without targets.
 func NewSet() *Set {
-	return &Set{byID: make(map[string]*state), services: make(map[string][]*state), pools: make(map[string]*poolSplit), leaving: make(map[incarnation]time.Time), hostCount: 1}
+	return &Set{byID: make(map[string]*state), services: make(map[string][]*state), pools: make(map[string]*poolSplit), paths: make(map[string]*path), leaving: make(map[incarnation]time.Time), hostCount: 1}
 }
 
 // Apply replaces the registered targets. The state of a target is kept as long
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -155,6 +155,7 @@
 	go d.updateHosts(componentsCtx)
 	go d.learnFromPeers(componentsCtx)
 	go d.announceBlockedParts(componentsCtx)
+	go d.probeLostPaths(componentsCtx)
 	d.log.Info().Str("host", d.settings.Host).Str("callers", d.settings.CallerListen).Str("store", d.settings.StoreAddress).Msg("Daemon started.")
 	select {
 	case err := <-failed:
@@ -209,9 +210,9 @@
 
 // Ready reports whether the daemon can serve requests: the configuration, the
 // targets and the budgets are loaded, another host was asked what it knows of the targets,
-// and it is not shutting down.
+// there is a path to the targets, and it is not shutting down.
 func (d *Daemon) Ready() bool {
-	return d.stop.Load() == nil && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load()
+	return d.stop.Load() == nil && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load() && !d.targets.AllPathsLost(time.Now())
 }
 
 // newIncarnation returns a random id that distinguishes this process from earlier
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -47,6 +47,10 @@
 			c.stoppedBy = stopCrashes
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CrashesTargets)
 		}
+		if c.h.Targets.PathLost(c.service.Name, time.Now()) {
+			c.stoppedBy = stopNoPath
+			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, NoPath)
+		}
 		attempt, err := c.pickTarget()
 		if err != nil {
 			c.stoppedBy = stopNoTarget
@@ -124,6 +128,11 @@
 		return refuseNotRun(r, 0)
 	case CrashesTargets:
 		return refuseNotRun(r, retryAfterCrashes)
+	case NoPath:
+		if c.h.Targets.AllPathsLost(time.Now()) {
+			c.w.Header().Set("Connection", "close") // the caller's next connection goes to another host
+		}
+		return refuseNotRun(r, withJitter(retryAfterNoPath))
 	}
 	return refuseNotRun(r, withJitter(max(retryAfterNoTarget, c.targetsPausedFor)))
 }
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -21,6 +21,7 @@
 	retryAfterNoTarget          = 300 * time.Millisecond
 	retryAfterHostFull          = 300 * time.Millisecond
 	retryAfterTargetFull        = 200 * time.Millisecond
+	retryAfterNoPath            = 100 * time.Millisecond
 	retryAfterShuttingDown      = 100 * time.Millisecond
 	retryAfterBudgetUnreachable = 500 * time.Millisecond
 )
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -30,6 +30,7 @@
 	BudgetExhausted          Reason = "budget_exhausted"
 	BudgetUnreachable        Reason = "budget_unreachable"
 	NoTarget                 Reason = "no_target"
+	NoPath                   Reason = "no_path"      // this host reaches no target of the service
 	RateLimited              Reason = "rate_limited" // the targets have got as many requests as they take
 	TargetFull               Reason = "target_full"
 	TargetReplaced           Reason = "target_replaced"  // another target has taken over the address of the target
@@ -48,7 +49,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoConfiguration, ConfigurationUnconfirmed, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
-		BudgetExhausted, BudgetUnreachable, NoTarget, RateLimited, TargetFull, TargetReplaced,
+		BudgetExhausted, BudgetUnreachable, NoTarget, NoPath, RateLimited, TargetFull, TargetReplaced,
 		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, ShuttingDown, CrashesTargets,
 	}
 }
--- a/pkg/forward/stop_reason.go
+++ b/pkg/forward/stop_reason.go
@@ -13,6 +13,7 @@
 	stopMayHaveRun   stopReason = "may_have_run" // the target may have run the request, and the route allows only one run
 	stopOverrun      stopReason = "overrun"      // the caller has received events that no other target can continue
 	stopCrashes      stopReason = "crashes"      // the request has crashed too many targets
+	stopNoPath       stopReason = "no_path"      // this host reaches no target of the service
 	stopRetryLimit   stopReason = "retry_limit"  // the retry limit of the service is reached
 )
 
