--- a/pkg/edge/leaving.go
+++ b/pkg/edge/learn.go
@@ -14,49 +14,51 @@
 const methodLeaving = "targets.leaving"
 
 const (
-	// leavingPeers is the number of hosts that a new process asks for targets that leave.
-	leavingPeers = 3
-	// leavingCallTimeout bounds one such call.
-	leavingCallTimeout = 500 * time.Millisecond
-	// leavingSearchTime is how long a new process waits for hosts to ask.
-	leavingSearchTime = 15 * time.Second
-	// leavingSearchPause is the time between two looks for hosts to ask.
-	leavingSearchPause = 50 * time.Millisecond
-	// learningTimeout is how long a new process without an answer of another host is not
+	// learnPeers is the number of hosts that a new process asks what they know of targets.
+	learnPeers = 3
+	// learnCallTimeout bounds one such call.
+	learnCallTimeout = 500 * time.Millisecond
+	// learnSearchTime is how long a new process waits for hosts to ask.
+	learnSearchTime = 15 * time.Second
+	// learnSearchPause is the time between two looks for hosts to ask.
+	learnSearchPause = 50 * time.Millisecond
+	// learnReadyTimeout is how long a new process without an answer of another host is not
 	// ready.
-	learningTimeout = 2 * time.Second
+	learnReadyTimeout = 2 * time.Second
 )
 
 // learnFromPeers asks other hosts for targets that leave, rate limits of targets and blocked
-// parts of prompts.
-// The process that ran on this host before may have known of them, and the registrations of
-// the targets may still say that they are ready.
+// parts of prompts. The process that ran on this host before may have known of them, and the
+// registrations of the targets may still say that they are ready.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leavingSearchTime)
+	ctx, cancel := context.WithTimeout(ctx, learnSearchTime)
 	defer cancel()
-	timeout := time.AfterFunc(learningTimeout, func() { d.peersAsked.Store(true) })
+	timeout := time.AfterFunc(learnReadyTimeout, func() { d.peersAsked.Store(true) })
 	defer timeout.Stop()
 	asked := make(map[string]bool)
 	answers := 0
-	for answers < leavingPeers && ctx.Err() == nil {
+	for answers < learnPeers && ctx.Err() == nil {
 		peers := d.budgets.PeerAddrs()
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		for _, peer := range peers {
-			if !asked[peer] && answers < leavingPeers {
+			if !asked[peer] && answers < learnPeers {
 				asked[peer] = true
 				answers += d.learnFrom(ctx, peer)
 			}
+			if answers > 0 {
+				d.peersAsked.Store(true)
+			}
 		}
-		if answers > 0 || (len(peers) == 0 && d.budgets.MembershipRead()) {
+		if len(peers) == 0 && d.budgets.MembershipRead() {
 			d.peersAsked.Store(true)
 		}
-		pause.For(ctx, leavingSearchPause)
+		pause.For(ctx, learnSearchPause)
 	}
 }
 
 // learnFrom asks one host. It returns 1 if the host has answered, 0 otherwise.
 func (d *Daemon) learnFrom(ctx context.Context, peer string) int {
-	ctx, cancel := context.WithTimeout(ctx, leavingCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, learnCallTimeout)
 	defer cancel()
 	var targets []balance.LeavingTarget
 	if err := d.store.Call(ctx, peer, methodLeaving, struct{}{}, &targets); err != nil {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -100,7 +100,7 @@
 	reason := NoTarget
 	var wait *balance.WaitError
 	if errors.As(err, &wait) {
-		c.targetsPausedFor = wait.Wait
+		c.nextTargetIn = wait.Wait
 		if wait.RateLimited {
 			reason = RateLimited
 		}
@@ -134,7 +134,7 @@
 		}
 		return refuseNotRun(r, withJitter(retryAfterNoPath))
 	}
-	return refuseNotRun(r, withJitter(max(retryAfterNoTarget, c.targetsPausedFor)))
+	return refuseNotRun(r, withJitter(max(retryAfterNoTarget, c.nextTargetIn)))
 }
 
 // sendTo sends the request to one target and handles the response or the failure.
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -43,9 +43,9 @@
 	events       int64      // number of events sent to the caller
 	lastEventID  string     // id of the last event sent to the caller
 	headerSent   bool       // the response header has been sent to the caller
-	// targetsPausedFor is the time until a target takes requests again, if no target was
-	// left because of pauses.
-	targetsPausedFor time.Duration
+	// nextTargetIn is the time until a target takes requests again, if no target was left
+	// because of pauses or rate limits.
+	nextTargetIn time.Duration
 
 	bufferedBytes int64 // size of all response bodies that were buffered, in bytes
 	countedBytes  int64 // part of bufferedBytes that is counted in Handler.bodies
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -78,32 +78,26 @@
 // Observe records what the answer of a target says: the rate that it takes, if it names one.
 // sentAt is when the request was sent.
 func (l *Limiter) Observe(t Target, perSecond float64, named bool, sentAt, now time.Time) {
-	l.mu.Lock()
-	limit, changed := l.limits.observe(t, perSecond, named, sentAt, now)
-	announce := changed && l.limits.announce(t, now)
-	if changed {
-		l.updateLimited()
-	}
-	l.mu.Unlock()
-	if changed {
-		l.logChange(limit, "its answer")
-	}
-	if announce && l.Announce != nil {
-		l.Announce(limit)
-	}
+	l.record("its answer", now, func() (Limit, bool) { return l.limits.observe(t, perSecond, named, sentAt, now) })
 }
 
 // Receive records what another host says of a target, and passes it on if it is news.
 func (l *Limiter) Receive(limit Limit, now time.Time) {
+	l.record("another host", now, func() (Limit, bool) { return limit, l.limits.receive(limit, now) })
+}
+
+// record calls change, which reports whether it has changed a limit, with the mutex held. It logs
+// and announces the change.
+func (l *Limiter) record(source string, now time.Time, change func() (Limit, bool)) {
 	l.mu.Lock()
-	changed := l.limits.receive(limit, now)
+	limit, changed := change()
 	announce := changed && l.limits.announce(limit.Target, now)
 	if changed {
 		l.updateLimited()
 	}
 	l.mu.Unlock()
 	if changed {
-		l.logChange(limit, "another host")
+		l.logChange(limit, source)
 	}
 	if announce && l.Announce != nil {
 		l.Announce(limit)
