--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -72,9 +72,9 @@
 }
 
 // candidates returns the targets that may get the request. These are the available
-// targets of the request's pool, which rate limits may widen. If the pool has none, or is full and the prompt is
-// short, they are the available targets of the service. If the service has none either, they
-// include targets that are unavailable because of failures.
+// targets of the request's pool, which rate limits may widen. If the pool has none, or is full
+// and the prompt is short, they are the available targets of the service. If the service has
+// none either, they include targets that are unavailable because of failures.
 func (s *Set) candidates(r Request) []candidate {
 	targets := s.services[r.Service]
 	pool := widenPool(s.poolSplit(r.Service).targetsFor(targets, r), targets, r)
