gossip, edge: tell hosts that others have a newer configuration; export lost paths

Every datagram now carries the version of the sender, which costs 9 bytes; a host that puts a version into force tells five others at once and two more each second for 10 s. A version that two reads of the store do not show is forgotten, so that a malformed message cannot mark a host for good. Lines, two gauges and two columns of 'peppertrail edge hosts' show the lag and the services without a path. No request is handled differently yet.

--- a/cmd/peppertrail/edge.go
+++ b/cmd/peppertrail/edge.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/edge"
@@ -87,10 +88,10 @@
 	for _, s := range states {
 		rows = append(rows, []string{
 			s.Host, yesNo(s.Ready), yesNo(s.ShuttingDown), strconv.FormatInt(s.ConfigurationVersion, 10),
-			s.ConfigurationAge.Round(time.Second).String(), strconv.Itoa(s.Hosts), strconv.Itoa(len(s.Targets)),
+			s.ConfigurationAge.Round(time.Second).String(), s.ConfigurationBehind.Round(time.Second).String(), strconv.Itoa(s.Hosts), strconv.Itoa(len(s.Targets)), strings.Join(s.LostPaths, " "),
 		})
 	}
-	e.app.printTable([]string{"HOST", "READY", "LEAVING", "CONFIGURATION", "AGE", "HOSTS SEEN", "TARGETS"}, rows)
+	e.app.printTable([]string{"HOST", "READY", "LEAVING", "CONFIGURATION", "AGE", "BEHIND", "HOSTS SEEN", "TARGETS", "NO PATH TO"}, rows)
 }
 
 func (e *edgeCommands) printBudgets(states []edge.State) {
--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -5,9 +5,22 @@
 	"strings"
 	"time"
 
+	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/watch"
 )
 
+const (
+	// configurationFanout is the number of hosts that a host tells of a new configuration when
+	// it puts it into force. As each of them does the same, about 99 in 100 hosts hear of it.
+	configurationFanout = 5
+	// configurationRepeatTime is how long a host goes on telling others of a new configuration,
+	// configurationRepeatFanout of them each configurationRepeatInterval.
+	configurationRepeatTime     = 10 * time.Second
+	configurationRepeatInterval = time.Second
+	configurationRepeatFanout   = 2
+)
+
 // applyOperatorRows applies what the operator has written.
 func (d *Daemon) applyOperatorRows(s watch.State) {
 	d.applyEvacuations(s)
@@ -58,7 +71,12 @@
 	now := time.Now()
 	d.configurationAppliedAt.Store(&now)
 	d.configuration.Store(next)
-	d.log.Info().Int64("version", next.Version).Int("customers", len(next.Customers)).Msg("Configuration in force.")
+	behind := d.configurationLag.applied(next.Version, now)
+	d.log.Info().Int64("version", next.Version).Int("customers", len(next.Customers)).Dur("behind", behind).Msg("Configuration in force.")
+	if d.gossip != nil {
+		d.gossip.SetConfigurationVersion(next.Version)
+		d.gossip.SendToSome(gossip.Message{}, configurationFanout)
+	}
 }
 
 func (d *Daemon) watchConfiguration(ctx context.Context) {
@@ -71,6 +89,9 @@
 func (d *Daemon) recordConfirmation() {
 	now := time.Now()
 	d.configurationReadAt.Store(&now)
+	if d.configurationLag.confirmed() {
+		d.log.Warn().Msg("Newer configuration that another host has named is not in the store. It is forgotten.")
+	}
 }
 
 // configurationConfirmed reports whether the store has confirmed the configuration within
@@ -79,3 +100,28 @@
 	at := d.configurationReadAt.Load()
 	return at != nil && time.Since(*at) <= configurationMaxAge
 }
+
+// hearConfigurationVersion records the version of the configuration that another host has.
+func (d *Daemon) hearConfigurationVersion(m gossip.Message) {
+	current := d.configuration.Load()
+	if current == nil || !d.configurationLag.hear(m.ConfigurationVersion, current.Version, time.Now()) {
+		return
+	}
+	d.log.Info().Str("peer", m.Host).Int64("newer", m.ConfigurationVersion).Int64("in_force", current.Version).Msg("Another host has a newer configuration.")
+}
+
+// configurationBehind returns for how long this host has known that another one has a newer
+// configuration, 0 if none has.
+func (d *Daemon) configurationBehind() time.Duration { return d.configurationLag.behind(time.Now()) }
+
+// repeatConfigurationVersion tells random hosts the version of the configuration for some time
+// after a change, as datagrams may be lost.
+func (d *Daemon) repeatConfigurationVersion(ctx context.Context) {
+	for ctx.Err() == nil {
+		appliedAt := d.configurationAppliedAt.Load()
+		if d.gossip != nil && appliedAt != nil && time.Since(*appliedAt) < configurationRepeatTime {
+			d.gossip.SendToSome(gossip.Message{}, configurationRepeatFanout)
+		}
+		pause.For(ctx, configurationRepeatInterval)
+	}
+}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -88,6 +88,7 @@
 	configuration          atomic.Pointer[routing.Configuration]
 	configurationAppliedAt atomic.Pointer[time.Time] // time at which configuration was applied; nil before the first one
 	configurationReadAt    atomic.Pointer[time.Time] // time at which the store last confirmed configuration; nil before the first one
+	configurationLag       configurationLag
 	targetsLoaded          atomic.Bool
 	peersAsked             atomic.Bool                  // other hosts were asked what they know of targets
 	retryHostCount         atomic.Int64                 // hosts among which the retry reserve is divided; 0: unknown
@@ -116,6 +117,8 @@
 	d.crashParts.Log = logs.Logger("crashparts")
 	d.metrics.observeBlockedParts(func() int { return len(d.crashParts.BlockedParts(time.Now())) })
 	d.client.OnDial = d.metrics.countDial
+	d.metrics.observeConfigurationLag(d.configurationBehind)
+	d.metrics.observeLostPaths(func() int { return len(d.targets.LostPaths(time.Now())) })
 	d.directStore = newMeteredRows(store, d.metrics.registry)
 	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
 	d.budgets = escrow.NewManager(ctx, escrow.Options{
@@ -156,6 +159,7 @@
 	go d.learnFromPeers(componentsCtx)
 	go d.announceBlockedParts(componentsCtx)
 	go d.probeLostPaths(componentsCtx)
+	go d.repeatConfigurationVersion(componentsCtx)
 	d.log.Info().Str("host", d.settings.Host).Str("callers", d.settings.CallerListen).Str("store", d.settings.StoreAddress).Msg("Daemon started.")
 	select {
 	case err := <-failed:
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -109,6 +109,7 @@
 		return nil
 	}
 	handle := func(m gossip.Message) {
+		d.hearConfigurationVersion(m)
 		switch {
 		case m.Customer != "":
 			d.budgets.NoteShortage(m.Customer)
@@ -127,6 +128,8 @@
 				d.log.Info().Str("target", m.Target).Str("peer", m.Host).Msg("Target leaves, says another host. It gets no further requests.")
 			}
 			return
+		case m.Target == "": // only tells the version of the configuration
+			return
 		}
 		d.targets.RecordRemotePrompt(m.Host, balance.PromptUpdate{Number: m.Number, Target: m.Target, Tokens: m.Tokens}, time.Now())
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -76,6 +76,22 @@
 	))
 }
 
+// observeConfigurationLag exports for how long another host has had a newer configuration.
+func (m *metrics) observeConfigurationLag(behind func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "peppertrail_edge_configuration_behind_seconds", Help: "Time for which this host has known that another host has a newer configuration; 0: none has."},
+		func() float64 { return behind().Seconds() },
+	))
+}
+
+// observeLostPaths exports the number of services of which no target can be reached.
+func (m *metrics) observeLostPaths(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "peppertrail_edge_lost_paths", Help: "Services to whose targets this host has no path."},
+		func() float64 { return float64(count()) },
+	))
+}
+
 // countPermit counts an answer to a request for a permit.
 func (m *metrics) countPermit(r ratelimit.Result) { m.permits.WithLabelValues(string(r)).Inc() }
 
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -31,7 +33,9 @@
 	ShuttingDown         bool              `json:"leaving"`
 	Hosts                int               `json:"hosts"` // number of hosts that report to the store
 	ConfigurationVersion int64             `json:"configuration_version"`
-	ConfigurationAge     time.Duration     `json:"configuration_age_ns"` // time since the configuration was applied on this host
+	ConfigurationAge     time.Duration     `json:"configuration_age_ns"`    // time since the configuration was applied on this host
+	ConfigurationBehind  time.Duration     `json:"configuration_behind_ns"` // time for which another host has had a newer one
+	LostPaths            []string          `json:"lost_paths,omitempty"`    // services of which no target can be reached
 	Targets              []balance.Status  `json:"targets"`
 	Budgets              []escrow.Status   `json:"budgets"`
 	RateLimits           []ratelimit.Limit `json:"rate_limits,omitempty"`   // of targets that name one
@@ -57,6 +61,8 @@
 		Targets: d.targets.Status(time.Now()), Budgets: d.budgets.Status(),
 	}
 	s.RateLimits = d.limitedTargets()
+	s.ConfigurationBehind = d.configurationBehind()
+	s.LostPaths = slices.Sorted(maps.Keys(d.targets.LostPaths(time.Now())))
 	for _, e := range d.crashParts.BlockedParts(time.Now()) {
 		s.BlockedParts = append(s.BlockedParts, e.Parts...)
 	}
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -1,6 +1,7 @@
 // Package gossip sends datagrams that tell other hosts about long prompts that targets
 // are processing, budgets of which the sending host has too few tokens for a request,
-// targets that leave or limit their requests, and requests and parts of prompts that crash targets. Lost datagrams
+// targets that leave or limit their requests, requests and parts of prompts that crash targets, and the version of
+// the configuration that the sending host has. Lost datagrams
 // are not sent again; receivers let the information expire.
 package gossip
 
@@ -15,6 +16,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
@@ -31,8 +33,13 @@
 // has finished processing it; the sending host lacks tokens of a customer's budget for
 // a request; a request crashed its target; a target has said that it leaves; a target
 // names a limit of its requests, or none any longer; or what CrashEvent says of Parts.
+// A message without an event only tells the ConfigurationVersion, as all messages do.
 type Message struct {
-	Host             string `json:"h"`
+	Host string `json:"h"`
+	// ConfigurationVersion is the version of the configuration in force at Host, set by the
+	// Node; 0: none.
+	ConfigurationVersion int64 `json:"g,omitempty"`
+
 	Number           uint64 `json:"n,omitempty"` // identifies the prompt among those of the sending host
 	Target           string `json:"t,omitempty"`
 	Tokens           int64  `json:"p,omitempty"` // prompt length; 0: the target has finished processing the prompt
@@ -56,6 +63,7 @@
 	conn        *net.UDPConn
 	onMessage   func(Message)
 	log         *log.Logger
+	version     atomic.Int64 // version of the configuration in force at this host
 	mu          sync.Mutex
 	peers       []netip.AddrPort
 	errorLogged bool // a send or receive error has been logged
@@ -86,6 +94,9 @@
 	n.peers = peers
 }
 
+// SetConfigurationVersion sets the version that the messages of this host tell.
+func (n *Node) SetConfigurationVersion(version int64) { n.version.Store(version) }
+
 func parseAddresses(addresses []string) []netip.AddrPort {
 	parsed := make([]netip.AddrPort, 0, len(addresses))
 	for _, address := range addresses {
@@ -113,7 +124,7 @@
 func (n *Node) SendTo(m Message, addresses []string) { n.sendTo(m, parseAddresses(addresses)) }
 
 func (n *Node) sendTo(m Message, peers []netip.AddrPort) {
-	m.Host = n.host
+	m.Host, m.ConfigurationVersion = n.host, n.version.Load()
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
 		return // host, target and customer names are too short for this to happen
