--- a/pkg/standin/rowstore/client.go
+++ b/pkg/standin/rowstore/client.go
@@ -14,17 +14,45 @@
 	Cut         bool          // calls block until their context is done, then fail
 	Refuse      bool          // calls fail with storage.ErrNotApplied and have no effect
 	Throttle    bool          // calls fail with storage.ErrThrottled and have no effect
+	CutTable    string        // reads of this table block until their context is done, then fail
 	RefusedPart string        // calls to this part fail with storage.ErrNotApplied and have no effect
 	LoseReplies bool          // transactions are applied, but their calls fail with storage.ErrUnavailable
 	ApplyLate   time.Duration // with LoseReplies: delay until a transaction is applied, after its call has failed
 	Delay       time.Duration // delay before the store handles a call
 }
 
+// cuts reports whether a read of a table blocks.
+func (f Faults) cuts(table string) bool { return f.Cut || (f.CutTable != "" && f.CutTable == table) }
+
 // Client is the connection of one host to a store. It is safe for concurrent use.
 type Client struct {
 	store  *Store
 	mu     sync.Mutex
 	faults Faults
+	view   func(storage.PartRow) storage.PartRow // what this host reads in place of a row; nil: the row
+}
+
+// SetView sets a function that returns what this host reads in place of a row.
+func (c *Client) SetView(view func(storage.PartRow) storage.PartRow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view = view
+}
+
+// seen returns a page as this host reads it.
+func (c *Client) seen(page storage.RowPage) storage.RowPage {
+	c.mu.Lock()
+	view := c.view
+	c.mu.Unlock()
+	if view == nil {
+		return page
+	}
+	rows := make([]storage.PartRow, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		rows = append(rows, view(row))
+	}
+	page.Rows = rows
+	return page
 }
 
 var _ storage.Rows = (*Client)(nil)
@@ -41,7 +69,7 @@
 
 // injectFaults applies the faults that take effect before a call reaches the store.
 // It returns the faults set at the start of the call.
-func (c *Client) injectFaults(ctx context.Context, part string) (Faults, error) {
+func (c *Client) injectFaults(ctx context.Context, table, part string) (Faults, error) {
 	c.mu.Lock()
 	f := c.faults
 	c.mu.Unlock()
@@ -57,7 +85,7 @@
 		case <-ctx.Done():
 		}
 	}
-	if f.Cut {
+	if f.cuts(table) {
 		<-ctx.Done()
 	}
 	if ctx.Err() != nil {
@@ -66,9 +94,22 @@
 	return f, nil
 }
 
+// awaitReply blocks until ctx is done, then fails, if the connection was cut while the store
+// handled a read.
+func (c *Client) awaitReply(ctx context.Context, table string) error {
+	c.mu.Lock()
+	f := c.faults
+	c.mu.Unlock()
+	if !f.cuts(table) {
+		return nil
+	}
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", storage.ErrUnavailable, ctx.Err())
+}
+
 // Transact implements storage.Rows.
 func (c *Client) Transact(ctx context.Context, txn storage.RowTxn) (storage.RowOutcome, error) {
-	f, err := c.injectFaults(ctx, partOf(txn))
+	f, err := c.injectFaults(ctx, "", partOf(txn))
 	if err != nil {
 		return storage.RowOutcome{}, err
 	}
@@ -100,15 +141,15 @@
 
 // Range implements storage.Rows.
 func (c *Client) Range(ctx context.Context, table, part, from string) (storage.RowPage, error) {
-	if _, err := c.injectFaults(ctx, part); err != nil {
+	if _, err := c.injectFaults(ctx, table, part); err != nil {
 		return storage.RowPage{}, err
 	}
-	return c.store.scan(table, part, from), nil
+	return c.seen(c.store.scan(table, part, from)), nil
 }
 
 // Parts implements storage.Rows.
 func (c *Client) Parts(ctx context.Context, table string) ([]string, error) {
-	if _, err := c.injectFaults(ctx, ""); err != nil {
+	if _, err := c.injectFaults(ctx, table, ""); err != nil {
 		return nil, err
 	}
 	return c.store.parts(table), nil
@@ -116,8 +157,12 @@
 
 // Feed implements storage.Rows.
 func (c *Client) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
-	if _, err := c.injectFaults(ctx, ""); err != nil {
+	if _, err := c.injectFaults(ctx, table, ""); err != nil {
 		return storage.RowPage{}, err
 	}
-	return c.store.feed(ctx, table, since, wait)
+	page, err := c.store.feed(ctx, table, since, wait)
+	if err != nil {
+		return page, err
+	}
+	return c.seen(page), c.awaitReply(ctx, table)
 }
