forward, nexthop, edge: send requests on through other hosts when this one reaches no target

What callers saw: a host that lost its links to all targets of a service refused each request at once, while hosts beside it served. Leaving the rotation did not help, as callers keep their open connections.

Such a request now goes to another host's own listener, which handles it as one of its own, but for the tokens: they are reserved and charged where the caller is, so that no share has to follow the demand. One hop at most: what arrives at that listener is never sent on, and callers cannot reach it. The other host bounds such work, refuses first, and says why; its word decides whether a third one is tried. What may have run is not sent again; streams that may be resumed go on through another host. Two targets in a row that cannot be reached send a request on too, as open connections may live on while new ones are refused.

The hook for outdated configurations is not used yet.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/peppertrail/peppertrail/pkg/forward"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/ingress"
+	"github.com/peppertrail/peppertrail/pkg/nexthop"
 	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/relay"
 	"github.com/peppertrail/peppertrail/pkg/routing"
@@ -80,8 +81,12 @@
 	crashParts   *crashparts.Tracker
 	rateLimits   *ratelimit.Limiter
 	handler      *forward.Handler
+	hosts        *nexthop.Selector // hosts that requests are forwarded to which this host cannot serve
+	hostClient   *upstream.Client  // sends these requests
 	callerServer *http.Server
 	callers      *ingress.Listener // listener of callerServer; set by serve
+	hostServer   *http.Server      // serves requests of other hosts
+	hostRequests *ingress.Listener // listener of hostServer; nil if there is none
 	metrics      *metrics
 	gossip       *gossip.Node // nil if no peer address is configured
 
@@ -111,7 +116,7 @@
 	}
 	d := &Daemon{
 		settings: s, layout: l, logs: logs, log: logs.Logger("edge"),
-		client: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), crashParts: crashparts.New(), metrics: newMetrics(),
+		client: upstream.New(), hosts: nexthop.NewSelector(), hostClient: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), crashParts: crashparts.New(), metrics: newMetrics(),
 		decodedTargets: make(map[string]balance.Target),
 	}
 	d.crashParts.Log = logs.Logger("crashparts")
@@ -122,20 +127,24 @@
 	d.directStore = newMeteredRows(store, d.metrics.registry)
 	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
 	d.budgets = escrow.NewManager(ctx, escrow.Options{
-		Rows: d.store, AccountTable: l.AccountTable, UsageTable: l.UsageTable, HostTable: l.HostTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, Hosts: d.targets.HostCount, WritesPerSecond: s.StoreWritesPerSecond,
+		Rows: d.store, AccountTable: l.AccountTable, UsageTable: l.UsageTable, HostTable: l.HostTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, RequestAddr: s.RequestListen, Hosts: d.targets.HostCount, WritesPerSecond: s.StoreWritesPerSecond,
 		AnnounceShortage: d.announceShortage, RequestShare: d.requestShareChange, RequestReservation: d.requestReservation, SendSettlements: d.sendSettlements,
 		CountWrittenOff: d.metrics.countWrittenOff, Log: logs.Logger("budget"),
 	})
 	d.rateLimits = ratelimit.New(ratelimit.Options{Self: s.PeerListen, Ask: d.requestPermit, CountPermit: d.metrics.countPermit, Log: logs.Logger("ratelimit")})
 	d.metrics.observeLimitedTargets(func() int { return len(d.limitedTargets()) })
 	d.handler = forward.New(forward.Options{
-		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
+		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed,
+		Hosts: d.hosts, HostClient: d.hostClient, Admission: nexthop.NewAdmission(nexthop.Limit(s.Cores, s.LinkMbps)), Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
 		Overloaded: overloaded, CallerClosed: callerClosed, Stop: d.stop.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
 	d.callerServer = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext,
 	}
+	d.hostServer = &http.Server{
+		Handler: http.HandlerFunc(d.handler.ServeHost), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext,
+	}
 	return d, nil
 }
 
@@ -153,6 +162,7 @@
 	}
 	d.budgets.Start()
 	go d.client.Run(componentsCtx)
+	go d.hostClient.Run(componentsCtx)
 	go d.watchConfiguration(componentsCtx)
 	go d.watchTargets(componentsCtx)
 	go d.updateHosts(componentsCtx)
@@ -176,6 +186,9 @@
 	}
 	d.callerServer.ConnState = d.callers.ConnState
 	go serveHTTP(d.callers, d.callerServer, failed)
+	if err := d.serveHosts(failed); err != nil {
+		return err
+	}
 	if err := listen(d.settings.ReadyListen, &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: headerTimeout}, failed); err != nil {
 		return err
 	}
@@ -185,6 +198,20 @@
 	return listen(d.settings.AdminListen, &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout}, failed)
 }
 
+// serveHosts serves requests of other hosts.
+func (d *Daemon) serveHosts(failed chan<- error) error {
+	if d.settings.RequestListen == "" {
+		return nil
+	}
+	var err error
+	if d.hostRequests, err = ingress.Listen(d.settings.RequestListen, 0, d.logs.Logger("ingress")); err != nil {
+		return fmt.Errorf("listen for requests of other hosts: %w", err)
+	}
+	d.hostServer.ConnState = d.hostRequests.ConnState
+	go serveHTTP(d.hostRequests, d.hostServer, failed)
+	return nil
+}
+
 func listen(address string, server *http.Server, failed chan<- error) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -10,6 +10,7 @@
 	"github.com/peppertrail/peppertrail/pkg/balance"
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
+	"github.com/peppertrail/peppertrail/pkg/nexthop"
 	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/relay"
@@ -57,6 +58,7 @@
 	if d.gossip != nil {
 		d.gossip.SetPeers(peers)
 	}
+	d.updateNextHops()
 	if !d.rateLimits.HostsKnown() && d.budgets.Restarted() {
 		d.rateLimits.Resume(peers, time.Now())
 		return
@@ -64,6 +66,17 @@
 	d.rateLimits.SetHosts(peers, time.Now())
 }
 
+// updateNextHops passes on which hosts take requests of others.
+func (d *Daemon) updateNextHops() {
+	var hosts []nexthop.Host
+	for name, row := range d.budgets.Peers() {
+		if row.RequestAddr != "" {
+			hosts = append(hosts, nexthop.Host{Name: name, Addr: row.RequestAddr})
+		}
+	}
+	d.hosts.SetHosts(hosts)
+}
+
 // fleetSizeReadings is the number of consecutive readings of the number of hosts, one
 // per hostCountInterval, of which the largest is the size of the fleet. Hosts that run
 // write their rows every 4 s and read those of others every 2 s, so a host that starts
@@ -123,6 +136,9 @@
 		case m.LimitRevision > 0:
 			d.rateLimits.Receive(rateLimitOf(m), time.Now())
 			return
+		case m.LostService != "":
+			d.hosts.RecordLostPath(m.Host, m.LostService, time.Now())
+			return
 		case m.Leaves:
 			if d.targets.RecordLeaving(m.Target, m.Born, time.Now()) {
 				d.log.Info().Str("target", m.Target).Str("peer", m.Host).Msg("Target leaves, says another host. It gets no further requests.")
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -16,12 +16,16 @@
 	ReadyListen   string // listen address for readiness checks of the load balancer
 	AdminListen   string // listen address for operators and metrics; empty: no listener
 	PeerListen    string // UDP and TCP listen address for other hosts; empty: no listener
+	RequestListen string // listen address for requests of other hosts; empty: no listener
 	StoreAddress  string // address of the store, IP:port
 	// StoreWritesPerSecond is the number of writes per second that the store takes from all
 	// hosts together; 0: a default.
 	StoreWritesPerSecond float64
 	MemoryBytes          int64         // memory available to the process, in bytes; 0: no limit
 	Sockets              int           // sockets that the process may have open; 0: no limit
+	Cores                float64       // processor cores that the process may use; 0: unknown
+	LinkMbps             float64       // rate of the host's link in Mbit/s; 0: unknown
+	ConfigurationTime    time.Duration // time from a change of the configuration until all hosts act by it; 0: defaultConfigurationTime
 	GracePeriod          time.Duration // time between SIGTERM and SIGKILL; 0: defaultGracePeriod
 	RetryRatio           float64       // retries allowed per request, summed over all hosts
 	RetryWindow          time.Duration // window in which retries and requests are counted; 0: defaultRetryWindow
@@ -31,6 +35,8 @@
 const (
 	defaultGracePeriod = 8 * time.Second
 	defaultRetryWindow = 10 * time.Second
+	// defaultConfigurationTime is the least that operators allow.
+	defaultConfigurationTime = 2 * time.Second
 )
 
 // CheckAndSetDefaults sets defaults and returns an error that lists all problems
@@ -47,6 +53,9 @@
 	if s.PeerListen != "" {
 		addresses["listen address for other hosts"] = s.PeerListen
 	}
+	if s.RequestListen != "" {
+		addresses["listen address for requests of other hosts"] = s.RequestListen
+	}
 	for name, address := range addresses {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			problems = append(problems, fmt.Errorf("%s %q: %w", name, address, err))
@@ -58,12 +67,18 @@
 	if s.StoreWritesPerSecond < 0 {
 		problems = append(problems, fmt.Errorf("writes per second of the store: %v must not be negative", s.StoreWritesPerSecond))
 	}
+	if s.Cores < 0 || s.LinkMbps < 0 || s.ConfigurationTime < 0 {
+		problems = append(problems, errors.New("cores, link and configuration time: must not be negative"))
+	}
 	if s.MemoryBytes < 0 || s.RetryRatio < 0 || s.RetryReserve < 0 || s.GracePeriod < 0 || s.RetryWindow < 0 {
 		problems = append(problems, errors.New("memory, retry and grace settings: must not be negative"))
 	}
 	if s.GracePeriod == 0 {
 		s.GracePeriod = defaultGracePeriod
 	}
+	if s.ConfigurationTime == 0 {
+		s.ConfigurationTime = defaultConfigurationTime
+	}
 	if s.RetryWindow == 0 {
 		s.RetryWindow = defaultRetryWindow
 	}
--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/forward"
+	"github.com/peppertrail/peppertrail/pkg/ingress"
 )
 
 // How the grace period is divided.
@@ -32,10 +33,7 @@
 	d.stop.Store(&forward.Stop{Ends: ends, Strict: true})
 	requestsCtx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
-	err := d.callers.Drain(requestsCtx)
-	if err != nil {
-		err = fmt.Errorf("complete open requests, %d connections are left: %w", d.callers.Open(), err)
-	}
+	err := d.drain(requestsCtx)
 	sharesCtx, cancel := context.WithDeadline(context.Background(), start.Add(d.settings.GracePeriod-exitReserve))
 	defer cancel()
 	if leaveErr := d.budgets.Leave(sharesCtx); leaveErr != nil {
@@ -48,3 +46,21 @@
 	d.log.Info().Dur("after", time.Since(start)).Msg("Daemon stopped.")
 	return nil
 }
+
+// drain completes the open requests of callers and of other hosts. It returns the error of ctx
+// if ctx ends first.
+func (d *Daemon) drain(ctx context.Context) error {
+	ofHosts := make(chan error, 1)
+	go func() { ofHosts <- drainListener(ctx, d.hostRequests) }()
+	return errors.Join(drainListener(ctx, d.callers), <-ofHosts)
+}
+
+func drainListener(ctx context.Context, l *ingress.Listener) error {
+	if l == nil {
+		return nil
+	}
+	if err := l.Drain(ctx); err != nil {
+		return fmt.Errorf("complete open requests, %d connections are left: %w", l.Open(), err)
+	}
+	return nil
+}
--- a/pkg/escrow/host_row.go
+++ b/pkg/escrow/host_row.go
@@ -11,7 +11,9 @@
 type HostRow struct {
 	Incarnation string `json:"incarnation"`    // unique name of the process
 	Addr        string `json:"addr,omitempty"` // address at which other hosts reach the host of the process; empty: none
-	StoreTimeMs int64  `json:"t"`              // store clock when the row was written, or slightly before, in milliseconds
+	// RequestAddr is the address at which the host takes requests of other hosts; empty: none.
+	RequestAddr string `json:"r,omitempty"`
+	StoreTimeMs int64  `json:"t"` // store clock when the row was written, or slightly before, in milliseconds
 }
 
 func (r HostRow) encode() []byte { return mustEncode(r) }
--- a/pkg/escrow/manager.go
+++ b/pkg/escrow/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -194,6 +195,15 @@
 	return addrs
 }
 
+// Peers returns the rows of the other running hosts, by host.
+func (m *Manager) Peers() map[string]HostRow {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	peers := maps.Clone(m.membership.rows)
+	delete(peers, m.options.Host)
+	return peers
+}
+
 // recordStoreTime records the store's clock from the answer to a call that was
 // sent at sentAt. The store reads its clock before the answer arrives, so the
 // estimated store time is never ahead of the store. It reads its clock after
--- a/pkg/escrow/membership.go
+++ b/pkg/escrow/membership.go
@@ -196,7 +196,7 @@
 func (m *Manager) ownHostRow() (HostRow, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0 && m.membership.read
+	return HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, RequestAddr: m.options.RequestAddr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0 && m.membership.read
 }
 
 func (m *Manager) putRow(ctx context.Context, key storage.RowKey, value []byte) error {
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -73,6 +73,7 @@
 	// Incarnation is the unique name of this process.
 	Incarnation string
 	Addr        string // address at which other hosts reach this one; empty: none
+	RequestAddr string // address at which this host takes requests of other hosts; empty: none
 	// Hosts returns the number of known hosts, including this one.
 	Hosts func() int
 	// WritesPerSecond is the number of writes per second that the store takes from all
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -49,7 +49,7 @@
 		}
 		if c.h.Targets.PathLost(c.service.Name, time.Now()) {
 			c.stoppedBy = stopNoPath
-			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, NoPath)
+			return c.forwardToHostOr(forwardErrorResponse, NoPath)
 		}
 		attempt, err := c.pickTarget()
 		if err != nil {
@@ -72,6 +72,10 @@
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, result.reason)
 		}
 		c.h.Observer.Retried(result.reason)
+		if unsentAttempts >= unsentBeforeHop && result.reason == TargetUnreached && c.h.Hosts != nil && c.h.Hosts.Available(c.service.Name, time.Now()) {
+			c.stoppedBy = stopNoPath
+			return c.forwardToHostOr(forwardErrorResponse, TargetUnreached)
+		}
 	}
 }
 
@@ -85,6 +89,15 @@
 	return nil
 }
 
+// forwardToHostOr forwards a target's 5xx response if there is one, and otherwise the request to
+// another host.
+func (c *call) forwardToHostOr(forwardErrorResponse func(), lacking Reason) *Refusal {
+	if forwardErrorResponse != nil {
+		return c.forwardErrorResponseOrRefuse(forwardErrorResponse, lacking)
+	}
+	return c.forwardToHost(lacking)
+}
+
 // callerClosed reports whether the caller has closed its connection. A busy host may not
 // have read that yet, and would send a request that nobody waits for.
 func (c *call) callerClosed() bool {
@@ -126,6 +139,9 @@
 		return refuseNotRun(r, withJitter(retryAfterTargetFull))
 	case DeadlinePassed:
 		return refuseNotRun(r, 0)
+	case ConfigurationOutdated:
+		c.w.Header().Set("Connection", "close") // the caller's next connection may go to another host
+		return refuseNotRun(r, withJitter(retryAfterUnconfirmed))
 	case CrashesTargets:
 		return refuseNotRun(r, retryAfterCrashes)
 	case NoPath:
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -38,11 +38,19 @@
 
 	sentAttempts int        // attempts in which the request was sent to a target
 	stoppedBy    stopReason // why the request was not sent to another target; "": it was answered, or refused before the first attempt
-	possibleRuns int        // attempts in which the target may have run the request
-	excluded     []string   // ids of the targets that were already tried
-	events       int64      // number of events sent to the caller
-	lastEventID  string     // id of the last event sent to the caller
-	headerSent   bool       // the response header has been sent to the caller
+	lacking      Reason     // why this host cannot send the request to any target; "": it can, as far as it knows
+	fromHost     bool       // another host has forwarded the request
+	counted      bool       // the request counts as one for the retry limit, here or at the host that has forwarded it
+	runsBefore   int        // targets that may have run the request before another host forwarded it
+	judged       bool       // this host has admitted the request by its own configuration, and reserved its tokens
+	// chargedElsewhere means that the host to which the request was forwarded charges it, and
+	// reservedElsewhere that the one that has forwarded it does.
+	chargedElsewhere, reservedElsewhere bool
+	possibleRuns                        int      // attempts in which the target may have run the request
+	excluded                            []string // ids of the targets that were already tried
+	events                              int64    // number of events sent to the caller
+	lastEventID                         string   // id of the last event sent to the caller
+	headerSent                          bool     // the response header has been sent to the caller
 	// nextTargetIn is the time until a target takes requests again, if no target was left
 	// because of pauses or rate limits.
 	nextTargetIn time.Duration
@@ -101,7 +109,7 @@
 // the output. If the service limits the tokens per event, the output is bounded by the
 // events sent.
 func (c *call) usedTokens() int64 {
-	if c.possibleRuns == 0 || c.answerLost() {
+	if c.possibleRuns == 0 || c.chargedElsewhere || c.reservedElsewhere || c.answerLost() {
 		return 0
 	}
 	output := c.cost.MaxOutput
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/peppertrail/peppertrail/pkg/crashparts"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
+	"github.com/peppertrail/peppertrail/pkg/nexthop"
 	"github.com/peppertrail/peppertrail/pkg/ratelimit"
 	"github.com/peppertrail/peppertrail/pkg/retrylimit"
 	"github.com/peppertrail/peppertrail/pkg/routing"
@@ -44,6 +45,15 @@
 	// Stop returns how the host shuts down, nil while it does not. Responses close the
 	// connection to the caller then. Nil: it never does.
 	Stop func() *Stop
+	// ConfigurationOutdated reports whether another host has had a newer configuration for so
+	// long that this one must not act by its own. Nil: it never has.
+	ConfigurationOutdated func() bool
+	// Hosts chooses the hosts that requests are forwarded to which this host cannot serve, and
+	// HostClient sends them. Nil: they are refused.
+	Hosts      *nexthop.Selector
+	HostClient *upstream.Client
+	// Admission bounds the requests of other hosts that ServeHost serves.
+	Admission *nexthop.Admission
 	// RetryRatio is the maximum ratio of the retries to the requests of a service
 	// within RetryWindow. RetryReserve allows further retries.
 	RetryRatio float64
@@ -104,17 +114,27 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{h: h, w: w, r: r, receivedAt: time.Now(), reservation: &escrow.Reservation{}}
-	if h.shuttingDown() {
-		w.Header().Set("Connection", "close")
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.newCall(w, r).serve() }
+
+func (h *Handler) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{h: h, w: w, r: r, receivedAt: time.Now(), id: r.Header.Get(h.Dialect.RequestID), reservation: &escrow.Reservation{}}
+}
+
+// serve handles the request to its end.
+func (c *call) serve() {
+	if c.h.shuttingDown() {
+		c.w.Header().Set("Connection", "close")
 	}
 	ctx, cancel := c.setRouteAndDeadline()
 	defer cancel()
 	defer c.releaseBodies()
 	c.ctx = ctx
 	c.refusal = c.prepare()
-	if c.refusal == nil {
+	switch {
+	case c.refusal != nil:
+	case c.lacking != "":
+		c.refusal = c.forwardToHost(c.lacking)
+	default:
 		c.refusal = c.forward()
 	}
 	c.reservation.Settle(c.usedTokens())
--- /dev/null
+++ b/pkg/forward/hop_info.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// hopHeader marks a request of another host. Its value is a hopInfo. refusedHeader is in the
+// refusals for other hosts, with the reason. Those of callers and targets are dropped.
+const (
+	hopHeader     = "Peppertrail-Hop"
+	refusedHeader = "Peppertrail-Refused"
+)
+
+// hopInfo is what a host has done with a request that it forwards to another one.
+type hopInfo struct {
+	counted  bool // the request counts as one for the retry limit already
+	reserved bool // the host holds the tokens of the request, and charges them
+	runs     int  // targets that may have run it
+}
+
+func (i hopInfo) String() string {
+	return fmt.Sprintf("counted=%t reserved=%t runs=%d", i.counted, i.reserved, i.runs)
+}
+
+// readHopInfo returns what the header of a request of another host says. Without a valid value,
+// nothing was done.
+func readHopInfo(header http.Header) hopInfo {
+	var i hopInfo
+	if _, err := fmt.Sscanf(header.Get(hopHeader), "counted=%t reserved=%t runs=%d", &i.counted, &i.reserved, &i.runs); err != nil || i.runs < 0 {
+		return hopInfo{}
+	}
+	return i
+}
--- /dev/null
+++ b/pkg/forward/next_hop_test.go
@@ -0,0 +1,257 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
+	"github.com/peppertrail/peppertrail/pkg/nexthop"
+	"github.com/peppertrail/peppertrail/pkg/standin/replica"
+	"github.com/peppertrail/peppertrail/pkg/upstream"
+)
+
+// newCutOffFixture returns a host that reaches no target, and others to which it forwards.
+func newCutOffFixture(t *testing.T, others ...*fixture) *fixture {
+	t.Helper()
+	f := newFixture(t, 0)
+	f.forwardTo(others...)
+	now := time.Now().Add(-time.Second)
+	f.handler.Targets.Apply([]balance.Target{{ID: "unreachable", Service: testService, Addr: "127.0.0.1:1"}})
+	attempt, err := f.handler.Targets.Pick(balance.Request{Service: testService, Now: now})
+	assert.NilError(t, err)
+	attempt.End(now, balance.Unreached)
+	assert.Assert(t, f.handler.Targets.PathLost(testService, time.Now()))
+	return f
+}
+
+// forwardTo makes the handler forward requests to other hosts.
+func (r *fixture) forwardTo(others ...*fixture) {
+	var hosts []nexthop.Host
+	for i, other := range others {
+		if other.handler.Admission == nil {
+			other.handler.Admission = nexthop.NewAdmission(10)
+		}
+		server := httptest.NewServer(http.HandlerFunc(other.handler.ServeHost))
+		r.t.Cleanup(server.Close)
+		hosts = append(hosts, nexthop.Host{Name: fmt.Sprint("other-", i), Addr: strings.TrimPrefix(server.URL, "http://")})
+	}
+	r.handler.Hosts, r.handler.HostClient = nexthop.NewSelector(), upstream.New()
+	r.handler.Hosts.SetHosts(hosts)
+}
+
+// usedTokens returns the tokens of the customer that the host has spent and reserved.
+func (r *fixture) usedTokens() (spent, reserved int64) {
+	for _, s := range r.budgets.Status() {
+		spent, reserved = spent+s.Spent, reserved+s.Reserved
+	}
+	return spent, reserved
+}
+
+// Guards against a forwarded request that is charged twice or not at all, and against an answer that is changed on its way.
+func TestForwardedRequestIsChargedOnce(t *testing.T) {
+	other := newFixture(t, 1)
+	f := newCutOffFixture(t, other)
+	d := dialect.Default()
+	got := f.post("r1", "/stream/x", d.Cost, "prompt=40 output=200")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, eventStream("r1", 5))
+	assert.Equal(t, got.header.Get(replica.IDHeader), "t0")
+	spent, reserved := f.usedTokens()
+	assert.Equal(t, spent, int64(40+5*10))
+	assert.Equal(t, reserved, int64(0))
+	spent, reserved = other.usedTokens()
+	assert.Equal(t, spent+reserved, int64(0))
+	assert.Equal(t, other.totalRuns(), 1)
+
+	got = f.post("r2", "/unsafe/x")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.header.Get(refusedHeader), "")
+}
+
+// Guards against a request that is forwarded from host to host, and one that is refused late because no host reaches a target.
+func TestRequestIsForwardedOnce(t *testing.T) {
+	last := newFixture(t, 1)
+	middle := newCutOffFixture(t, last)
+	f := newCutOffFixture(t, middle)
+	start := time.Now()
+	got := f.post("r1", "/unsafe/x")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.body, "no_path\n")
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(start) < 200*time.Millisecond)
+	assert.Equal(t, last.totalRuns(), 0)
+	assert.Assert(t, !f.handler.Hosts.Available(testService, time.Now()), "the other host has no path either")
+}
+
+// Guards against a caller that passes its request off as one of another host, whose tokens are reserved already.
+func TestHopHeaderOfCallerIsIgnored(t *testing.T) {
+	f := newFixture(t, 1)
+	info := hopInfo{counted: true, reserved: true, runs: 1}.String()
+	d := dialect.Default()
+	got := f.post("r1", "/unsafe/x", hopHeader, info, d.Cost, "prompt=40 output=0")
+	assert.Equal(t, got.status, http.StatusOK)
+	spent, _ := f.usedTokens()
+	assert.Equal(t, spent, int64(40))
+	assert.Equal(t, f.replicas[0].Runs()[0].Header.Get(hopHeader), "", "the target gets the header")
+	assert.Equal(t, f.post("r2", "/unsafe/x", d.Cost, "prompt=2000 output=0", hopHeader, info).status, http.StatusPaymentRequired)
+
+	cutOff := newCutOffFixture(t, f)
+	got = cutOff.post("r3", "/unsafe/x", hopHeader, "counted=false reserved=false runs=9", d.Cost, "prompt=40 output=0")
+	assert.Equal(t, got.status, http.StatusOK)
+	spent, _ = f.usedTokens()
+	assert.Equal(t, spent, int64(40), "the host that the request came from charges it")
+}
+
+// Guards against hosts that refuse although another one could serve, when the first is full or gone.
+func TestRequestIsOfferedToAnotherHost(t *testing.T) {
+	full, sound := newFixture(t, 1), newFixture(t, 1)
+	full.handler.Admission = nexthop.NewAdmission(0)
+	f := newCutOffFixture(t, full, sound)
+	for i := range 20 {
+		got := f.post(fmt.Sprint("r", i), "/unsafe/x")
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+	assert.Equal(t, full.totalRuns(), 0)
+	f.handler.Hosts.SetHosts([]nexthop.Host{{Name: "gone", Addr: "127.0.0.1:1"}})
+	got := f.post("late", "/unsafe/x")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.body, "no_path\n")
+}
+
+// Guards against a request that runs a second time, or is said not to have run, when the host that it was forwarded to does not answer.
+func TestForwardedRequestRunsAtMostOnce(t *testing.T) {
+	broken := newFixture(t, 1)
+	broken.setFaults(replica.Faults{LoseResponse: true})
+	f := newCutOffFixture(t, broken, broken)
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		got := f.post("r"+path, path)
+		assert.Equal(t, got.status, http.StatusBadGateway, "%s: %q", path, got.body)
+	}
+	assert.Equal(t, broken.totalRuns(), 2)
+	dies := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(dies.Close)
+	f.handler.Hosts.SetHosts([]nexthop.Host{{Name: "dies", Addr: strings.TrimPrefix(dies.URL, "http://")}})
+	got := f.post("last", "/unsafe/x")
+	assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+}
+
+// Guards against a stream that looks complete after the host that forwards it has died, and against missing or repeated events if it is resumed through another one.
+func TestForwardedStreamIsResumedOrBrokenOff(t *testing.T) {
+	aborting, sound := newFixture(t, 1), newFixture(t, 1)
+	for id, path := range map[string]string{"r1": "/resumable/x", "r2": "/stream/x"} {
+		aborting.setFaults(replica.Faults{AbortAfterEvents: 2, EventPause: 5 * time.Millisecond})
+		f := newCutOffFixture(t, aborting)
+		got := f.post(id, path)
+		assert.Assert(t, got.err != nil, "%s: %q", path, got.body)
+		assert.Equal(t, got.body, eventStream(id, 2))
+	}
+	f := newCutOffFixture(t, aborting, sound)
+	resumed := 0
+	for i := range 12 {
+		id := fmt.Sprint("s", i)
+		got := f.post(id, "/resumable/x")
+		if got.err == nil {
+			assert.Equal(t, got.body, eventStream(id, 5))
+			resumed++
+		}
+	}
+	assert.Assert(t, resumed > 0)
+}
+
+// Guards against a target that goes on for a caller who has left, when another host has forwarded the request.
+func TestCloseOfCallerReachesTargetThroughHost(t *testing.T) {
+	other := newFixture(t, 1)
+	other.setFaults(replica.Faults{EventPause: 100 * time.Millisecond})
+	f := newCutOffFixture(t, other)
+	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, f.postWithContext(ctx, "r1", "/stream/x").err != nil)
+	deadline := time.Now().Add(500 * time.Millisecond)
+	for other.handler.Admission.Open() > 0 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, other.handler.Admission.Open(), 0)
+}
+
+// Guards against a host that runs requests by a configuration although it knows that others have a newer one, or denies them for good by it.
+func TestOutdatedHostForwardsAllRequests(t *testing.T) {
+	f, other := newFixture(t, 1), newFixture(t, 1)
+	outdated := true
+	f.handler.ConfigurationOutdated = func() bool { return outdated }
+	for _, path := range []string{"/unsafe/x", "/added/x"} {
+		got := f.post("alone"+path, path)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, got.body, "configuration_outdated\n")
+		assert.Assert(t, got.closed, "the caller stays with this host")
+	}
+	f.forwardTo(other)
+	d := dialect.Default()
+	assert.Equal(t, f.post("r1", "/stream/x", d.Cost, "prompt=40 output=200").body, eventStream("r1", 5))
+	assert.Equal(t, f.post("r2", "/added/x").status, http.StatusNotFound, "the other host is up to date")
+	spent, _ := other.usedTokens()
+	assert.Equal(t, spent, int64(40+5*10))
+	spent, _ = f.usedTokens()
+	assert.Equal(t, spent, int64(0))
+	assert.Equal(t, f.totalRuns(), 0)
+	outdated = false
+	assert.Equal(t, f.post("r3", "/unsafe/x").status, http.StatusOK)
+	assert.Equal(t, f.totalRuns(), 1)
+}
+
+// Guards against requests that run twice, are charged though they have not run, or are refused untruthfully, whatever the hosts and targets between caller and answer do.
+func TestForwardedRequestsKeepTheirPromises(t *testing.T) {
+	hosts := []*fixture{newFixture(t, 2), newFixture(t, 2), newFixture(t, 2)}
+	f := newCutOffFixture(t, hosts...)
+	f.configure(10_000_000)
+	n := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		for _, host := range hosts {
+			for _, target := range host.replicas {
+				target.SetFaults(rapid.SampledFrom([]replica.Faults{{}, {}, {RejectAll: true}, {LoseResponse: true}, {Status: http.StatusInternalServerError}, {AbortAfterEvents: 2}}).Draw(rt, "faults"))
+			}
+		}
+		now := time.Now()
+		f.handler.Hosts.RecordLostPath(fmt.Sprint("other-", rapid.IntRange(0, 3).Draw(rt, "lost")), testService, now)
+		for range rapid.IntRange(1, 4).Draw(rt, "requests") {
+			n++
+			id := fmt.Sprint("p", n)
+			path := rapid.SampledFrom([]string{"/unsafe/x", "/stream/x", "/resumable/x", "/safe/x"}).Draw(rt, "path")
+			spentBefore, _ := f.usedTokens()
+			got := f.post(id, path, dialect.Default().Cost, "prompt=10 output=100")
+			runs := 0
+			for _, host := range hosts {
+				for _, target := range host.replicas {
+					for _, run := range target.Runs() {
+						if run.ID == id {
+							runs++
+						}
+					}
+				}
+			}
+			spent, reserved := f.usedTokens()
+			assert.Assert(rt, reserved == 0, "%d tokens stay reserved", reserved)
+			switch {
+			case got.err == nil && got.status == http.StatusServiceUnavailable:
+				assert.Assert(rt, runs == 0 && spent == spentBefore, "%s %s was refused and has run %d times, for %d tokens", id, path, runs, spent-spentBefore)
+			case got.err == nil && got.status == http.StatusOK:
+				assert.Assert(rt, spent > spentBefore && runs > 0)
+				if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
+					assert.Assert(rt, got.body == eventStream(id, 5), "%q", got.body)
+				}
+			}
+			if path == "/unsafe/x" || path == "/stream/x" {
+				assert.Assert(rt, runs <= 1, "%s %s has run %d times", id, path, runs)
+			}
+		}
+	})
+}
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -60,11 +60,13 @@
 	if c.config == nil {
 		return refuseNotRun(NoConfiguration, retryAfterNoConfiguration)
 	}
+	if c.configurationOutdated() {
+		return c.prepareForHost(ConfigurationOutdated)
+	}
 	if c.route == nil {
 		return c.refuseNotAllowed(NoRoute)
 	}
 	d := c.h.Dialect
-	c.id = c.r.Header.Get(d.RequestID)
 	if c.config.RequiresKey() && !c.route.Anonymous {
 		if c.customer = c.config.Customer(c.r.Header.Get(d.Key)); c.customer == nil {
 			return c.refuseNotAllowed(UnknownKey)
@@ -84,10 +86,34 @@
 		return refuseNotRun(CrashesTargets, retryAfterCrashes)
 	}
 	c.service = c.config.Service(c.route.Service(splitPosition(c.id)))
-	c.h.retryLimit(c.service.Name).CountRequest(c.receivedAt)
+	if c.h.Targets.PathLost(c.service.Name, c.receivedAt) {
+		c.lacking, c.stoppedBy = NoPath, stopNoPath
+		if !c.mayForwardToHost() || !c.h.Hosts.Available(c.service.Name, c.receivedAt) {
+			return c.refusalFor(NoPath)
+		}
+	}
+	c.judged = true
+	if !c.counted {
+		c.counted = true
+		c.h.retryLimit(c.service.Name).CountRequest(c.receivedAt)
+	}
 	return c.reserveTokens()
 }
 
+func (c *call) configurationOutdated() bool {
+	return c.h.ConfigurationOutdated != nil && c.h.ConfigurationOutdated()
+}
+
+// prepareForHost reads a request that only another host may handle. This host does not judge
+// it, as what it knows of routes and customers is outdated.
+func (c *call) prepareForHost(lacking Reason) *Refusal {
+	if refusal := c.refuseIfCutOff(); refusal != nil {
+		return refusal
+	}
+	c.lacking, c.stoppedBy = lacking, stopOutdated
+	return c.readBody()
+}
+
 // refuseNotAllowed refuses a request that the configuration does not allow. The refusal is
 // final only if the configuration is known to be the current one: otherwise another host may
 // have the route or the key already, and the caller is asked to come back.
@@ -167,7 +193,7 @@
 // reserveTokens reserves the maximum cost of the request in the customer's budget.
 func (c *call) reserveTokens() *Refusal {
 	tokens := c.cost.Prompt + c.cost.MaxOutput
-	if c.customer == nil || c.customer.Prepaid == nil || tokens == 0 {
+	if c.reservedElsewhere || c.customer == nil || c.customer.Prepaid == nil || tokens == 0 {
 		return nil
 	}
 	reservation, err := c.h.Budgets.Reserve(c.ctx, c.customer.Name, tokens)
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -23,32 +23,35 @@
 	// ConfigurationUnconfirmed refuses a request that the known configuration does not allow,
 	// while a newer one may.
 	ConfigurationUnconfirmed Reason = "configuration_unconfirmed"
-	UnknownKey               Reason = "unknown_key"
-	BadHeader                Reason = "bad_header"
-	BodyTooLarge             Reason = "body_too_large"
-	BodyUnread               Reason = "body_unread" // the body of the request could not be read
-	BudgetExhausted          Reason = "budget_exhausted"
-	BudgetUnreachable        Reason = "budget_unreachable"
-	NoTarget                 Reason = "no_target"
-	NoPath                   Reason = "no_path"      // this host reaches no target of the service
-	RateLimited              Reason = "rate_limited" // the targets have got as many requests as they take
-	TargetFull               Reason = "target_full"
-	TargetReplaced           Reason = "target_replaced"  // another target has taken over the address of the target
-	TargetUnreached          Reason = "target_unreached" // nothing was sent, as the target could not be reached
-	TargetFailed             Reason = "target_failed"    // the target responded with an error, or with a response that cannot be forwarded
-	AnswerBroken             Reason = "answer_broken"    // the response of the target was missing or incomplete
-	ConnectionLimit          Reason = "connection_limit" // nothing was sent, as the connection limit to the target was reached
-	DeadlinePassed           Reason = "deadline_passed"
-	CallerGone               Reason = "caller_gone"     // the caller disconnected
-	HostFull                 Reason = "host_full"       // this host has too many connections of callers
-	ShuttingDown             Reason = "shutting_down"   // this host stops before the request may have ended
-	CrashesTargets           Reason = "crashes_targets" // the request has crashed too many targets
+	// ConfigurationOutdated refuses a request of a host that knows that others have a newer
+	// configuration, and could forward it to none of them.
+	ConfigurationOutdated Reason = "configuration_outdated"
+	UnknownKey            Reason = "unknown_key"
+	BadHeader             Reason = "bad_header"
+	BodyTooLarge          Reason = "body_too_large"
+	BodyUnread            Reason = "body_unread" // the body of the request could not be read
+	BudgetExhausted       Reason = "budget_exhausted"
+	BudgetUnreachable     Reason = "budget_unreachable"
+	NoTarget              Reason = "no_target"
+	NoPath                Reason = "no_path"      // this host reaches no target of the service, and no other host that does
+	RateLimited           Reason = "rate_limited" // the targets have got as many requests as they take
+	TargetFull            Reason = "target_full"
+	TargetReplaced        Reason = "target_replaced"  // another target has taken over the address of the target
+	TargetUnreached       Reason = "target_unreached" // nothing was sent, as the target could not be reached
+	TargetFailed          Reason = "target_failed"    // the target responded with an error, or with a response that cannot be forwarded
+	AnswerBroken          Reason = "answer_broken"    // the response of the target was missing or incomplete
+	ConnectionLimit       Reason = "connection_limit" // nothing was sent, as the connection limit to the target was reached
+	DeadlinePassed        Reason = "deadline_passed"
+	CallerGone            Reason = "caller_gone"     // the caller disconnected
+	HostFull              Reason = "host_full"       // this host has too many connections of callers
+	ShuttingDown          Reason = "shutting_down"   // this host stops before the request may have ended
+	CrashesTargets        Reason = "crashes_targets" // the request has crashed too many targets
 )
 
 // Reasons returns every reason, so that a counter can be registered for each.
 func Reasons() []Reason {
 	return []Reason{
-		NoConfiguration, ConfigurationUnconfirmed, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
+		NoConfiguration, ConfigurationUnconfirmed, ConfigurationOutdated, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
 		BudgetExhausted, BudgetUnreachable, NoTarget, NoPath, RateLimited, TargetFull, TargetReplaced,
 		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, ShuttingDown, CrashesTargets,
 	}
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -69,10 +69,16 @@
 func (c *call) isForwarded(name string, connectionOptionNames []string) bool {
 	d := c.h.Dialect
 	switch name {
-	case d.CallTimeout, d.Key, d.Customer, d.ExpectTarget, d.Priority, d.LastEventID:
+	case hopHeader, d.CallTimeout, d.Key, d.Customer, d.ExpectTarget, d.Priority, d.LastEventID:
 		return false
 	}
-	return !slices.Contains(hopByHopHeaders, name) && !slices.Contains(d.Reserved, name) && !slices.Contains(connectionOptionNames, strings.ToLower(name))
+	return !slices.Contains(d.Reserved, name) && !isHopByHop(name, connectionOptionNames)
+}
+
+// isHopByHop reports whether a header concerns one connection only. The names in
+// connectionOptionNames are in lower case.
+func isHopByHop(name string, connectionOptionNames []string) bool {
+	return slices.Contains(hopByHopHeaders, name) || slices.Contains(connectionOptionNames, strings.ToLower(name))
 }
 
 // withJitter returns d plus a random delay below d/2, so that refused callers do
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -87,6 +87,7 @@
 		header.Del(name)
 	}
 	header.Del(c.h.Dialect.Load)
+	header.Del(refusedHeader)
 	if _, ok := response.Header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // nil keeps net/http from guessing a type
 	}
@@ -129,5 +130,9 @@
 	if c.headerSent {
 		c.abortResponse()
 	}
+	if c.fromHost {
+		c.w.Header().Set(refusedHeader, string(refusal.Reason))
+		c.w.Header().Set(c.h.Dialect.RequestID, c.id)
+	}
 	refusal.write(c.w)
 }
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -35,6 +35,9 @@
 	if c.remaining(c.receivedAt) <= left {
 		return true
 	}
+	if c.route == nil {
+		return false
+	}
 	expected, known := c.h.answerTimes.longest(c.route.Name)
 	if c.route.Kind == routing.Unsafe {
 		expected *= unsafeTimeFactor
--- a/pkg/forward/stop_reason.go
+++ b/pkg/forward/stop_reason.go
@@ -14,6 +14,7 @@
 	stopOverrun      stopReason = "overrun"      // the caller has received events that no other target can continue
 	stopCrashes      stopReason = "crashes"      // the request has crashed too many targets
 	stopNoPath       stopReason = "no_path"      // this host reaches no target of the service
+	stopOutdated     stopReason = "outdated"     // this host has an outdated configuration
 	stopRetryLimit   stopReason = "retry_limit"  // the retry limit of the service is reached
 )
 
@@ -37,7 +38,7 @@
 		return stopOverrun
 	case result.mayHaveRun && !c.route.Idempotent():
 		return stopMayHaveRun
-	case result.mayHaveRun && c.possibleRuns >= max(1, c.route.MaxAttempts):
+	case result.mayHaveRun && c.possibleRuns+c.runsBefore >= max(1, c.route.MaxAttempts):
 		return stopAttemptLimit
 	case !c.h.retryLimit(c.service.Name).AllowRetry(now):
 		return stopRetryLimit
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -32,8 +32,23 @@
 	if response.Status != http.StatusOK {
 		return c.forwardBuffered(a, response)
 	}
-	splitter := &eventSplitter{}
-	var firstEventAt time.Time
+	splitter, firstEventAt, writeErr, err := c.pumpEvents(response)
+	if writeErr != nil {
+		c.h.Observer.StreamEnded(response.Framing, StreamCancelled)
+		a.End(time.Now(), balance.Cancelled)
+		if errors.Is(writeErr, os.ErrDeadlineExceeded) {
+			return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
+		}
+		return c.handleCallerDisconnect(writeErr)
+	}
+	return c.handleStreamEnd(a, response, splitter, firstEventAt, err)
+}
+
+// pumpEvents forwards the events of a response until it ends. It returns the splitter with what
+// followed the last event, when the first event arrived, and either the error of writing to the
+// caller or that which ended the response.
+func (c *call) pumpEvents(response *upstream.Response) (splitter *eventSplitter, firstEventAt time.Time, writeErr, err error) {
+	splitter = &eventSplitter{}
 	buffer := make([]byte, streamBufferBytes)
 	stall := newStallTimer(c.h.StreamStallTimeout, response)
 	defer stall.stop()
@@ -49,15 +64,10 @@
 				stall.progress()
 			}
 			if splitter.outputs > c.maxOutputEvents() {
-				return c.handleStreamEnd(a, response, splitter, firstEventAt, errTooManyEvents)
+				return splitter, firstEventAt, nil, errTooManyEvents
 			}
 			if writeErr := c.forwardEvents(response, events); writeErr != nil {
-				c.h.Observer.StreamEnded(response.Framing, StreamCancelled)
-				a.End(time.Now(), balance.Cancelled)
-				if errors.Is(writeErr, os.ErrDeadlineExceeded) {
-					return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
-				}
-				return c.handleCallerDisconnect(writeErr)
+				return splitter, firstEventAt, writeErr, nil
 			}
 		}
 		if err == nil && splitter.tooLong() {
@@ -70,7 +80,7 @@
 			err = errStreamStalled
 		}
 		if err != nil {
-			return c.handleStreamEnd(a, response, splitter, firstEventAt, err)
+			return splitter, firstEventAt, nil, err
 		}
 	}
 }
@@ -127,6 +137,15 @@
 	c.timeToFirstByte = time.Since(c.receivedAt)
 }
 
+// completeStream ends the response to the caller after a complete stream.
+func (c *call) completeStream(response *upstream.Response, splitter *eventSplitter) {
+	c.sendStreamHeader(response)
+	if remainder := splitter.remainder(); len(remainder) > 0 {
+		_, _ = c.w.Write(remainder) // an error means that the caller has disconnected
+	}
+	c.recordResponse(response.Status)
+}
+
 // handleStreamEnd handles the end of a target's event stream, complete or not. firstEventAt
 // is when its first event arrived, zero if none has.
 func (c *call) handleStreamEnd(a *balance.Attempt, response *upstream.Response, splitter *eventSplitter, firstEventAt time.Time, err error) attemptResult {
@@ -138,11 +157,7 @@
 	case StreamComplete:
 		a.End(now, balance.Served)
 		c.recordAnswered(response, firstEventAt, now)
-		c.sendStreamHeader(response)
-		if remainder := splitter.remainder(); len(remainder) > 0 {
-			_, _ = c.w.Write(remainder) // an error means that the caller has disconnected
-		}
-		c.recordResponse(response.Status)
+		c.completeStream(response, splitter)
 		return attemptResult{done: true}
 	case StreamCancelled:
 		a.End(now, balance.Cancelled)
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -29,10 +29,11 @@
 	maxFanout = 24
 )
 
-// Message reports one of six events: a prompt was sent to a target or the target
+// Message reports one of seven events: a prompt was sent to a target or the target
 // has finished processing it; the sending host lacks tokens of a customer's budget for
 // a request; a request crashed its target; a target has said that it leaves; a target
-// names a limit of its requests, or none any longer; or what CrashEvent says of Parts.
+// names a limit of its requests, or none any longer; the sending host reaches no target of
+// a service; or what CrashEvent says of Parts.
 // A message without an event only tells the ConfigurationVersion, as all messages do.
 type Message struct {
 	Host string `json:"h"`
@@ -52,6 +53,8 @@
 	PerSecond     float64 `json:"f,omitempty"` // requests per second that Target takes
 	LimitEnded    bool    `json:"d,omitempty"` // Target names no limit any longer
 
+	LostService string `json:"s,omitempty"` // service of which the sending host reaches no target
+
 	CrashEvent  string   `json:"e,omitempty"` // kind of a crashparts.Event
 	Parts       []string `json:"k,omitempty"` // keys of parts of prompts
 	RemainingMs int64    `json:"r,omitempty"` // how long requests with Parts stay refused, in milliseconds
