edge: read a newer configuration from the host that has it; do not act by an outdated one

What callers saw: requests on a removed route, or with a revoked key, were run by a host that had not read the newer configuration.

A host that hears of a newer version and does not get it from the store within 0.3 s now reads it from the host that has it. If that fails too for half of the time in which a change must be in force, its requests are handled by other hosts; what none of them takes is refused with 503, callers' connections are closed and the host leaves the rotation. 404 and 401 are not final as long as a newer version is known. If the store is away and no host has a newer version, nothing changes. The bound is read from the settings.

--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/pause"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 	"github.com/peppertrail/peppertrail/pkg/watch"
 )
 
@@ -24,7 +25,9 @@
 // applyOperatorRows applies what the operator has written.
 func (d *Daemon) applyOperatorRows(s watch.State) {
 	d.applyEvacuations(s)
-	d.applyConfiguration(s)
+	if row, ok := s.Rows[d.layout.ConfigurationKey]; ok {
+		d.applyConfiguration(row)
+	}
 }
 
 // applyEvacuations withdraws the targets of the failure domains that are evacuated.
@@ -43,11 +46,12 @@
 	}
 }
 
-// applyConfiguration applies a newer configuration. A configuration that cannot
-// be decoded is skipped and the current one stays in force.
-func (d *Daemon) applyConfiguration(s watch.State) {
-	row, ok := s.Rows[d.layout.ConfigurationKey]
-	if !ok || row.Version == d.configurationRowVersion {
+// applyConfiguration applies a newer configuration, from the store or another host. A
+// configuration that cannot be decoded is skipped and the current one stays in force.
+func (d *Daemon) applyConfiguration(row storage.PartRow) {
+	d.configurationMu.Lock()
+	defer d.configurationMu.Unlock()
+	if row.Version <= d.configurationRowVersion {
 		return
 	}
 	d.configurationRowVersion = row.Version
@@ -71,6 +75,7 @@
 	now := time.Now()
 	d.configurationAppliedAt.Store(&now)
 	d.configuration.Store(next)
+	d.configurationInForce.Store(&row)
 	behind := d.configurationLag.applied(next.Version, now)
 	d.log.Info().Int64("version", next.Version).Int("customers", len(next.Customers)).Dur("behind", behind).Msg("Configuration in force.")
 	if d.gossip != nil {
@@ -95,25 +100,36 @@
 }
 
 // configurationConfirmed reports whether the store has confirmed the configuration within
-// configurationMaxAge.
+// configurationMaxAge, and no other host has a newer one.
 func (d *Daemon) configurationConfirmed() bool {
 	at := d.configurationReadAt.Load()
-	return at != nil && time.Since(*at) <= configurationMaxAge
+	return d.configurationBehind() == 0 && at != nil && time.Since(*at) <= configurationMaxAge
 }
 
 // hearConfigurationVersion records the version of the configuration that another host has.
 func (d *Daemon) hearConfigurationVersion(m gossip.Message) {
 	current := d.configuration.Load()
-	if current == nil || !d.configurationLag.hear(m.ConfigurationVersion, current.Version, time.Now()) {
+	if current == nil || !d.configurationLag.hear(m.Host, m.ConfigurationVersion, current.Version, time.Now()) {
 		return
 	}
 	d.log.Info().Str("peer", m.Host).Int64("newer", m.ConfigurationVersion).Int64("in_force", current.Version).Msg("Another host has a newer configuration.")
+	select {
+	case d.newerNamed <- struct{}{}:
+	default: // one is being read
+	}
 }
 
 // configurationBehind returns for how long this host has known that another one has a newer
 // configuration, 0 if none has.
 func (d *Daemon) configurationBehind() time.Duration { return d.configurationLag.behind(time.Now()) }
 
+// configurationOutdated reports whether another host has had a newer configuration for so long
+// that this host must not act by its own. That is half of the time in which a change must be in
+// force everywhere: the news may have been late.
+func (d *Daemon) configurationOutdated() bool {
+	return d.configurationBehind() >= d.settings.ConfigurationTime/2
+}
+
 // repeatConfigurationVersion tells random hosts the version of the configuration for some time
 // after a change, as datagrams may be lost.
 func (d *Daemon) repeatConfigurationVersion(ctx context.Context) {
--- a/pkg/edge/configuration_lag.go
+++ b/pkg/edge/configuration_lag.go
@@ -15,13 +15,14 @@
 type configurationLag struct {
 	mu            sync.Mutex
 	newest        int64 // newest version that another host has named; 0: none is newer than the own
+	host          string
 	since         time.Time
 	confirmations int // successful reads of the store since then
 }
 
-// hear records that another host has a version. It reports whether that is news: own is older,
+// hear records that a host has a version. It reports whether that is news: own is older,
 // and no newer version was known.
-func (l *configurationLag) hear(version, own int64, now time.Time) bool {
+func (l *configurationLag) hear(host string, version, own int64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if version <= own || version <= l.newest {
@@ -31,10 +32,17 @@
 	if news {
 		l.since = now
 	}
-	l.newest, l.confirmations = version, 0
+	l.newest, l.host, l.confirmations = version, host, 0
 	return news
 }
 
+// namedBy returns the host that has named the newest version.
+func (l *configurationLag) namedBy() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.host
+}
+
 // applied records that this host has put a version into force. It returns for how long a newer
 // one was known, 0 if none was.
 func (l *configurationLag) applied(version int64, now time.Time) time.Duration {
--- a/pkg/edge/configuration_lag_test.go
+++ b/pkg/edge/configuration_lag_test.go
@@ -12,11 +12,11 @@
 	var l configurationLag
 	start := time.Now()
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
-	assert.Assert(t, !l.hear(4, 4, at(0)), "the own version")
+	assert.Assert(t, !l.hear("edge-2", 4, 4, at(0)), "the own version")
 	assert.Equal(t, l.behind(at(1)), time.Duration(0))
-	assert.Assert(t, l.hear(5, 4, at(1)))
-	assert.Assert(t, !l.hear(7, 4, at(2)), "it was behind already")
-	assert.Assert(t, !l.hear(6, 4, at(2)))
+	assert.Assert(t, l.hear("edge-2", 5, 4, at(1)))
+	assert.Assert(t, !l.hear("edge-2", 7, 4, at(2)), "it was behind already")
+	assert.Assert(t, !l.hear("edge-2", 6, 4, at(2)))
 	assert.Equal(t, l.behind(at(3)), 2*time.Second)
 	assert.Equal(t, l.applied(5, at(3)), 2*time.Second)
 	assert.Equal(t, l.behind(at(4)), 3*time.Second, "version 7 is not applied")
@@ -29,7 +29,7 @@
 	var l configurationLag
 	now := time.Now()
 	assert.Assert(t, !l.confirmed())
-	l.hear(1<<60, 4, now)
+	l.hear("edge-2", 1<<60, 4, now)
 	assert.Assert(t, !l.confirmed(), "the read may have begun before the version was written")
 	assert.Assert(t, l.behind(now) > 0)
 	assert.Assert(t, l.confirmed())
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -99,8 +100,11 @@
 	retryHostCount         atomic.Int64                 // hosts among which the retry reserve is divided; 0: unknown
 	stop                   atomic.Pointer[forward.Stop] // nil until the daemon shuts down
 
-	configurationRowVersion uint64                    // version of the configuration row read last; used only by the configuration watcher
-	decodedTargets          map[string]balance.Target // registered targets by row key; used only by the target watcher
+	configurationMu         sync.Mutex                      // held while a configuration is applied
+	configurationRowVersion uint64                          // version of the configuration row read last; guarded by configurationMu
+	configurationInForce    atomic.Pointer[storage.PartRow] // row of configuration
+	newerNamed              chan struct{}                   // another host has named a newer configuration; capacity 1
+	decodedTargets          map[string]balance.Target       // registered targets by row key; used only by the target watcher
 }
 
 // New returns a daemon that is not started yet. The settings must have passed
@@ -117,7 +121,7 @@
 	d := &Daemon{
 		settings: s, layout: l, logs: logs, log: logs.Logger("edge"),
 		client: upstream.New(), hosts: nexthop.NewSelector(), hostClient: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), crashParts: crashparts.New(), metrics: newMetrics(),
-		decodedTargets: make(map[string]balance.Target),
+		decodedTargets: make(map[string]balance.Target), newerNamed: make(chan struct{}, 1),
 	}
 	d.crashParts.Log = logs.Logger("crashparts")
 	d.metrics.observeBlockedParts(func() int { return len(d.crashParts.BlockedParts(time.Now())) })
@@ -134,7 +138,7 @@
 	d.rateLimits = ratelimit.New(ratelimit.Options{Self: s.PeerListen, Ask: d.requestPermit, CountPermit: d.metrics.countPermit, Log: logs.Logger("ratelimit")})
 	d.metrics.observeLimitedTargets(func() int { return len(d.limitedTargets()) })
 	d.handler = forward.New(forward.Options{
-		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed,
+		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, ConfigurationOutdated: d.configurationOutdated,
 		Hosts: d.hosts, HostClient: d.hostClient, Admission: nexthop.NewAdmission(nexthop.Limit(s.Cores, s.LinkMbps)), Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
 		Overloaded: overloaded, CallerClosed: callerClosed, Stop: d.stop.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
@@ -170,6 +174,7 @@
 	go d.announceBlockedParts(componentsCtx)
 	go d.probeLostPaths(componentsCtx)
 	go d.repeatConfigurationVersion(componentsCtx)
+	go d.fetchConfigurations(componentsCtx)
 	d.log.Info().Str("host", d.settings.Host).Str("callers", d.settings.CallerListen).Str("store", d.settings.StoreAddress).Msg("Daemon started.")
 	select {
 	case err := <-failed:
@@ -241,9 +246,9 @@
 
 // Ready reports whether the daemon can serve requests: the configuration, the
 // targets and the budgets are loaded, another host was asked what it knows of the targets,
-// there is a path to the targets, and it is not shutting down.
+// there is a path to the targets, the configuration is not outdated, and it is not shutting down.
 func (d *Daemon) Ready() bool {
-	return d.stop.Load() == nil && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load() && !d.targets.AllPathsLost(time.Now())
+	return d.stop.Load() == nil && d.configuration.Load() != nil && d.targetsLoaded.Load() && d.budgets.Loaded() && d.peersAsked.Load() && !d.targets.AllPathsLost(time.Now()) && !d.configurationOutdated()
 }
 
 // newIncarnation returns a random id that distinguishes this process from earlier
--- a/pkg/edge/peer_calls.go
+++ b/pkg/edge/peer_calls.go
@@ -26,6 +26,7 @@
 func (d *Daemon) handlePeerCalls(server *relay.Server) {
 	handle(server, methodChangeShare, d.budgets.ChangeShare)
 	handle(server, methodReserve, d.budgets.ReserveFor)
+	handle(server, methodConfiguration, d.configurationRow)
 	handle(server, methodLeaving, func(context.Context, struct{}) ([]balance.LeavingTarget, error) {
 		return d.targets.LeavingTargets(time.Now()), nil
 	})
