nexthop: refuse at once on a host that reaches no other host

Three hosts, or all, that could not be reached for half a second without an answer of any mean that this host is isolated; it then forwards one request each 0.2 s.

--- a/pkg/forward/next_hop.go
+++ b/pkg/forward/next_hop.go
@@ -137,7 +137,7 @@
 		c.possibleRuns++
 	}
 	if c.ctx.Err() != nil {
-		hop.End(nexthop.Answered, time.Now())
+		hop.End(nexthop.Cancelled, time.Now())
 		return c.refusalFor(DeadlinePassed), true
 	}
 	c.h.Log.Info().Str("request", c.id).Str("host", hop.Host.Name).Err(err).Msg("Another host did not answer a forwarded request.")
--- a/pkg/nexthop/outcome.go
+++ b/pkg/nexthop/outcome.go
@@ -7,12 +7,13 @@
 
 // Outcomes of forwarded requests.
 const (
-	Answered     Outcome = iota // the host has answered, or the caller has left
-	Unreached                   // there was no connection, or it ended before the answer began
-	NoPath                      // the host reaches no target of the service either
-	Full                        // the host serves as many requests of other hosts as it can
-	Outdated                    // the host has no recent configuration
-	ShuttingDown                // the host takes no further requests
+	Answered     Outcome = iota
+	Cancelled            // the caller has left, or the deadline has passed, before the answer began
+	Unreached            // there was no connection, or it ended before the answer began
+	NoPath               // the host reaches no target of the service either
+	Full                 // the host serves as many requests of other hosts as it can
+	Outdated             // the host has no recent configuration
+	ShuttingDown         // the host takes no further requests
 )
 
 // How long a host gets no further requests after an outcome.
--- a/pkg/nexthop/selector.go
+++ b/pkg/nexthop/selector.go
@@ -27,8 +27,9 @@
 
 // Selector chooses the hosts that requests are forwarded to. It is safe for concurrent use.
 type Selector struct {
-	mu    sync.Mutex
-	hosts map[string]*hostState // by name
+	mu        sync.Mutex
+	hosts     map[string]*hostState // by name
+	isolation isolation
 }
 
 // NewSelector returns a selector that knows no hosts.
@@ -63,7 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, state := range s.hosts {
-		if state.usable(service, now) {
+		if state.usable(service, now) && s.isolation.admits(len(s.hosts), now) {
 			return true
 		}
 	}
@@ -82,9 +83,10 @@
 			candidates = append(candidates, state)
 		}
 	}
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || !s.isolation.admits(len(s.hosts), now) {
 		return nil
 	}
+	s.isolation.triedAt = now
 	chosen := candidates[rand.IntN(len(candidates))]
 	if other := candidates[rand.IntN(len(candidates))]; other.inFlight < chosen.inFlight {
 		chosen = other
@@ -111,6 +113,7 @@
 	}
 	h.ended = true
 	h.state.inFlight--
+	h.selector.isolation.record(h.Host.Name, o, now)
 	if o == NoPath {
 		h.state.lostUntil[h.service] = now.Add(lostPathTTL)
 		return
