proxy: forward a reset as a reset

The proxy of the test harness ended the client's connection regularly when the upstream's was reset, so that a stream without a length that was broken off looked complete. TestResetOfUpstreamIsForwarded failed before in every run by construction: the read ended with EOF.

--- a/test/harness/proxy/conn.go
+++ b/test/harness/proxy/conn.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -106,10 +108,14 @@
 			pc.reset()
 			return
 		}
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite() // fails if the other side has already closed
 			return
 		}
+		if err != nil {
+			pc.reset() // a reset must not look like the end of the data
+			return
+		}
 	}
 }
 
--- a/test/harness/proxy/proxy_test.go
+++ b/test/harness/proxy/proxy_test.go
@@ -177,3 +177,27 @@
 	_, err := c.Read(make([]byte, 1))
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a reset connection that reaches the client as the regular end of the data, so that a response that was broken off looks complete.
+func TestResetOfUpstreamIsForwarded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.201:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = c.Write([]byte("half"))
+			time.Sleep(noDataPeriod)
+			abort(c.(*net.TCPConn))
+		}
+	}()
+	p, err := Listen("127.0.0.202:0", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	c, err := net.Dial("tcp", p.Addr())
+	assert.NilError(t, err)
+	defer c.Close()
+	data, err := io.ReadAll(c)
+	assert.Equal(t, string(data), "half")
+	assert.ErrorContains(t, err, "reset")
+}
