forward: keep the limit of runs and the version of the configuration across hosts

Two faults of requests that are sent on through other hosts.

A stream that the other host broke off was continued through a third one. The first may have run it on all targets that its route allows, so it ran three times where two are allowed.

A caller that had met a version of the configuration at its host could meet an older one through another.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -41,6 +41,7 @@
 	lacking      Reason     // why this host cannot send the request to any target; "": it can, as far as it knows
 	fromHost     bool       // another host has forwarded the request
 	counted      bool       // the request counts as one for the retry limit, here or at the host that has forwarded it
+	minVersion   int64      // version of the configuration of the host that has forwarded the request
 	runsBefore   int        // targets that may have run the request before another host forwarded it
 	judged       bool       // this host has admitted the request by its own configuration, and reserved its tokens
 	// chargedElsewhere means that the host to which the request was forwarded charges it, and
--- a/pkg/forward/hop_info.go
+++ b/pkg/forward/hop_info.go
@@ -17,17 +17,22 @@
 	counted  bool // the request counts as one for the retry limit already
 	reserved bool // the host holds the tokens of the request, and charges them
 	runs     int  // targets that may have run it
+	// version is that of the host's configuration. A host with an older one must not handle the
+	// request, as the caller may have seen the effects of this one.
+	version int64
 }
 
+const hopInfoFormat = "counted=%t reserved=%t runs=%d version=%d"
+
 func (i hopInfo) String() string {
-	return fmt.Sprintf("counted=%t reserved=%t runs=%d", i.counted, i.reserved, i.runs)
+	return fmt.Sprintf(hopInfoFormat, i.counted, i.reserved, i.runs, i.version)
 }
 
 // readHopInfo returns what the header of a request of another host says. Without a valid value,
 // nothing was done.
 func readHopInfo(header http.Header) hopInfo {
 	var i hopInfo
-	if _, err := fmt.Sscanf(header.Get(hopHeader), "counted=%t reserved=%t runs=%d", &i.counted, &i.reserved, &i.runs); err != nil || i.runs < 0 {
+	if _, err := fmt.Sscanf(header.Get(hopHeader), hopInfoFormat, &i.counted, &i.reserved, &i.runs, &i.version); err != nil || i.runs < 0 {
 		return hopInfo{}
 	}
 	return i
--- a/pkg/forward/next_hop.go
+++ b/pkg/forward/next_hop.go
@@ -102,7 +102,9 @@
 	if result.done {
 		return nil, true
 	}
-	return c.handleHostBroken(result)
+	// The request may have run there on all targets that its route allows, so no other host
+	// continues it.
+	return c.refusalFor(result.reason), true
 }
 
 // hostRequest builds the request for another host: that of the caller, with the time that is
@@ -127,7 +129,7 @@
 	if c.lastEventID != "" {
 		addField(d.LastEventID, c.lastEventID)
 	}
-	addField(hopHeader, hopInfo{counted: c.counted, reserved: c.judged, runs: c.possibleRuns + c.runsBefore}.String())
+	addField(hopHeader, hopInfo{counted: c.counted, reserved: c.judged, runs: c.possibleRuns, version: c.config.Version}.String())
 	return r
 }
 
@@ -143,25 +145,11 @@
 	c.h.Log.Info().Str("request", c.id).Str("host", hop.Host.Name).Err(err).Msg("Another host did not answer a forwarded request.")
 	hop.End(nexthop.Unreached, time.Now())
 	if upstream.MayHaveRun(err) {
-		return c.handleHostBroken(attemptResult{reason: AnswerBroken})
+		return c.refusalFor(AnswerBroken), true
 	}
 	return nil, false
 }
 
-// handleHostBroken handles an answer of another host that has not arrived completely. The
-// request may have run there, on all targets that its route allows, so only an event stream is
-// continued.
-func (c *call) handleHostBroken(result attemptResult) (refusal *Refusal, ended bool) {
-	if c.ctx.Err() != nil {
-		return c.refusalFor(result.reason), true
-	}
-	if c.events == 0 || !c.mayForwardToHost() || !c.h.retryLimit(c.service.Name).AllowRetry(time.Now()) {
-		return c.refusalFor(result.reason), true
-	}
-	c.h.Observer.Retried(result.reason)
-	return nil, false
-}
-
 // hostOutcomes are the refusals after which another host may still serve a request.
 var hostOutcomes = map[Reason]nexthop.Outcome{
 	NoPath:                   nexthop.NoPath,
@@ -238,7 +226,7 @@
 func (h *Handler) ServeHost(w http.ResponseWriter, r *http.Request) {
 	c := h.newCall(w, r)
 	info := readHopInfo(r.Header)
-	c.fromHost, c.counted, c.reservedElsewhere, c.runsBefore = true, info.counted, info.reserved, info.runs
+	c.fromHost, c.counted, c.reservedElsewhere, c.runsBefore, c.minVersion = true, info.counted, info.reserved, info.runs, info.version
 	if !h.Admission.Enter() {
 		c.sendRefusal(refuseNotRun(HostFull, withJitter(retryAfterHostFull)))
 		return
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -60,6 +60,9 @@
 	if c.config == nil {
 		return refuseNotRun(NoConfiguration, retryAfterNoConfiguration)
 	}
+	if c.config.Version < c.minVersion {
+		return refuseNotRun(ConfigurationOutdated, withJitter(retryAfterUnconfirmed))
+	}
 	if c.configurationOutdated() {
 		return c.prepareForHost(ConfigurationOutdated)
 	}
