soak: hosts lose their paths to all targets among the other faults

A fifth of the faults now cuts one host off, with its open connections reset, living on or hanging, or ends that; a random source of its own keeps what earlier seeds inject. The first five random seeds found a stream that ran on three targets and a fault of a proxy; that seed is a regression seed.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -9,6 +9,7 @@
 	"github.com/peppertrail/peppertrail/pkg/standin/replica"
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
 	"github.com/peppertrail/peppertrail/platform/rig"
+	"github.com/peppertrail/peppertrail/test/harness/proxy"
 )
 
 // fault is one kind of fault. inject returns immediately; a lasting fault ends by
@@ -79,6 +80,7 @@
 	}
 	s.withdrawRandomTarget()
 	s.limitRandomTarget()
+	s.cutRandomPaths()
 	s.recorder.latestVersion.Store(int64(s.version))
 	time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
 }
@@ -159,6 +161,33 @@
 	p.SetFaults(replica.Faults{RateLimit: limit})
 }
 
+// cutPercent is the probability with each fault that a host loses its paths to all targets, or
+// has them back, in percent.
+const cutPercent = 20
+
+// cutRandomPaths cuts a random host off from all targets, or ends that, with a probability of
+// cutPercent. Open connections are reset, live on or hang. It draws from pathRandom, so that seeds
+// from before it inject the same other faults.
+func (s *scenario) cutRandomPaths() {
+	if s.pathRandom.IntN(100) >= cutPercent {
+		return
+	}
+	h := s.hosts[s.pathRandom.IntN(len(s.hosts))]
+	kind, reset := s.pathRandom.IntN(5), s.pathRandom.IntN(2) == 0
+	rules := []proxy.Rules{{Refuse: true}, {Refuse: true}, {CutUpstream: true, CutClient: true}, {}, {}}[kind]
+	s.recorder.logEvent("%s: paths to all targets %+v, reset %t", h.Name, rules, reset)
+	if rules != (proxy.Rules{}) {
+		s.injected["paths cut"]++
+	}
+	s.setPaths(h, rules, reset && rules.Refuse)
+}
+
+func (s *scenario) setPaths(h *host, rules proxy.Rules, reset bool) {
+	if err := h.paths.Set(rules, reset); err != nil {
+		s.t.Errorf("paths of %s: %v", h.Name, err)
+	}
+}
+
 // replaceIfLeaving starts a target again that has said that it leaves.
 func (p *targetProxy) replaceIfLeaving() {
 	if p.leaves {
--- a/test/soak/scenario_test.go
+++ b/test/soak/scenario_test.go
@@ -18,6 +18,7 @@
 	"github.com/peppertrail/peppertrail/pkg/standin/replica"
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
 	"github.com/peppertrail/peppertrail/platform/rig"
+	"github.com/peppertrail/peppertrail/test/harness/proxy"
 )
 
 const (
@@ -42,6 +43,7 @@
 	// goroutine only.
 	withdrawalRandom *rand.Rand
 	limitRandom      *rand.Rand // source of rate limits of targets; used by one goroutine only
+	pathRandom       *rand.Rand // source of cuts between hosts and targets; used by one goroutine only
 	fleet            *rig.Fleet
 	hosts            []*host
 	targets          []*targetProxy // targets, each behind its own proxy
@@ -58,7 +60,8 @@
 // host is a daemon and the faults that currently affect its process.
 type host struct {
 	*rig.Daemon
-	mu sync.Mutex
+	paths *rig.TargetPaths // its paths to the targets
+	mu    sync.Mutex
 	hostState
 	processFaultActive bool
 	firstServed        map[int]time.Time // time of the first response of this process by configuration version
@@ -86,7 +89,7 @@
 	t.Logf("seed %d", seed)
 	fleet, err := rig.New(t.TempDir(), "../../cmd/peppertraild", 0)
 	assert.NilError(t, err)
-	s := &scenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), streamRandom: rand.New(rand.NewPCG(seed, 2)), endlessRandom: rand.New(rand.NewPCG(seed, 3)), withdrawalRandom: rand.New(rand.NewPCG(seed, 4)), limitRandom: rand.New(rand.NewPCG(seed, 5)), fleet: fleet, injected: make(map[string]int)}
+	s := &scenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), streamRandom: rand.New(rand.NewPCG(seed, 2)), endlessRandom: rand.New(rand.NewPCG(seed, 3)), withdrawalRandom: rand.New(rand.NewPCG(seed, 4)), limitRandom: rand.New(rand.NewPCG(seed, 5)), pathRandom: rand.New(rand.NewPCG(seed, 6)), fleet: fleet, injected: make(map[string]int)}
 	s.recorder.init(t)
 	for i := range envInt(t, "SOAK_TARGETS", defaultTargets) {
 		r := replica.New(fmt.Sprintf("i-%d", i), rig.PlatformDialect())
@@ -103,9 +106,11 @@
 		d, closeStore, err := fleet.NewDaemon(fmt.Sprintf("edge-%d", i))
 		assert.NilError(t, err)
 		t.Cleanup(closeStore)
+		paths := d.ProxyTargets()
+		t.Cleanup(paths.Close)
 		assert.NilError(t, d.Start())
 		t.Cleanup(func() { _ = d.Signal(os.Kill) }) // the error means that the process has already exited
-		s.hosts = append(s.hosts, &host{Daemon: d, firstServed: make(map[int]time.Time)})
+		s.hosts = append(s.hosts, &host{Daemon: d, paths: paths, firstServed: make(map[int]time.Time)})
 	}
 	for _, h := range s.hosts {
 		s.waitFor(h.Name+" ready", startTimeout, h.Ready)
@@ -135,6 +140,7 @@
 	s.checkBudget()
 	for _, h := range s.hosts {
 		h.Store.SetFaults(rowstore.Faults{})
+		s.setPaths(h, proxy.Rules{}, false)
 	}
 	for _, p := range s.targets {
 		p.SetFaults(replica.Faults{})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -15,6 +15,7 @@
 	cause string
 }{
 	{1332775925179130254, "the failure of a second target was appended to the events of the first target"},
+	{7980092263317309191, "a stream ran on three targets after the host that forwarded it had broken it off"},
 }
 
 // defaultSeed runs if no seed is configured, so that the result does not depend on
