--- a/pkg/forward/next_hop_test.go
+++ b/pkg/forward/next_hop_test.go
@@ -59,6 +59,7 @@
 // Guards against a forwarded request that is charged twice or not at all, and against an answer that is changed on its way.
 func TestForwardedRequestIsChargedOnce(t *testing.T) {
 	other := newFixture(t, 1)
+	other.configure(10) // it must not need tokens itself
 	f := newCutOffFixture(t, other)
 	d := dialect.Default()
 	got := f.post("r1", "/stream/x", d.Cost, "prompt=40 output=200")
@@ -138,11 +139,55 @@
 		assert.Equal(t, got.status, http.StatusBadGateway, "%s: %q", path, got.body)
 	}
 	assert.Equal(t, broken.totalRuns(), 2)
-	dies := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
-	t.Cleanup(dies.Close)
-	f.handler.Hosts.SetHosts([]nexthop.Host{{Name: "dies", Addr: strings.TrimPrefix(dies.URL, "http://")}})
-	got := f.post("last", "/unsafe/x")
-	assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+}
+
+// Guards against a request that is sent to a third host although the second may have run it: it gave no answer, or lost its own path after a run.
+func TestRequestThatMayHaveRunIsNotSentToThirdHost(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"no answer": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"path lost after a run": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(refusedHeader, string(NoPath))
+			w.Header().Set(dialect.Default().RequestID, r.Header.Get(dialect.Default().RequestID))
+			w.WriteHeader(http.StatusBadGateway)
+		},
+	}
+	for name, handler := range handlers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		sound := newFixture(t, 1)
+		f := newCutOffFixture(t, sound)
+		soundAddr := f.handler.Hosts.Pick(testService, nil, time.Now()).Host.Addr
+		served := 0
+		const requests = 20 // each host is the first for about half of them
+		for i := range requests {
+			f.handler.Hosts = nexthop.NewSelector()
+			f.handler.Hosts.SetHosts([]nexthop.Host{{Name: "sound", Addr: soundAddr}, {Name: "second", Addr: strings.TrimPrefix(server.URL, "http://")}})
+			switch got := f.post(fmt.Sprint(name, i), "/unsafe/x"); got.status {
+			case http.StatusOK:
+				served++
+			default:
+				assert.Equal(t, got.status, http.StatusBadGateway, "%s: %q", name, got.body)
+			}
+		}
+		assert.Equal(t, sound.totalRuns(), served, name)
+		assert.Assert(t, served < requests, name)
+	}
+}
+
+// Guards against a request that runs on more targets than its route allows, some of them at the host that has forwarded it.
+func TestRunsBeforeTheHopCount(t *testing.T) {
+	f := newFixture(t, 3)
+	f.handler.Admission = nexthop.NewAdmission(1)
+	f.setFaults(replica.Faults{AbortAfterEvents: 2})
+	server := httptest.NewServer(http.HandlerFunc(f.handler.ServeHost))
+	t.Cleanup(server.Close)
+	f.server = server
+	for runs, want := range map[int]int{0: 2, 1: 1} {
+		before := f.totalRuns()
+		got := f.post(fmt.Sprint("r", runs), "/resumable/x", hopHeader, hopInfo{runs: runs}.String())
+		assert.Assert(t, got.err != nil, "%q", got.body)
+		assert.Equal(t, f.totalRuns()-before, want, "after %d runs", runs)
+	}
 }
 
 // Guards against a stream that looks complete after the host that forwards it has broken it off, and against missing or repeated events if that host resumes it.
