forward, edge: end unread streams of other hosts visibly; forget versions that their host does not have

Two faults found by reading the diff. A stream that came through another host and whose caller did not read until the deadline ended like a complete one, as the handler returned without a refusal; the path for a host's own targets had the check, which both share now. And a host that heard of a version which its teller does not have would have read the same configuration ten times a second until two reads of the store disproved it, for ever while the store is away; it forgets the version after one read.

--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -47,23 +47,24 @@
 }
 
 // applyConfiguration applies a newer configuration, from the store or another host. A
-// configuration that cannot be decoded is skipped and the current one stays in force.
-func (d *Daemon) applyConfiguration(row storage.PartRow) {
+// configuration that cannot be decoded is skipped and the current one stays in force. It reports
+// whether the row was newer than the one read last.
+func (d *Daemon) applyConfiguration(row storage.PartRow) (newer bool) {
 	d.configurationMu.Lock()
 	defer d.configurationMu.Unlock()
 	if row.Version <= d.configurationRowVersion {
-		return
+		return false
 	}
 	d.configurationRowVersion = row.Version
 	next, err := d.layout.DecodeConfiguration(row.Value)
 	if err != nil {
 		d.log.Error().Err(err).Uint64("row_version", row.Version).Msg("Configuration row cannot be decoded. The current configuration stays in force.")
-		return
+		return true
 	}
 	current := d.configuration.Load()
 	if current != nil && next.Version <= current.Version {
 		d.log.Warn().Int64("version", next.Version).Int64("in_force", current.Version).Msg("Configuration ignored: its version is not newer than the one in force.")
-		return
+		return true
 	}
 	prepaid := make(map[string]int64)
 	for _, c := range next.Customers {
@@ -82,6 +83,7 @@
 		d.gossip.SetConfigurationVersion(next.Version)
 		d.gossip.SendToSome(gossip.Message{}, configurationFanout)
 	}
+	return true
 }
 
 func (d *Daemon) watchConfiguration(ctx context.Context) {
--- a/pkg/edge/configuration_fetch.go
+++ b/pkg/edge/configuration_fetch.go
@@ -65,6 +65,9 @@
 	if err := d.store.Call(ctx, peer.Addr, methodConfiguration, struct{}{}, &row); err != nil {
 		return err
 	}
-	d.applyConfiguration(row)
+	if !d.applyConfiguration(row) && d.configurationBehind() > 0 {
+		d.configurationLag.forget() // each read would transfer the same row
+		return errors.New("the host that names it has none that is newer: " + host)
+	}
 	return nil
 }
--- a/pkg/edge/configuration_lag.go
+++ b/pkg/edge/configuration_lag.go
@@ -74,6 +74,13 @@
 	return true
 }
 
+// forget forgets the newer version: the host that has named it does not have it.
+func (l *configurationLag) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.newest = 0
+}
+
 // behind returns for how long this host has known of a newer version, 0 if it knows of none.
 func (l *configurationLag) behind(now time.Time) time.Duration {
 	l.mu.Lock()
--- a/pkg/edge/configuration_lag_test.go
+++ b/pkg/edge/configuration_lag_test.go
@@ -34,4 +34,8 @@
 	assert.Assert(t, l.behind(now) > 0)
 	assert.Assert(t, l.confirmed())
 	assert.Equal(t, l.behind(now), time.Duration(0))
+	l.hear("edge-2", 1<<60, 4, now)
+	assert.Equal(t, l.namedBy(), "edge-2")
+	l.forget() // edge-2 does not have it either
+	assert.Equal(t, l.behind(now), time.Duration(0))
 }
--- a/pkg/forward/next_hop.go
+++ b/pkg/forward/next_hop.go
@@ -192,7 +192,7 @@
 	}
 	splitter, _, writeErr, err := c.pumpEvents(response)
 	if writeErr != nil {
-		return c.handleCallerDisconnect(writeErr)
+		return c.handleWriteError(writeErr)
 	}
 	c.trailingBytes = len(splitter.remainder())
 	switch c.streamEnd(response.Framing, splitter, err) {
--- a/pkg/forward/next_hop_test.go
+++ b/pkg/forward/next_hop_test.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -316,3 +321,23 @@
 		}
 	})
 }
+
+// Guards against a stream from another host that looks complete to a caller that has not read until the deadline.
+func TestForwardedStreamToCallerThatDoesNotReadIsNotComplete(t *testing.T) {
+	e := startEndlessTarget(t, headStream+"\r\n", "data: "+strings.Repeat("x", 256<<10)+"\n\n", 0)
+	other, _ := newEndlessFixture(t, e)
+	f := newCutOffFixture(t, other)
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	d := dialect.Default()
+	fmt.Fprintf(conn, "POST /short/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: %s\r\n%s: prompt=100 output=500\r\nContent-Length: 0\r\n\r\n", testHostName, d.RequestID, d.Key, testKey, d.Cost)
+	time.Sleep(600 * time.Millisecond) // past the deadline
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	answer, err := io.ReadAll(conn)
+	assert.Assert(t, len(answer) > 0)
+	assert.Assert(t, !bytes.HasSuffix(answer, []byte("0\r\n\r\n")), "the stream looks complete: error %v", err)
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
+	spent, reserved := f.usedTokens()
+	assert.Assert(t, spent > 0 && reserved == 0)
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -36,10 +36,7 @@
 	if writeErr != nil {
 		c.h.Observer.StreamEnded(response.Framing, StreamCancelled)
 		a.End(time.Now(), balance.Cancelled)
-		if errors.Is(writeErr, os.ErrDeadlineExceeded) {
-			return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
-		}
-		return c.handleCallerDisconnect(writeErr)
+		return c.handleWriteError(writeErr)
 	}
 	return c.handleStreamEnd(a, response, splitter, firstEventAt, err)
 }
@@ -85,9 +82,12 @@
 	}
 }
 
-// handleCallerDisconnect logs that an event could not be written to the caller, and
-// ends the request.
-func (c *call) handleCallerDisconnect(err error) attemptResult {
+// handleWriteError handles an event that could not be written to the caller: its connection is
+// closed, or it has not read until the deadline. The response must not look complete then.
+func (c *call) handleWriteError(err error) attemptResult {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
+	}
 	c.h.Log.Info().Str("request", c.id).Int64("events", c.events).Err(err).Msg("Caller disconnected during the event stream.")
 	return attemptResult{done: true, reason: CallerGone}
 }
