--- a/pkg/forward/next_hop_test.go
+++ b/pkg/forward/next_hop_test.go
@@ -322,7 +322,7 @@
 	})
 }
 
-// Guards against a stream from another host that looks complete to a caller that has not read until the deadline.
+// Guards against a stream from another host that looks complete to a caller that has not read until the deadline, or ends without a reason.
 func TestForwardedStreamToCallerThatDoesNotReadIsNotComplete(t *testing.T) {
 	e := startEndlessTarget(t, headStream+"\r\n", "data: "+strings.Repeat("x", 256<<10)+"\n\n", 0)
 	other, _ := newEndlessFixture(t, e)
@@ -340,4 +340,7 @@
 	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
 	spent, reserved := f.usedTokens()
 	assert.Assert(t, spent > 0 && reserved == 0)
+	f.observer.mu.Lock()
+	defer f.observer.mu.Unlock()
+	assert.Equal(t, f.observer.refused[DeadlinePassed], 1, "the request ends without a reason")
 }
