--- a/pkg/edge/configuration_lag.go
+++ b/pkg/edge/configuration_lag.go
@@ -15,7 +15,7 @@
 type configurationLag struct {
 	mu            sync.Mutex
 	newest        int64 // newest version that another host has named; 0: none is newer than the own
-	host          string
+	host          string // that has named it
 	since         time.Time
 	confirmations int // successful reads of the store since then
 }
