--- a/pkg/edge/configuration_lag.go
+++ b/pkg/edge/configuration_lag.go
@@ -14,7 +14,7 @@
 // how long. It is safe for concurrent use.
 type configurationLag struct {
 	mu            sync.Mutex
-	newest        int64 // newest version that another host has named; 0: none is newer than the own
+	newest        int64  // newest version that another host has named; 0: none is newer than the own
 	host          string // that has named it
 	since         time.Time
 	confirmations int // successful reads of the store since then
