soak: accept a broken stream without a reason only if its host was killed meanwhile

Kills are recorded with their times now, and one of the other host within the request is what excuses it; in all other cases its line must name a permitted reason.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -245,7 +245,7 @@
 
 // kill kills a process with SIGKILL and restarts it after a third of delay.
 func (s *scenario) kill(h *host, delay time.Duration) {
-	h.update(func(h *host) { h.killed = true })
+	h.update(func(h *host) { h.killed, h.killedAt = true, append(h.killedAt, time.Now()) })
 	s.signal(h, os.Kill)
 	if err := h.Wait(startTimeout); errors.Is(err, rig.ErrRunning) {
 		s.t.Errorf("%s after SIGKILL: %v", h.Name, err)
--- a/test/soak/recorder_test.go
+++ b/test/soak/recorder_test.go
@@ -95,17 +95,18 @@
 }
 
 // mayAbortStream reports whether the daemon logged a permitted reason for ending a
-// stream early. If it has forwarded the request to another host, that host's reason counts; one
-// that has logged none was killed.
+// stream early. If it has forwarded the request to another host, that host's reason counts,
+// or that it was killed meanwhile.
 func (s *scenario) mayAbortStream(r request) bool {
 	line := s.endOfRequest(r.host, r.id)
 	for _, h := range s.hosts {
 		if h.Name == r.host || !strings.Contains(line, `"`+h.Name+`"]`) {
 			continue
 		}
-		if line = s.endOfRequest(h.Name, r.id); line == "" {
+		if h.killedWithin(r.start, r.end) {
 			return true
 		}
+		line = s.endOfRequest(h.Name, r.id)
 		break
 	}
 	return slices.ContainsFunc([]string{"attempts", "retry_limit", "no_target", "deadline", "overrun"}, func(reason string) bool {
--- a/test/soak/scenario_test.go
+++ b/test/soak/scenario_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,7 @@
 	mu    sync.Mutex
 	hostState
 	processFaultActive bool
+	killedAt           []time.Time       // when processes of the host were killed
 	firstServed        map[int]time.Time // time of the first response of this process by configuration version
 }
 
@@ -84,6 +86,13 @@
 	return h.hostState
 }
 
+// killedWithin reports whether a process of the host was killed between two moments.
+func (h *host) killedWithin(start, end time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.killedAt, func(at time.Time) bool { return !at.Before(start) && !at.After(end) })
+}
+
 func newScenario(t *testing.T, seed uint64) *scenario {
 	t.Helper()
 	t.Logf("seed %d", seed)
