home: write the late lines of one grant in one operation

About 70 settlements waited for two closed grants. Each was an operation of its own that changes the row of the grant, 16 were in flight, and of these one succeeded and 15 conflicted, one transaction each. With 15 transactions/s that is one line per 1.2 s, which is the interval in the log.

Ruled out: the outbox backoff (200 ms while draining) and the platform (no fault was active after 12 s).

Change: the settlements of one closed grant wait in a queue, and one operation at a time writes all that wait, up to 200. A settlement that comes again while its line is written waits for the next operation, since the table rejects an operation that writes a key twice. The queue belongs to a session, so that a fenced committer answers what it held.

TestLateLinesOfOneGrantDoNotConflict: 2 operations for 100 lines; it and two more tests failed before. pkg/home passes with the race detector and with 1000 rapid checks.

--- a/pkg/home/local.go
+++ b/pkg/home/local.go
@@ -61,6 +61,7 @@
 	crashRows      map[string]uint64        // version of the crash row, by fingerprint
 	waiters        []*waiter                // reservations that wait for a grant, in order of arrival
 	budgetsToWake  map[string]struct{}      // ids of budgets whose waiters are tried again
+	closedGrants   *closedGrants
 	calls          openCalls
 	released       map[string]time.Time // time of release, by id of a call that must not be granted any more
 	nextGrant      uint64
@@ -93,6 +94,13 @@
 	l.claims = make(map[string]*pendingClaim)
 	l.attempts = make(map[string]openAttempt)
 	l.crashRows = make(map[string]uint64)
+	l.closedGrants = &closedGrants{
+		table:     l.opts.Table,
+		committer: l.opts.Committer,
+		observer:  l.opts.Observer,
+		async:     func(f func()) { l.async(f) },
+		waiting:   make(map[string][]*settleMessage),
+	}
 	l.calls = newOpenCalls()
 	l.released = make(map[string]time.Time)
 	l.waiters = nil
--- a/pkg/home/settle.go
+++ b/pkg/home/settle.go
@@ -111,8 +111,7 @@
 		m.answer(true) // nothing ran; the bound stays reserved on the other holder's grant
 		return
 	}
-	committer := l.opts.Committer // Reset replaces it while the settlement runs
-	l.async(func() { l.settleClosedGrant(m, committer) })
+	l.closedGrants.settle(m)
 }
 
 // settleReservation settles a reservation of this ledger.
