forward: end the read of a body at the deadline of its request

Cause: the body of a caller was read without a time limit. A caller whose connection went silent within its body kept the request, its connection and, at a planned stop, the host, until TCP keep-alive gave up after 150 s. The same holds for a request that is refused before its body is read, as net/http reads up to 256 KB of it before it writes the answer.

Change: reads of the body end at the deadline of the request, 408 and the new reason body_timeout, and the connection is closed. The limit is removed once the body is read, because the server then reads the connection to notice that the caller leaves. It holds for requests of other hosts as well.

TestReadDeadlineEndsWithTheBody guards the connection's next requests.

--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -129,6 +129,7 @@
 	defer cancel()
 	defer c.releaseBodies()
 	c.ctx = ctx
+	c.setBodyDeadline(ctx)
 	c.refusal = c.prepare()
 	switch {
 	case c.refusal != nil:
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -183,13 +184,36 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuseNotRun(BodyTooLarge, 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		return refuseNotRun(BodyTimeout, 0)
 	case err != nil:
 		return refuseNotRun(BodyUnread, 0)
 	}
 	c.body = body
+	c.endBodyDeadline()
 	return nil
 }
 
+// setBodyDeadline ends reads of the body at the deadline of the request. The server also
+// reads the body of a request that is refused without reading it.
+func (c *call) setBodyDeadline(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok && c.hasBody() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(deadline) // not supported only by writers without a connection
+	}
+}
+
+// endBodyDeadline removes the deadline once the body is read, as the server goes on to read
+// the connection to notice that the caller disconnects.
+func (c *call) endBodyDeadline() {
+	if c.hasBody() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{}) // as above
+	}
+}
+
+// hasBody reports whether bytes of a body may follow the header.
+func (c *call) hasBody() bool { return c.r.ContentLength != 0 }
+
 // defaultMaxBodyBytes bounds request bodies if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -29,7 +29,8 @@
 	UnknownKey            Reason = "unknown_key"
 	BadHeader             Reason = "bad_header"
 	BodyTooLarge          Reason = "body_too_large"
-	BodyUnread            Reason = "body_unread" // the body of the request could not be read
+	BodyUnread            Reason = "body_unread"  // the body of the request could not be read
+	BodyTimeout           Reason = "body_timeout" // the body of the request had not arrived at its deadline
 	BudgetExhausted       Reason = "budget_exhausted"
 	BudgetUnreachable     Reason = "budget_unreachable"
 	NoTarget              Reason = "no_target"
@@ -51,7 +52,7 @@
 // Reasons returns every reason, so that a counter can be registered for each.
 func Reasons() []Reason {
 	return []Reason{
-		NoConfiguration, ConfigurationUnconfirmed, ConfigurationOutdated, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread,
+		NoConfiguration, ConfigurationUnconfirmed, ConfigurationOutdated, NoRoute, UnknownKey, BadHeader, BodyTooLarge, BodyUnread, BodyTimeout,
 		BudgetExhausted, BudgetUnreachable, NoTarget, NoPath, RateLimited, TargetFull, TargetReplaced,
 		TargetUnreached, TargetFailed, AnswerBroken, ConnectionLimit, DeadlinePassed, CallerGone, HostFull, ShuttingDown, CrashesTargets,
 	}
@@ -65,6 +66,7 @@
 	BadHeader:       http.StatusBadRequest,
 	BodyTooLarge:    http.StatusRequestEntityTooLarge,
 	BodyUnread:      http.StatusBadRequest,
+	BodyTimeout:     http.StatusRequestTimeout,
 	BudgetExhausted: http.StatusPaymentRequired,
 }
 
