forward: count a forwarded request at the host that may retry it

Cause: a request that a host could not send for want of a path counted for the retry limit there, where it is never retried, and not at the host that sent it to targets. A request of a host with an outdated configuration could count at each host that it was offered to.

Change: without a path the request counts at the other host. After one host has answered with a refusal, the request counts as counted, so that the sum over the fleet is never above one for a request.

--- a/pkg/forward/next_hop.go
+++ b/pkg/forward/next_hop.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return c.handleHostError(hop, err)
 	}
+	c.counted = true // by that host, or by none; a second one must not count it as well
 	defer response.Close()
 	if reason := Reason(response.Header.Get(refusedHeader)); reason != "" {
 		return c.handleHostRefusal(hop, response, reason)
--- a/pkg/forward/next_hop_test.go
+++ b/pkg/forward/next_hop_test.go
@@ -345,3 +345,44 @@
 	// The other host may end the stream at its own deadline, 20 ms earlier.
 	assert.Equal(t, f.observer.refused[DeadlinePassed]+f.observer.refused[AnswerBroken], 1, "the request ends without a reason: %v", f.observer.refused)
 }
+
+// allowedRetries returns how many retries the host may send now.
+func (r *fixture) allowedRetries() int {
+	n := 0
+	for r.handler.retryLimit(testService).AllowRetry(time.Now()) {
+		n++
+	}
+	return n
+}
+
+// Guards against a forwarded request that gives its retries to the host that cannot send it,
+// so that the other host has none for it, and against one that two hosts count.
+func TestForwardedRequestCountsOnceForRetries(t *testing.T) {
+	const requests = 6
+	for name, others := range map[string][]*fixture{
+		"one host":             {newFixture(t, 1)},
+		"one host has no path": {newCutOffFixture(t), newFixture(t, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, other := range others {
+				other.handler.RetryRatio, other.handler.RetryReserve = 1, func() float64 { return 0 }
+			}
+			f := newCutOffFixture(t, others...)
+			f.handler.RetryRatio, f.handler.RetryReserve = 1, func() float64 { return 0 }
+			for i := range requests {
+				got := f.post(fmt.Sprint("r", i), "/safe/x")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+			}
+			assert.Equal(t, f.allowedRetries(), 0)
+			allowed := 0
+			for _, other := range others {
+				allowed += other.allowedRetries()
+			}
+			assert.Assert(t, allowed <= requests, "%d requests allow %d retries", requests, allowed)
+			if len(others) == 1 {
+				assert.Equal(t, allowed, requests)
+			}
+		})
+	}
+}
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -97,7 +97,7 @@
 		}
 	}
 	c.judged = true
-	if !c.counted {
+	if !c.counted && c.lacking == "" { // the host that the request is forwarded to counts it otherwise
 		c.counted = true
 		c.h.retryLimit(c.service.Name).CountRequest(c.receivedAt)
 	}
