forward: end the write of a response at the deadline of its request

Cause: only event streams had a write deadline. A caller that does not read, or whose connection has gone silent, kept a buffered response of up to 16 MB in memory until the kernel gave up after some 15 minutes of retransmissions. That memory is bounded for all requests together, so that responses of other callers could not be read.

Change: writes of buffered responses end 50 ms after the deadline as well. net/http removes the deadline before the next request of the connection.

TestWriteDeadlineEndsWithTheResponse guards the connection's next requests; it passed before as well.

--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -70,14 +70,29 @@
 func (c *call) writeResponse(response *upstream.Response, body []byte) {
 	c.copyResponseHeader(response)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.setWriteDeadline()
 	c.w.WriteHeader(response.Status)
 	if _, err := c.w.Write(body); err != nil {
-		c.h.Log.Info().Str("request", c.id).Err(err).Msg("Caller disconnected before the whole response was written.")
+		c.h.Log.Info().Str("request", c.id).Err(err).Msg("Caller disconnected, or did not read, before the whole response was written.")
 	}
 	c.headerSent = true
 	c.recordResponse(response.Status)
 }
 
+// writeGrace is how long after the deadline of a request a write to a caller that does not
+// read ends. The deadline must pass first, as the server ends the request's context when a
+// write fails.
+const writeGrace = 50 * time.Millisecond
+
+// setWriteDeadline ends writes to a caller that does not read soon after the deadline of the
+// request. The server removes it before the next request of the connection.
+func (c *call) setWriteDeadline() {
+	if !c.deadline.IsZero() {
+		// The error means that the connection is closed, which the next write reports.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeGrace))
+	}
+}
+
 // copyResponseHeader copies the header of a target's response, without hop-by-hop
 // headers and the target's load.
 func (c *call) copyResponseHeader(response *upstream.Response) {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -14,11 +14,6 @@
 // streamBufferBytes is the size of the read buffer of an event stream.
 const streamBufferBytes = 4096
 
-// streamWriteGrace is how long after the deadline of a request a write of its stream to
-// a caller that does not read ends. The deadline must pass first, as the server ends the
-// request's context when a write fails.
-const streamWriteGrace = 50 * time.Millisecond
-
 // isEventStream reports whether a response is an event stream. Parameters of the media
 // type are ignored, also invalid ones.
 func isEventStream(header http.Header) bool {
@@ -127,10 +122,10 @@
 		return
 	}
 	c.headerSent = true
-	if !c.deadline.IsZero() && c.r.ProtoAtLeast(1, 1) {
+	if c.r.ProtoAtLeast(1, 1) {
 		// For an HTTP/1.0 caller, the stream would look complete: net/http closes the
-		// connection of a failed write, so that it can no longer be reset. The error means that the connection is closed, which the next write reports.
-		_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(streamWriteGrace))
+		// connection of a failed write, so that it can no longer be reset.
+		c.setWriteDeadline()
 	}
 	c.copyResponseHeader(response)
 	c.w.WriteHeader(response.Status)
