--- /dev/null
+++ b/review/rig/main.go
@@ -0,0 +1,378 @@
+//go:build review
+
+// Command rig runs the scripted cases of the review: it starts the daemons as separate processes
+// and plays clients, replicas and the platform's store.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	ruleHeld   = 0
+	ruleBroken = 1
+	couldNot   = 2
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+		os.Exit(couldNot)
+	}
+	cases := map[string]func(*fleet) int{"budget": budgetCase, "config": configCase, "crash": crashCase, "memory": memoryCase}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		os.Exit(couldNot)
+	}
+	f := newFleet(os.Args[2])
+	time.AfterFunc(115*time.Second, func() { check(fmt.Errorf("the case has not ended after 115 s")) })
+	code := play(f)
+	f.tell("result: %s", map[int]string{ruleHeld: "the rule held", ruleBroken: "the rule was broken", couldNot: "the case could not run"}[code])
+	stopAll()
+	if os.Getenv("KEEP") == "" {
+		os.RemoveAll(f.dir)
+	} else {
+		fmt.Println("logs:", f.dir)
+	}
+	os.Exit(code)
+}
+
+type object = map[string]any
+
+const hostName = "ficu95.example"
+
+func llmRoute(name, prefix string) object {
+	return object{"name": name, "hostname": hostName, "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 10000, "latencyTargetMs": 600, "priority": 1, "service": "chef", "maxAttempts": 1, "anonymous": false, "sessionAffinity": true, "resumable": false, "gapTargetMs": 250}
+}
+
+func appRoute(name, prefix, kind string, attempts int) object {
+	return object{"name": name, "hostname": hostName, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 800, "latencyTargetMs": 300, "priority": 2, "service": "app", "maxAttempts": attempts, "anonymous": false, "sessionAffinity": false, "resumable": false}
+}
+
+func configuration(version int, routes []object, tenants []object) object {
+	return object{
+		"version": version, "routeList": routes,
+		"services": []object{
+			{"name": "chef", "healthPath": "/healthz", "maxConnections": 370, "protocol": "h1", "tls": false, "runtime": object{"slots": 64, "kvCapacity": 444000, "kvTokenBytes": 131072, "stride": tokensPerEvent, "models": []object{{"name": "m"}}}},
+			{"name": "app", "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": false},
+		},
+		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": tenants,
+	}
+}
+
+func tenant(name, key string, prepaid int64) object {
+	return object{"name": name, "apiKeys": []string{key}, "priority": 1, "prepaid": prepaid}
+}
+
+func routes() []object {
+	return []object{llmRoute("r-plan", "/plan/"), appRoute("r-order", "/order/", "unsafe", 1), appRoute("r-roster", "/roster/", "safe", 2)}
+}
+
+// addServers adds the replicas of the small deployment: 18 engines and 3 of the plain service.
+func (f *fleet) addServers() {
+	for range 18 {
+		f.addReplica(&replica{service: "chef", slots: 64, stream: true, first: 80 * time.Millisecond, pause: 20 * time.Millisecond})
+	}
+	for range 3 {
+		f.addReplica(&replica{service: "app", slots: 6, pause: 60 * time.Millisecond})
+	}
+}
+
+const (
+	promptTokens = 11992
+	outputTokens = 378
+)
+
+func planRequest(key string) request {
+	id := newID()
+	return request{method: "POST", path: "/plan/" + id[:4], host: hostName, key: key, usage: fmt.Sprintf("%d,%d", promptTokens, outputTokens), prefix: "a1:512,b2:4870," + id[:8] + ":6610", body: strings.NewReader(strings.Repeat("x", 24000)), deadline: 10 * time.Second}
+}
+
+func orderRequest(key string) request {
+	return request{method: "POST", path: "/order/" + newID()[:4], host: hostName, key: key, body: strings.NewReader(strings.Repeat("o", 600)), deadline: 1500 * time.Millisecond}
+}
+
+func rosterRequest(key string) request {
+	return request{method: "GET", path: "/roster/" + newID()[:4], host: hostName, key: key, deadline: 1500 * time.Millisecond}
+}
+
+// load sends requests at a rate, over all machines in turn, from a time until another.
+type load struct {
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	answers []answer
+}
+
+func (l *load) run(f *fleet, perSecond int, from, until time.Time, make func() request) {
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		var clients []*client
+		for _, m := range f.machines {
+			clients = append(clients, f.newClient(m))
+		}
+		time.Sleep(time.Until(from))
+		gap := time.Second / time.Duration(perSecond)
+		next := from
+		for n := 0; next.Before(until); n++ {
+			time.Sleep(time.Until(next))
+			next = next.Add(gap)
+			c := clients[n%len(clients)]
+			l.wg.Add(1)
+			go func() {
+				defer l.wg.Done()
+				a := c.send(make())
+				l.mu.Lock()
+				l.answers = append(l.answers, a)
+				l.mu.Unlock()
+			}()
+		}
+	}()
+}
+
+func (l *load) wait() []answer {
+	l.wg.Wait()
+	return l.answers
+}
+
+func statuses(answers []answer) string {
+	counts := map[int]int{}
+	for _, a := range answers {
+		counts[a.status]++
+	}
+	return fmt.Sprint(counts)
+}
+
+// budgetCase: BUDGET (prepaid). A tenant is added; the store then comes back from a copy that is
+// some seconds older.
+func budgetCase(f *fleet) int {
+	const prepaid = 1_500_000
+	f.addServers()
+	old := []object{tenant("t-old", "key-old", 50_000_000)}
+	f.store.put("op", "config", configuration(1, routes(), old))
+	f.addMachines(9)
+	f.awaitReady()
+	t0 := time.Now()
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	var others, newcomer load
+	others.run(f, 5, at(0), at(25), func() request { return planRequest("key-old") })
+	others.run(f, 20, at(0), at(25), func() request { return rosterRequest("key-old") })
+	time.Sleep(time.Until(at(1.9)))
+	saved := f.store.copyNow()
+	f.say("store    copy taken at version %d", saved.ver)
+	time.Sleep(time.Until(at(2)))
+	with := configuration(4, routes(), append(old, tenant("t-new", "key-new", prepaid)))
+	f.store.put("op", "config", with)
+	f.say("operator version 4 acknowledged: tenant t-new with %d prepaid tokens", prepaid)
+	newcomer.run(f, 20, at(4), at(25), func() request { return planRequest("key-new") })
+	time.Sleep(time.Until(at(6.5)))
+	if trouble() {
+		f.say("store    away at version %d", f.store.version())
+		f.store.drill(saved, time.Second)
+		f.say("store    back from the copy, version %d", f.store.version())
+		f.store.put("op", "config", with)
+		f.say("operator version 4 written again")
+	}
+	answers := newcomer.wait()
+	others.wait()
+	got, before := int64(0), int64(0)
+	for _, a := range answers {
+		if a.status == 200 && a.signed && a.whole {
+			tokens := int64(promptTokens + min(outputTokens, a.events*tokensPerEvent))
+			got += tokens
+			if a.sentAt.Before(at(6.5)) {
+				before += tokens
+			}
+		}
+	}
+	f.tell("tenant t-new: answers by status %s", statuses(answers))
+	f.tell("tenant t-new: prepaid %d tokens; got %d in whole answers (%d in requests sent before the store was away)", prepaid, got, before)
+	if got > prepaid {
+		return ruleBroken
+	}
+	return ruleHeld
+}
+
+// configCase: CONFIG. The store comes back from an older copy; later, in calm, a key and a route are
+// taken away.
+func configCase(f *fleet) int {
+	f.addServers()
+	tenants := []object{tenant("t-one", "key-one", 50_000_000), tenant("t-two", "key-two", 50_000_000)}
+	early := append(routes(), appRoute("r-early", "/early/", "unsafe", 1))
+	f.store.put("op", "config", configuration(1, early, tenants))
+	f.addMachines(9)
+	f.awaitReady()
+	t0 := time.Now()
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	var calm, late load
+	calm.run(f, 20, at(0), at(32), func() request { return planRequest("key-one") })
+	calm.run(f, 40, at(0), at(32), func() request { return rosterRequest("key-one") })
+	time.Sleep(time.Until(at(1)))
+	saved := f.store.copyNow()
+	f.say("store    copy taken at version %d", saved.ver)
+	time.Sleep(time.Until(at(7.5)))
+	second := configuration(4, append(early, appRoute("r-idle", "/idle/", "safe", 2)), tenants)
+	ver := f.store.put("op", "config", second)
+	f.say("operator version 4 acknowledged as row version %d: route /idle/ added", ver)
+	time.Sleep(time.Until(at(8)))
+	if trouble() {
+		f.say("store    away at version %d", f.store.version())
+		f.store.drill(saved, time.Second)
+		f.say("store    back from the copy, version %d", f.store.version())
+		f.say("operator version 4 written again as row version %d", f.store.put("op", "config", second))
+	}
+	time.Sleep(time.Until(at(12.5)))
+	ver = f.store.put("op", "config", configuration(9, append(routes(), appRoute("r-idle", "/idle/", "safe", 2)), tenants[:1]))
+	acked := time.Now()
+	f.say("operator version 9 acknowledged as row version %d: key-two and route /early/ are gone", ver)
+	late.run(f, 9, acked.Add(2050*time.Millisecond), at(32), func() request { return orderRequest("key-two") })
+	late.run(f, 9, acked.Add(2050*time.Millisecond), at(32), func() request {
+		q := orderRequest("key-one")
+		q.path = strings.Replace(q.path, "/order/", "/early/", 1)
+		return q
+	})
+	answers := late.wait()
+	calm.wait()
+	sent := map[string]time.Time{}
+	for _, a := range answers {
+		sent[a.id] = a.sentAt
+	}
+	stale, last := 0, time.Duration(0)
+	for _, r := range f.allRuns() {
+		if s, ok := sent[r.ID]; ok {
+			stale++
+			last = max(last, s.Sub(acked))
+		}
+	}
+	f.tell("requests with the key or the route that is gone, sent later than configApplyMs after the acknowledgement: %d, answers by status %s", len(answers), statuses(answers))
+	f.tell("of these %d have run; the last was sent %.1f s after the acknowledgement", stale, last.Seconds())
+	if stale > 0 {
+		return ruleBroken
+	}
+	return ruleHeld
+}
+
+// crashCase: BUDGET. A request crashes each replica that begins to run it; the replicas start again
+// under the ids that they had.
+func crashCase(f *fleet) int {
+	for range 18 {
+		f.addReplica(&replica{service: "chef", slots: 64, stream: true, first: 80 * time.Millisecond, pause: 20 * time.Millisecond})
+	}
+	var app []*replica
+	for range 3 {
+		r := &replica{service: "app", slots: 6, pause: 60 * time.Millisecond, downFor: 3 * time.Second}
+		if trouble() {
+			r.crashOn = "/order/crash"
+		}
+		app = append(app, f.addReplica(r))
+	}
+	f.store.put("op", "config", configuration(1, routes(), []object{tenant("t", "key", 5_000_000_000)}))
+	f.addMachines(9)
+	f.awaitReady()
+	t0 := time.Now()
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	app[2].leave() // planned work: the third replica drains and leaves
+	f.say("replica  %s has left", app[2].id)
+	var sound, bad load
+	sound.run(f, 20, at(4), at(44), func() request { return orderRequest("key") })
+	bad.run(f, 1, at(6), at(44), func() request {
+		q := orderRequest("key")
+		q.path = "/order/crash"
+		return q
+	})
+	soundAnswers := sound.wait()
+	badAnswers := bad.wait()
+	var crashes []time.Time
+	for _, r := range app {
+		crashes = append(crashes, r.crashes...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	late := 0
+	if len(crashes) >= 3 {
+		for _, r := range f.allRuns() {
+			if r.Path == "/order/crash" && r.At.Sub(crashes[2]) > 3*time.Second {
+				late++
+			}
+		}
+	}
+	f.tell("crashing request: answers by status %s; %d crashes of replicas; it reached replicas %d times later than contactMs after the third", statuses(badAnswers), len(crashes), late)
+	f.tell("sound requests: answers by status %s", statuses(soundAnswers))
+	if late > 3 {
+		return ruleBroken
+	}
+	return ruleHeld
+}
+
+// memoryCase: LOST. One tenant sends several times its usual, requests of the size that the limits
+// allow.
+func memoryCase(f *fleet) int {
+	const (
+		usual    = 11  // requests a second of the large tenant
+		hot      = 7.5 // times as many while it is hot
+		hotFor   = 6.5 // seconds
+		bodySize = 4194304
+		memoryMb = 284
+	)
+	for range 18 {
+		f.addReplica(&replica{service: "chef", slots: 64, stream: true, first: 80 * time.Millisecond, pause: 20 * time.Millisecond, tokensPerMs: 140})
+	}
+	for range 3 {
+		f.addReplica(&replica{service: "app", slots: 6, pause: 60 * time.Millisecond})
+	}
+	f.store.put("op", "config", configuration(1, routes(), []object{tenant("t-big", "key-big", 5_000_000_000), tenant("t", "key", 5_000_000_000)}))
+	f.addMachines(9)
+	f.awaitReady()
+	kills := f.limitMemory(memoryMb)
+	body := bytes.Repeat([]byte("x"), bodySize)
+	big := func() request {
+		id := newID()
+		return request{method: "POST", path: "/plan/" + id[:4], host: hostName, key: "key-big", usage: "100000,90", prefix: "a1:512,b2:4870," + id[:8] + ":94618", body: bytes.NewReader(body), deadline: 10 * time.Second}
+	}
+	t0 := time.Now()
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	var others, large load
+	others.run(f, 30, at(0), at(66), func() request { return planRequest("key") })
+	others.run(f, 90, at(0), at(66), func() request { return orderRequest("key") })
+	large.run(f, usual, at(0), at(66), big)
+	if trouble() {
+		for _, start := range []float64{4, 26, 48} {
+			large.run(f, int(math.Round(usual*(hot-1))), at(start), at(start+hotFor), big)
+		}
+	}
+	answers := others.wait()
+	largeAnswers := large.wait()
+	ran := map[string]bool{}
+	for _, r := range f.allRuns() {
+		ran[r.ID] = true
+	}
+	lost := 0
+	for _, a := range append(answers, largeAnswers...) {
+		if a.kept && ran[a.id] && a.status == 0 && a.tookMs < 1400 { // before any deadline
+			lost++
+		}
+	}
+	counts, often := kills(), 0
+	for _, n := range counts {
+		if n >= 3 {
+			often++
+		}
+	}
+	f.tell("large tenant: answers by status %s", statuses(largeAnswers))
+	f.tell("other tenant: answers by status %s", statuses(answers))
+	f.tell("processes that exceeded memoryMb, by machine: %v; three times or more on %d machines", counts, often)
+	f.tell("requests of kept connections that a replica had begun, and whose connection ended without a whole answer: %d", lost)
+	if lost > 3 {
+		return ruleBroken
+	}
+	return ruleHeld
+}
--- /dev/null
+++ b/review/rig/replica.go
@@ -0,0 +1,221 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is a request that a replica has begun to work on.
+type run struct {
+	ID, Replica, Service, Path, Tenant string
+	At                                 time.Time
+}
+
+// replica is a sound server of a service: it answers each request with its signature, or in a
+// stream of events, and rejects requests that name another replica.
+type replica struct {
+	id, service, zone string
+	slots             int
+	stream            bool
+	pause             time.Duration // between two events, or until a plain answer
+	first             time.Duration // until the first event
+	tokensPerMs       int           // prompt tokens read in a ms, one prompt after the other; 0: at once
+	crashOn           string        // a request with this path crashes the replica that begins to run it
+	downFor           time.Duration
+
+	f       *fleet
+	addr    string
+	mu      sync.Mutex
+	server  *http.Server
+	born    int64
+	seq     int
+	running atomic.Int64
+	gone    bool
+	leaving bool
+	down    bool
+	crashes []time.Time
+	reading time.Time // when all prompts that have come are read
+}
+
+const tokensPerEvent = 9
+
+func (r *replica) start() {
+	if r.addr == "" {
+		r.addr = freeAddr(r.f.ip(1, len(r.f.replicas)+1))
+	}
+	l, err := net.Listen("tcp", r.addr)
+	check(err)
+	r.mu.Lock()
+	r.born = time.Now().UnixMilli()
+	r.seq = 0
+	r.down = false
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), IdleTimeout: 60 * time.Second}
+	server := r.server
+	r.mu.Unlock()
+	go server.Serve(l)
+	r.beat()
+}
+
+// beat writes the registration of the replica.
+func (r *replica) beat() {
+	r.mu.Lock()
+	r.seq++
+	if r.gone || r.down {
+		r.mu.Unlock()
+		return
+	}
+	state := "ready"
+	if r.leaving {
+		state = "draining"
+	}
+	entry := map[string]any{"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "coldRemainingMs": 0, "sequence": r.seq, "born": r.born}
+	r.mu.Unlock()
+	r.f.store.put("servers", r.id, entry)
+}
+
+func (r *replica) beats() {
+	for {
+		time.Sleep(1200 * time.Millisecond)
+		r.beat()
+	}
+}
+
+// crash ends all connections. The replica is back after downFor, under its id.
+func (r *replica) crash() {
+	r.mu.Lock()
+	if r.down {
+		r.mu.Unlock()
+		return
+	}
+	r.down = true
+	r.crashes = append(r.crashes, time.Now())
+	server := r.server
+	r.mu.Unlock()
+	go func() {
+		server.Close()
+		time.Sleep(r.downFor)
+		r.start()
+	}()
+}
+
+func (r *replica) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
+func (r *replica) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("Attempt-Id")
+	h := w.Header()
+	h.Set("Attempt-Id", id)
+	h.Set("Replica-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.slots))
+	if r.isLeaving() {
+		h.Set("Server-Leaving", "1")
+	}
+	length, err := io.Copy(io.Discard, q.Body)
+	if err != nil {
+		return
+	}
+	if want := q.Header.Get("Expect-Replica"); want != "" && want != r.id {
+		h.Set("Replica-Id", r.id)
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if r.running.Add(1) > int64(4*r.slots) { // the slots and a queue
+		r.running.Add(-1)
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.running.Add(-1)
+	r.f.ran(run{ID: id, Replica: r.id, Service: r.service, Path: q.URL.Path, Tenant: q.Header.Get("Tenant"), At: time.Now()})
+	if r.crashOn != "" && strings.HasPrefix(q.URL.Path, r.crashOn) {
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
+	h.Set("Server-Signature", "s."+r.id+"."+id)
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return !r.isDown()
+		case <-q.Context().Done():
+			return false
+		}
+	}
+	if !r.stream {
+		if !wait(r.pause) {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "answer of %s to %s, %d bytes", r.id, id, length)
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	maxOut, first := 0, r.first
+	if in, out, ok := strings.Cut(q.Header.Get("Token-Usage"), ","); ok {
+		maxOut, _ = strconv.Atoi(out)
+		if tokens, _ := strconv.Atoi(in); r.tokensPerMs > 0 {
+			first += r.read(time.Duration(tokens/r.tokensPerMs) * time.Millisecond)
+		}
+	}
+	if !wait(first) {
+		panic(http.ErrAbortHandler)
+	}
+	for n := 1; n <= (maxOut+tokensPerEvent-1)/tokensPerEvent; n++ {
+		if n > 1 && !wait(r.pause) {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d of %s at %s\n\n", n, n, id, r.id); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+	}
+}
+
+// read returns the time until a prompt that takes a time to read has been read: prompts are read one
+// after the other.
+func (r *replica) read(takes time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.reading.Before(now) {
+		r.reading = now
+	}
+	r.reading = r.reading.Add(takes)
+	return r.reading.Sub(now)
+}
+
+// leave says that the replica is draining, and ends it drainMs and a little later.
+func (r *replica) leave() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.beat()
+	time.Sleep(3 * time.Second)
+	r.mu.Lock()
+	r.gone = true
+	server := r.server
+	r.mu.Unlock()
+	r.f.store.removeRow("servers", r.id)
+	server.Close()
+}
