--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -49,7 +49,8 @@
 	settings       string
 	cmd            *exec.Cmd
 	ended          chan struct{}
-	stopped        bool // the case is over: no process is started again
+	troubles       []span // stops and starts
+	stopped        bool   // the case is over: no process is started again
 	f              *fleet
 }
 
@@ -262,6 +263,48 @@
 	m.cmd, m.ended = cmd, ended
 }
 
+// restart stops the daemon as the platform does, SIGTERM and SIGKILL after graceS, and starts it again
+// after a short delay.
+func (m *machine) restart() {
+	m.mu.Lock()
+	cmd, ended := m.cmd, m.ended
+	m.troubles = append(m.troubles, span{from: time.Now()})
+	m.mu.Unlock()
+	m.f.say("process  %s gets SIGTERM", m.name)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(8 * time.Second):
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+	time.Sleep(500 * time.Millisecond)
+	m.start()
+	m.mu.Lock()
+	m.troubles[len(m.troubles)-1].until = time.Now()
+	m.mu.Unlock()
+}
+
+// span is a time in which a machine is in disruption; until is zero while it lasts.
+type span struct{ from, until time.Time }
+
+// inTouch reports whether a machine is in touch at a time: no stop or start for contactMs before.
+func (f *fleet) inTouch(name string, at time.Time) bool {
+	for _, m := range f.machines {
+		if m.name != name {
+			continue
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for _, s := range m.troubles {
+			if at.After(s.from) && (s.until.IsZero() || at.Before(s.until.Add(3*time.Second))) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (m *machine) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + m.addr(1) + "/api/readyz")
@@ -305,6 +348,7 @@
 	sentAt   time.Time
 	tookMs   int64
 	retryAft string
+	machine  string
 	kept     bool // sent on a connection that had carried an answer before
 }
 
@@ -324,7 +368,7 @@
 
 // send sends one attempt with an id of its own, and reads the whole answer.
 func (c *client) send(q request) answer {
-	a := answer{id: newID(), sentAt: time.Now()}
+	a := answer{id: newID(), machine: c.m.name, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), q.deadline+500*time.Millisecond)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.kept = i.Reused }})
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(couldNot)
 	}
-	cases := map[string]func(*fleet) int{"budget": budgetCase, "config": configCase, "crash": crashCase, "memory": memoryCase}
+	cases := map[string]func(*fleet) int{"budget": budgetCase, "config": configCase, "crash": crashCase, "restart": restartCase, "memory": memoryCase}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -376,3 +376,66 @@
 	}
 	return ruleHeld
 }
+
+// restartCase: BUDGET. A request crashes each replica that begins to run it, and is refused after the
+// third. Then the daemons are stopped and started again in turn.
+func restartCase(f *fleet) int {
+	for range 18 {
+		f.addReplica(&replica{service: "chef", slots: 64, stream: true, first: 80 * time.Millisecond, pause: 20 * time.Millisecond})
+	}
+	var app []*replica
+	for range 3 {
+		r := &replica{service: "app", slots: 6, pause: 60 * time.Millisecond, downFor: 3 * time.Second, newIDs: true}
+		r.crashOn = "/order/crash"
+		app = append(app, f.addReplica(r))
+	}
+	f.store.put("op", "config", configuration(1, routes(), []object{tenant("t", "key", 5_000_000_000)}))
+	f.addMachines(9)
+	f.awaitReady()
+	t0 := time.Now()
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	const end = 70
+	var sound, bad load
+	sound.run(f, 20, at(0), at(end), func() request { return orderRequest("key") })
+	bad.run(f, 1, at(2), at(end), func() request {
+		q := orderRequest("key")
+		q.path = "/order/crash"
+		return q
+	})
+	time.Sleep(time.Until(at(20)))
+	if trouble() {
+		for _, m := range f.machines { // one at a time, as roll_term
+			m.restart()
+			time.Sleep(2 * time.Second)
+		}
+	}
+	soundAnswers, badAnswers := sound.wait(), bad.wait()
+	var crashes []time.Time
+	for _, r := range app {
+		crashes = append(crashes, r.crashes...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	by := map[string]answer{}
+	for _, a := range badAnswers {
+		by[a.id] = a
+	}
+	late := 0
+	if len(crashes) >= 3 {
+		for _, r := range f.allRuns() {
+			if r.Path != "/order/crash" || r.At.Sub(crashes[2]) <= 3*time.Second {
+				continue
+			}
+			inTouch := f.inTouch(by[r.ID].machine, r.At)
+			f.say("late     %s, sent by %s, in touch %t", r.ID, by[r.ID].machine, inTouch)
+			if inTouch {
+				late++
+			}
+		}
+	}
+	f.tell("crashing request: answers by status %s; %d crashes of replicas; machines in touch have sent it to replicas %d times later than contactMs after the third", statuses(badAnswers), len(crashes), late)
+	f.tell("sound requests: answers by status %s", statuses(soundAnswers))
+	if late > 3 {
+		return ruleBroken
+	}
+	return ruleHeld
+}
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,6 +32,7 @@
 	tokensPerMs       int           // prompt tokens read in a ms, one prompt after the other; 0: at once
 	crashOn           string        // a request with this path crashes the replica that begins to run it
 	downFor           time.Duration
+	newIDs            bool // it starts again under a new id
 
 	f       *fleet
 	addr    string
@@ -55,6 +57,14 @@
 	l, err := net.Listen("tcp", r.addr)
 	check(err)
 	r.mu.Lock()
+	if r.newIDs && r.born != 0 {
+		old := r.id
+		r.id = fmt.Sprintf("i-%08x", rand.Uint32())
+		go func() { // the entry of the incarnation that has ended lapses
+			time.Sleep(3 * 1200 * time.Millisecond)
+			r.f.store.removeRow("servers", old)
+		}()
+	}
 	r.born = time.Now().UnixMilli()
 	r.seq = 0
 	r.down = false
@@ -113,6 +123,12 @@
 	return r.down
 }
 
+func (r *replica) name() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.id
+}
+
 func (r *replica) isLeaving() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,7 +147,7 @@
 	if err != nil {
 		return
 	}
-	if want := q.Header.Get("Expect-Replica"); want != "" && want != r.id {
+	if want := q.Header.Get("Expect-Replica"); want != "" && want != r.name() {
 		h.Set("Replica-Id", r.id)
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
