--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -376,15 +376,15 @@
 	check(err)
 	r.Host = q.host
 	h := r.Header
-	h.Set("Attempt-Id", a.id)
-	h.Set("Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
+	h.Set(headers.ID, a.id)
+	h.Set(headers.Deadline, fmt.Sprint(q.deadline.Milliseconds()))
 	if q.key != "" {
-		h.Set("Credential", q.key)
+		h.Set(headers.Key, q.key)
 	}
 	if q.usage != "" {
-		h.Set("Model", "m")
-		h.Set("Token-Usage", q.usage)
-		h.Set("Prompt-Prefix", q.prefix)
+		h.Set(headers.Model, "m")
+		h.Set(headers.Usage, q.usage)
+		h.Set(headers.Prefix, q.prefix)
 	}
 	c.f.say("sent     %s to %s %s %s key %s usage %s", a.id, c.m.name, q.method, q.path, q.key, q.usage)
 	response, err := c.http.Do(r)
@@ -392,7 +392,7 @@
 		a.err = err
 	} else {
 		a.status = response.StatusCode
-		a.signed = response.Header.Get("Server-Signature") != ""
+		a.signed = response.Header.Get(headers.Signature) != ""
 		a.retryAft = response.Header.Get("Retry-After")
 		lines := bufio.NewScanner(response.Body)
 		for lines.Scan() {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -51,16 +51,16 @@
 const hostName = "ficu95.example"
 
 func llmRoute(name, prefix string) object {
-	return object{"name": name, "hostname": hostName, "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 10000, "latencyTargetMs": 600, "priority": 1, "service": "chef", "maxAttempts": 1, "anonymous": false, "sessionAffinity": true, "resumable": false, "gapTargetMs": 250}
+	return object{"name": name, "hostname": hostName, "pathPrefix": prefix, fields.Kind: "streaming", "timeoutMs": 10000, "latencyTargetMs": 600, "priority": 1, "service": "chef", "maxAttempts": 1, "anonymous": false, "sessionAffinity": true, "resumable": false, "gapTargetMs": 250}
 }
 
 func appRoute(name, prefix, kind string, attempts int) object {
-	return object{"name": name, "hostname": hostName, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 800, "latencyTargetMs": 300, "priority": 2, "service": "app", "maxAttempts": attempts, "anonymous": false, "sessionAffinity": false, "resumable": false}
+	return object{"name": name, "hostname": hostName, "pathPrefix": prefix, fields.Kind: kind, "timeoutMs": 800, "latencyTargetMs": 300, "priority": 2, "service": "app", "maxAttempts": attempts, "anonymous": false, "sessionAffinity": false, "resumable": false}
 }
 
 func configuration(version int, routes []object, tenants []object) object {
 	return object{
-		"version": version, "routeList": routes,
+		"version": version, fields.Routes: routes,
 		"services": []object{
 			{"name": "chef", "healthPath": "/healthz", "maxConnections": 370, "protocol": "h1", "tls": false, "runtime": object{"slots": 64, "kvCapacity": 444000, "kvTokenBytes": 131072, "stride": tokensPerEvent, "models": []object{{"name": "m"}}}},
 			{"name": "app", "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": false},
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -87,7 +87,7 @@
 	if r.leaving {
 		state = "draining"
 	}
-	entry := map[string]any{"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "coldRemainingMs": 0, "sequence": r.seq, "born": r.born}
+	entry := map[string]any{"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, fields.Cold: 0, "sequence": r.seq, "born": r.born}
 	r.mu.Unlock()
 	r.f.store.put("servers", r.id, entry)
 }
@@ -136,41 +136,41 @@
 }
 
 func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
-	id := q.Header.Get("Attempt-Id")
+	id := q.Header.Get(headers.ID)
 	h := w.Header()
-	h.Set("Attempt-Id", id)
-	h.Set("Replica-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.slots))
+	h.Set(headers.ID, id)
+	h.Set(headers.Load, fmt.Sprintf("%d,0,%d", r.running.Load(), r.slots))
 	if r.isLeaving() {
-		h.Set("Server-Leaving", "1")
+		h.Set(headers.Leaving, "1")
 	}
 	length, err := io.Copy(io.Discard, q.Body)
 	if err != nil {
 		return
 	}
-	if want := q.Header.Get("Expect-Replica"); want != "" && want != r.name() {
-		h.Set("Replica-Id", r.id)
-		h.Set("Not-Executed", "1")
+	if want := q.Header.Get(headers.Expect); want != "" && want != r.name() {
+		h.Set(headers.Replica, r.id)
+		h.Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if id == "" {
-		h.Set("Not-Executed", "1")
+		h.Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if r.running.Add(1) > int64(4*r.slots) { // the slots and a queue
 		r.running.Add(-1)
-		h.Set("Not-Executed", "1")
+		h.Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer r.running.Add(-1)
-	r.f.ran(run{ID: id, Replica: r.id, Service: r.service, Path: q.URL.Path, Tenant: q.Header.Get("Tenant"), At: time.Now()})
+	r.f.ran(run{ID: id, Replica: r.id, Service: r.service, Path: q.URL.Path, Tenant: q.Header.Get(headers.Tenant), At: time.Now()})
 	if r.crashOn != "" && strings.HasPrefix(q.URL.Path, r.crashOn) {
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
-	h.Set("Server-Signature", "s."+r.id+"."+id)
+	h.Set(headers.Signature, "s."+r.id+"."+id)
 	wait := func(d time.Duration) bool {
 		select {
 		case <-time.After(d):
@@ -188,7 +188,7 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	maxOut, first := 0, r.first
-	if in, out, ok := strings.Cut(q.Header.Get("Token-Usage"), ","); ok {
+	if in, out, ok := strings.Cut(q.Header.Get(headers.Usage), ","); ok {
 		maxOut, _ = strconv.Atoi(out)
 		if tokens, _ := strconv.Atoi(in); r.tokensPerMs > 0 {
 			first += r.read(time.Duration(tokens/r.tokensPerMs) * time.Millisecond)
