storage: a version belongs to an era of the store

What callers saw: after the store had returned from a copy 5.6 s old, a configuration that takes away a key and a route was never in force.

Cause: versions were taken for numbers that only rise. A store that returns from an older copy gives them out again, and says so by its era, which nothing read. Ruled out: the version that the operator gave the configuration (9, newer than 4), and the feed, which gets 410 and leads to the scan.

Change: storage.Version has the era and the number. The client of the store reads the era of each answer, relays pass it on, and storage/era decides: a feed since a version of another era has no history, also one that waits; a condition on a version of an earlier era is sent as one that cannot hold, so that the store answers with the rows of the new era; a write that was on its way across the return has an unknown outcome; an answer of an earlier era is an error. The watcher replaces its copy by a scan of a later era. Which configuration is newer is decided by the operator's version alone, so that an older one of the copy does not come back. A store without eras is used as before; between hosts a version is still a number, with the era beside it.

--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -48,22 +48,25 @@
 
 // applyConfiguration applies a newer configuration, from the store or another host. A
 // configuration that cannot be decoded is skipped and the current one stays in force. It reports
-// whether the row was newer than the one read last.
-func (d *Daemon) applyConfiguration(row storage.PartRow) (newer bool) {
+// whether the row was another one than the one read last.
+//
+// Which of two configurations is newer is decided by the version that the operator gave them:
+// a store that has returned from an older copy gives their rows other versions.
+func (d *Daemon) applyConfiguration(row storage.PartRow) (changed bool) {
 	d.configurationMu.Lock()
 	defer d.configurationMu.Unlock()
-	if row.Version <= d.configurationRowVersion {
+	if row.Version == d.configurationRowVersion {
 		return false
 	}
 	d.configurationRowVersion = row.Version
 	next, err := d.layout.DecodeConfiguration(row.Value)
 	if err != nil {
-		d.log.Error().Err(err).Uint64("row_version", row.Version).Msg("Configuration row cannot be decoded. The current configuration stays in force.")
+		d.log.Error().Err(err).Uint64("row_version", row.Number).Msg("Configuration row cannot be decoded. The current configuration stays in force.")
 		return true
 	}
 	current := d.configuration.Load()
 	if current != nil && next.Version <= current.Version {
-		d.log.Warn().Int64("version", next.Version).Int64("in_force", current.Version).Msg("Configuration ignored: its version is not newer than the one in force.")
+		d.log.Info().Int64("version", next.Version).Int64("in_force", current.Version).Msg("Configuration ignored: its version is not newer than the one in force.")
 		return true
 	}
 	prepaid := make(map[string]int64)
--- a/pkg/edge/configuration_fetch.go
+++ b/pkg/edge/configuration_fetch.go
@@ -62,7 +62,7 @@
 		return errors.New("no address is known of the host that names it: " + host)
 	}
 	var row storage.PartRow
-	if err := d.store.Call(ctx, peer.Addr, methodConfiguration, struct{}{}, &row); err != nil {
+	if err := d.relay.Call(ctx, peer.Addr, methodConfiguration, struct{}{}, &row); err != nil {
 		return err
 	}
 	if !d.applyConfiguration(row) && d.configurationBehind() > 0 {
--- a/pkg/edge/crash_parts.go
+++ b/pkg/edge/crash_parts.go
@@ -54,7 +54,7 @@
 // learnBlockedParts asks another host for the parts that it blocks.
 func (d *Daemon) learnBlockedParts(ctx context.Context, peer string) {
 	var events []crashparts.Event
-	if err := d.store.Call(ctx, peer, methodBlockedParts, struct{}{}, &events); err != nil {
+	if err := d.relay.Call(ctx, peer, methodBlockedParts, struct{}{}, &events); err != nil {
 		d.log.Debug().Err(err).Str("peer", peer).Msg("Blocked parts of prompts could not be asked of another host. Hosts also announce them.")
 		return
 	}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/peppertrail/peppertrail/pkg/relay"
 	"github.com/peppertrail/peppertrail/pkg/routing"
 	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/era"
 	"github.com/peppertrail/peppertrail/pkg/telemetry"
 	"github.com/peppertrail/peppertrail/pkg/upstream"
 )
@@ -72,7 +73,8 @@
 	settings     Settings
 	layout       Layout
 	directStore  storage.Rows // store client that never relays calls through other hosts
-	store        *relay.Rows  // store client that relays calls through other hosts if the store cannot be reached directly
+	relay        *relay.Rows  // store client that relays calls through other hosts if the store cannot be reached directly
+	store        *era.Rows    // relay with a check of the era of each answer
 	logs         *telemetry.Logs
 	log          *log.Logger
 	client       *upstream.Client
@@ -101,7 +103,7 @@
 	stop                   atomic.Pointer[forward.Stop] // nil until the daemon shuts down
 
 	configurationMu         sync.Mutex                      // held while a configuration is applied
-	configurationRowVersion uint64                          // version of the configuration row read last; guarded by configurationMu
+	configurationRowVersion storage.Version                 // version of the configuration row read last; guarded by configurationMu
 	configurationInForce    atomic.Pointer[storage.PartRow] // row of configuration
 	newerNamed              chan struct{}                   // another host has named a newer configuration; capacity 1
 	decodedTargets          map[string]balance.Target       // registered targets by row key; used only by the target watcher
@@ -129,7 +131,9 @@
 	d.metrics.observeConfigurationLag(d.configurationBehind)
 	d.metrics.observeLostPaths(func() int { return len(d.targets.LostPaths(time.Now())) })
 	d.directStore = newMeteredRows(store, d.metrics.registry)
-	d.store = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
+	d.relay = relay.New(d.directStore, func() []string { return d.budgets.PeerAddrs() }, logs.Logger("relay"))
+	d.store = era.New(d.relay, logs.Logger("store"))
+	d.store.Changed = func(storage.Version, storage.Version) { d.metrics.storeReturns.Inc() }
 	d.budgets = escrow.NewManager(ctx, escrow.Options{
 		Rows: d.store, AccountTable: l.AccountTable, UsageTable: l.UsageTable, HostTable: l.HostTable, Host: s.Host, Incarnation: newIncarnation(), Addr: s.PeerListen, RequestAddr: s.RequestListen, Hosts: d.targets.HostCount, WritesPerSecond: s.StoreWritesPerSecond,
 		AnnounceShortage: d.announceShortage, RequestShare: d.requestShareChange, RequestReservation: d.requestReservation, SendSettlements: d.sendSettlements,
--- a/pkg/edge/learn.go
+++ b/pkg/edge/learn.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, learnCallTimeout)
 	defer cancel()
 	var targets []balance.LeavingTarget
-	if err := d.store.Call(ctx, peer, methodLeaving, struct{}{}, &targets); err != nil {
+	if err := d.relay.Call(ctx, peer, methodLeaving, struct{}{}, &targets); err != nil {
 		d.log.Debug().Err(err).Str("peer", peer).Msg("Targets that leave could not be asked of another host. Others are asked.")
 		return 0
 	}
--- a/pkg/edge/metered_rows.go
+++ b/pkg/edge/metered_rows.go
@@ -62,7 +62,7 @@
 }
 
 // Feed implements storage.Rows.
-func (m *meteredRows) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (m *meteredRows) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	start := time.Now()
 	page, err := m.rows.Feed(ctx, table, since, wait)
 	m.record(table, "feed", start, page.Rows, err)
--- a/pkg/edge/metered_rows_test.go
+++ b/pkg/edge/metered_rows_test.go
@@ -22,12 +22,12 @@
 	key := storage.RowKey{Table: "reports", Part: "p", Key: "k"}
 	_, err := rows.Transact(t.Context(), storage.RowTxn{Puts: []storage.PartRow{{RowKey: key, Value: []byte(strings.Repeat("x", 100))}}})
 	assert.NilError(t, err)
-	_, err = rows.Feed(t.Context(), "reports", 0, time.Second)
+	_, err = rows.Feed(t.Context(), "reports", storage.Version{}, time.Second)
 	assert.NilError(t, err)
 	_, err = rows.Range(t.Context(), "accounts", "", "")
 	assert.NilError(t, err)
 	client.SetFaults(rowstore.Faults{Refuse: true})
-	_, err = rows.Feed(t.Context(), "reports", 0, time.Second)
+	_, err = rows.Feed(t.Context(), "reports", storage.Version{}, time.Second)
 	assert.ErrorIs(t, err, storage.ErrNotApplied)
 
 	page := httptest.NewRecorder()
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -31,6 +31,7 @@
 	dials           prometheus.Counter
 	writtenOff      *prometheus.CounterVec
 	permits         *prometheus.CounterVec
+	storeReturns    prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -46,7 +47,8 @@
 	}
 	m.writtenOff = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_budget_written_off_tokens_total", Help: "Tokens counted as spent by ended processes beyond their last reports, by what allowed the processes to spend them."}, []string{"cause"})
 	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peppertrail_edge_permits_total", Help: "Permits that this host has asked for, to send a request to a target with a rate limit, by result."}, []string{"result"})
-	m.registry.MustRegister(m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, m.writtenOff, m.permits, collectors.NewGoCollector())
+	m.storeReturns = prometheus.NewCounter(prometheus.CounterOpts{Name: "peppertrail_edge_store_returns_total", Help: "Returns of the store from an older copy that this host has noticed."})
+	m.registry.MustRegister(m.storeReturns, m.refusals, m.retries, m.responses, m.timeToFirstByte, m.responseTime, m.streams, m.dials, m.writtenOff, m.permits, collectors.NewGoCollector())
 	for _, r := range ratelimit.Results() {
 		m.permits.WithLabelValues(string(r))
 	}
--- a/pkg/edge/peer_calls.go
+++ b/pkg/edge/peer_calls.go
@@ -59,20 +59,20 @@
 // requestShareChange asks the host at addr to change this host's share of a
 // budget account.
 func (d *Daemon) requestShareChange(ctx context.Context, addr string, request escrow.ShareRequest) (reply escrow.ShareReply, err error) {
-	err = d.store.Call(ctx, addr, methodChangeShare, request, &reply)
+	err = d.relay.Call(ctx, addr, methodChangeShare, request, &reply)
 	return reply, err
 }
 
 // requestReservation asks the host at addr to reserve tokens for a request of this host.
 func (d *Daemon) requestReservation(ctx context.Context, addr string, request escrow.ReserveRequest) (reply escrow.ReserveReply, err error) {
-	err = d.store.Call(ctx, addr, methodReserve, request, &reply)
+	err = d.relay.Call(ctx, addr, methodReserve, request, &reply)
 	return reply, err
 }
 
 // sendSettlements settles reservations that the host at addr has made for this host.
 func (d *Daemon) sendSettlements(ctx context.Context, addr string, request escrow.SettleRequest) error {
 	var reply struct{}
-	return d.store.Call(ctx, addr, methodSettle, request, &reply)
+	return d.relay.Call(ctx, addr, methodSettle, request, &reply)
 }
 
 // announceShortage notifies the holders of shares, or other hosts if these are not known,
--- a/pkg/edge/rate_limits.go
+++ b/pkg/edge/rate_limits.go
@@ -33,14 +33,14 @@
 
 // requestPermit asks the host at addr for a permit.
 func (d *Daemon) requestPermit(ctx context.Context, addr string, request ratelimit.PermitRequest) (reply ratelimit.PermitReply, err error) {
-	err = d.store.Call(ctx, addr, methodPermit, request, &reply)
+	err = d.relay.Call(ctx, addr, methodPermit, request, &reply)
 	return reply, err
 }
 
 // learnRateLimits asks another host for the limits that it knows.
 func (d *Daemon) learnRateLimits(ctx context.Context, peer string) {
 	var limits []ratelimit.Limit
-	if err := d.store.Call(ctx, peer, methodRateLimits, struct{}{}, &limits); err != nil {
+	if err := d.relay.Call(ctx, peer, methodRateLimits, struct{}{}, &limits); err != nil {
 		d.log.Debug().Err(err).Str("peer", peer).Msg("Rate limits of targets could not be asked of another host. The targets name them in their answers.")
 		return
 	}
--- a/pkg/escrow/manager_test.go
+++ b/pkg/escrow/manager_test.go
@@ -108,7 +108,7 @@
 	found := false
 	for _, suffix := range reportPartSuffixes {
 		row := c.store.Get(storage.RowKey{Table: usages, Part: "a" + suffix, Key: "a1"})
-		if row.Version == 0 {
+		if row.Number == 0 {
 			continue
 		}
 		found = true
@@ -145,7 +145,7 @@
 	}
 	assert.Equal(t, spent, int64(12_000))
 	row := c.store.Get(storage.RowKey{Table: usages, Part: "a" + reportPartSuffixes[1], Key: "a1"})
-	assert.Assert(t, row.Version > 0)
+	assert.Assert(t, row.Number > 0)
 }
 
 // Guards against a share that is lost when another writer leaves an account
--- a/pkg/escrow/membership.go
+++ b/pkg/escrow/membership.go
@@ -83,7 +83,7 @@
 
 // followMembership reads the host rows, then follows their changes.
 func (m *Manager) followMembership(ctx context.Context) {
-	version, scanned, wait := uint64(0), false, firstMembershipPause
+	version, scanned, wait := storage.Version{}, false, firstMembershipPause
 	for ctx.Err() == nil {
 		next, err := m.readMembership(ctx, version, scanned)
 		switch {
@@ -102,7 +102,7 @@
 
 // readMembership reads all host rows, or those changed since a version. It returns the
 // version after which the next read starts.
-func (m *Manager) readMembership(ctx context.Context, since uint64, scanned bool) (version uint64, err error) {
+func (m *Manager) readMembership(ctx context.Context, since storage.Version, scanned bool) (version storage.Version, err error) {
 	if scanned {
 		return m.readMembershipPage(ctx, feedWait, func(ctx context.Context) (storage.RowPage, error) {
 			return m.options.Rows.Feed(ctx, m.options.HostTable, since, feedWait)
@@ -113,7 +113,7 @@
 
 // scanMembership reads the host rows of all parts. A part that is down is left out:
 // its hosts write their rows to another part, which the feed returns.
-func (m *Manager) scanMembership(ctx context.Context) (version uint64, err error) {
+func (m *Manager) scanMembership(ctx context.Context) (version storage.Version, err error) {
 	scanned := false
 	for _, part := range hostRowParts {
 		partVersion, partErr := m.scanMembershipPart(ctx, part)
@@ -128,12 +128,12 @@
 	if scanned {
 		return version, nil
 	}
-	return 0, err
+	return storage.Version{}, err
 }
 
 // scanMembershipPart reads the host rows of one part. It returns the version of its
 // first page.
-func (m *Manager) scanMembershipPart(ctx context.Context, part string) (version uint64, err error) {
+func (m *Manager) scanMembershipPart(ctx context.Context, part string) (version storage.Version, err error) {
 	for from, more := "", true; more; {
 		pageVersion, err := m.readMembershipPage(ctx, 0, func(ctx context.Context) (storage.RowPage, error) {
 			page, err := m.options.Rows.Range(ctx, m.options.HostTable, part, from)
@@ -143,22 +143,22 @@
 			return page, err
 		})
 		if err != nil {
-			return 0, err
+			return storage.Version{}, err
 		}
-		if version == 0 {
+		if version == (storage.Version{}) {
 			version = pageVersion
 		}
 	}
 	return version, nil
 }
 
-func (m *Manager) readMembershipPage(ctx context.Context, wait time.Duration, read func(context.Context) (storage.RowPage, error)) (version uint64, err error) {
+func (m *Manager) readMembershipPage(ctx context.Context, wait time.Duration, read func(context.Context) (storage.RowPage, error)) (version storage.Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	sentAt := m.options.Clock()
 	page, err := read(ctx)
 	if err != nil {
-		return 0, err
+		return storage.Version{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/escrow/outage_loss_test.go
+++ b/pkg/escrow/outage_loss_test.go
@@ -270,7 +270,7 @@
 		return
 	}
 	s.version++
-	p.applyOutcome(storage.RowOutcome{Applied: true, Version: s.version, Now: s.now}, *change, s.now)
+	p.applyOutcome(storage.RowOutcome{Applied: true, Version: storage.Version{Number: s.version}, Now: s.now}, *change, s.now)
 	c.account = p.account
 }
 
--- a/pkg/escrow/peer_reports.go
+++ b/pkg/escrow/peer_reports.go
@@ -24,7 +24,7 @@
 // that was too large for its time limit would read even more.
 func (m *Manager) followReports(ctx context.Context) {
 	m.awaitMembership(ctx)
-	version, started, lookback := uint64(0), false, uint64(feedLookback)
+	version, started, lookback := storage.Version{}, false, uint64(feedLookback)
 	for ctx.Err() == nil {
 		if !m.readsReports() {
 			started, lookback = false, 0
@@ -37,16 +37,19 @@
 				pause.For(ctx, feedInterval)
 				continue
 			}
-			version, started = newest-min(newest, lookback), true
+			newest.Number -= min(newest.Number, lookback)
+			version, started = newest, true
 		}
 		page, err := m.readFeed(ctx, version)
 		switch {
 		case err != nil:
-			m.options.Log.Debug().Err(err).Uint64("version", version).Msg("Usage reports of other hosts could not be read. Continuing with the newest ones.")
+			m.options.Log.Debug().Err(err).Uint64("version", version.Number).Msg("Usage reports of other hosts could not be read. Continuing with the newest ones.")
 			started, lookback = false, 0
 			pause.For(ctx, firstResendDelay)
 		default:
-			version = max(version, page.Version)
+			if page.NewerThan(version) {
+				version = page.Version
+			}
 			if !page.More {
 				pause.For(ctx, feedInterval)
 			}
@@ -85,7 +88,7 @@
 // currentFeedVersion returns the current version of the feed. It also records
 // the store's clock. Any part of the table answers with both, so a part that is
 // down does not keep the process from starting.
-func (m *Manager) currentFeedVersion(ctx context.Context) (version uint64, err error) {
+func (m *Manager) currentFeedVersion(ctx context.Context) (version storage.Version, err error) {
 	for _, suffix := range reportPartSuffixes {
 		var page storage.RowPage
 		page, err = m.readReportPart(ctx, m.options.Host+suffix)
@@ -93,7 +96,7 @@
 			return page.Version, nil
 		}
 	}
-	return 0, err
+	return storage.Version{}, err
 }
 
 // readReportPart reads one part of the table of usage reports. It also records the
@@ -116,7 +119,7 @@
 const feedWait = 500 * time.Millisecond
 
 // readFeed stores the usage reports that the feed contains after a version.
-func (m *Manager) readFeed(ctx context.Context, since uint64) (storage.RowPage, error) {
+func (m *Manager) readFeed(ctx context.Context, since storage.Version) (storage.RowPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
 	defer cancel()
 	page, err := m.options.Rows.Feed(ctx, m.options.UsageTable, since, feedWait)
--- a/pkg/escrow/report_traffic_test.go
+++ b/pkg/escrow/report_traffic_test.go
@@ -40,7 +40,7 @@
 	return page, err
 }
 
-func (r *receivedRows) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (r *receivedRows) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	page, err := r.Rows.Feed(ctx, table, since, wait)
 	if total, limit := r.count(page.Rows), r.feedLimit.Load(); limit > 0 && total > limit {
 		return storage.RowPage{}, fmt.Errorf("%w: reply is too large for the link", storage.ErrUnavailable)
--- a/pkg/escrow/reporter.go
+++ b/pkg/escrow/reporter.go
@@ -17,17 +17,17 @@
 // reporter writes the usage reports of a process, one at a time.
 type reporter struct {
 	manager     *Manager
-	wake        chan struct{} // wakes run to check whether a report is due
-	partIndex   int           // index in reportPartSuffixes of the part in use
-	rowVersions []uint64      // version of the report row in each part
-	lastNumber  int64         // number of the last report
-	sentAt      time.Duration // when the last report was first sent
-	failures    int           // number of consecutive failures
-	reachable   bool          // false once the last submissions, at least one per part, have all failed
+	wake        chan struct{}     // wakes run to check whether a report is due
+	partIndex   int               // index in reportPartSuffixes of the part in use
+	rowVersions []storage.Version // version of the report row in each part
+	lastNumber  int64             // number of the last report
+	sentAt      time.Duration     // when the last report was first sent
+	failures    int               // number of consecutive failures
+	reachable   bool              // false once the last submissions, at least one per part, have all failed
 }
 
 func newReporter(m *Manager) *reporter {
-	return &reporter{manager: m, wake: make(chan struct{}, 1), rowVersions: make([]uint64, len(reportPartSuffixes)), reachable: true}
+	return &reporter{manager: m, wake: make(chan struct{}, 1), rowVersions: make([]storage.Version, len(reportPartSuffixes)), reachable: true}
 }
 
 // trigger wakes run to check whether a report is due.
@@ -164,7 +164,7 @@
 		r.rowVersions[r.partIndex] = outcome.Version
 		return true, nil
 	}
-	r.rowVersions[r.partIndex] = 0
+	r.rowVersions[r.partIndex] = storage.Version{Era: outcome.Era}
 	for _, row := range outcome.Current {
 		if row.RowKey == key {
 			r.rowVersions[r.partIndex] = row.Version
--- a/pkg/escrow/token_pool.go
+++ b/pkg/escrow/token_pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/pause"
+	"github.com/peppertrail/peppertrail/pkg/storage"
 )
 
 // accountKey is the key of an account row. The partition of the row
@@ -30,7 +31,7 @@
 	lastReturnCheckAt time.Duration       // when the last of returnChecks was made
 	peerShortageAt    time.Duration       // when another host last announced a shortage
 	account           Account             // account as last read or written
-	accountVersion    uint64              // version of the account row; 0: no row
+	accountVersion    storage.Version     // version of the account row; number 0: no row
 	loaded            bool                // the account or a reply of its broker was received
 	loadedAt          time.Duration       // when the account or the reply was last received
 	lastCallAt        time.Duration       // when the last call to the table or a broker ended
@@ -286,7 +287,7 @@
 	}
 	p.manager.recordStoreTime(page.Now, sentAt)
 	var value []byte
-	var version uint64
+	version := storage.Version{Era: page.Era}
 	for _, row := range page.Rows {
 		if row.Key == accountKey {
 			value, version = row.Value, row.Version
@@ -298,7 +299,7 @@
 
 // setAccount stores the current value of the account row and sets the own share
 // from it. If the row cannot be decoded, the pool keeps the last account.
-func (p *tokenPool) setAccount(value []byte, version uint64) {
+func (p *tokenPool) setAccount(value []byte, version storage.Version) {
 	account, err := decodeAccount(value)
 	if err != nil {
 		p.manager.options.Log.Error().Err(err).Str("customer", p.ledger.customer).Msg("Account row cannot be decoded. Keeping the share as last read.")
--- a/pkg/escrow/token_pool_change.go
+++ b/pkg/escrow/token_pool_change.go
@@ -12,7 +12,7 @@
 // accountChange is a new state of the account row that is to be written.
 type accountChange struct {
 	account         Account
-	expectedVersion uint64           // version that the row must have for the change to apply
+	expectedVersion storage.Version  // version that the row must have for the change to apply
 	share           Share            // own share after the change; Amount 0 if it is closed
 	keepsShare      bool             // the process does not leave, so the change does not close its share
 	served          []*queuedRequest // share requests to answer once the change is written
@@ -225,7 +225,7 @@
 		p.recordClosedShares(before, c.account)
 		p.reply(c.served)
 	} else {
-		p.applyConflict(outcome.Current, c)
+		p.applyConflict(outcome, c)
 		p.queue = append(c.served, p.queue...)
 	}
 	p.markReachable()
@@ -238,10 +238,10 @@
 
 // applyConflict updates the account and the share from the row that another
 // host, or an earlier submission of the same change, has written.
-func (p *tokenPool) applyConflict(current []storage.PartRow, c accountChange) {
+func (p *tokenPool) applyConflict(outcome storage.RowOutcome, c accountChange) {
 	var value []byte
-	var version uint64
-	for _, row := range current {
+	version := storage.Version{Era: outcome.Era}
+	for _, row := range outcome.Current {
 		if row.Key == accountKey {
 			value, version = row.Value, row.Version
 		}
--- a/pkg/relay/endless_test.go
+++ b/pkg/relay/endless_test.go
@@ -133,7 +133,7 @@
 	direct.SetFaults(rowstore.Faults{Refuse: true})
 	r := New(direct, func() []string { return []string{peer} }, discardLog())
 	value := strings.Repeat("x", 48<<10)
-	for version := uint64(0); version < maxMessageBytes/(48<<10)*5/4; {
+	for version := (storage.Version{}); version.Number < maxMessageBytes/(48<<10)*5/4; {
 		outcome, err := transact(t, r, version, value)
 		assert.NilError(t, err)
 		assert.Assert(t, outcome.Applied)
--- a/pkg/relay/message.go
+++ b/pkg/relay/message.go
@@ -35,7 +35,8 @@
 // feedParams are the parameters of methodFeed.
 type feedParams struct {
 	Table string        `json:"table"`
-	Since uint64        `json:"since"`
+	Since uint64        `json:"since"`         // number of the version
+	Era   uint64        `json:"era,omitempty"` // era of the version
 	Wait  time.Duration `json:"wait_ns"`
 }
 
--- a/pkg/relay/rows.go
+++ b/pkg/relay/rows.go
@@ -80,8 +80,8 @@
 }
 
 // Feed implements storage.Rows.
-func (r *Rows) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
-	return callWithRelays(ctx, r, wait, methodFeed, feedParams{Table: table, Since: since, Wait: wait},
+func (r *Rows) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
+	return callWithRelays(ctx, r, wait, methodFeed, feedParams{Table: table, Since: since.Number, Era: since.Era, Wait: wait},
 		func(ctx context.Context) (storage.RowPage, error) { return r.direct.Feed(ctx, table, since, wait) })
 }
 
--- a/pkg/relay/rows_test.go
+++ b/pkg/relay/rows_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -31,7 +32,7 @@
 	return client, l.Addr().String()
 }
 
-func transact(t *testing.T, r *Rows, version uint64, value string) (storage.RowOutcome, error) {
+func transact(t *testing.T, r *Rows, version storage.Version, value string) (storage.RowOutcome, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
@@ -63,11 +64,11 @@
 	page, err := r.Range(t.Context(), "t", "p", "")
 	assert.NilError(t, err)
 	assert.Equal(t, string(page.Rows[0].Value), "value")
-	conflict, err := transact(t, r, 0, "other")
+	conflict, err := transact(t, r, storage.Version{}, "other")
 	assert.NilError(t, err)
 	assert.Assert(t, !conflict.Applied && string(conflict.Current[0].Value) == "value")
 	store.DropHistory()
-	_, err = r.Feed(t.Context(), "t", 0, 10*time.Millisecond)
+	_, err = r.Feed(t.Context(), "t", storage.Version{}, 10*time.Millisecond)
 	assert.ErrorIs(t, err, storage.ErrHistoryGone)
 }
 
@@ -79,7 +80,7 @@
 	r := New(direct, func() []string { return []string{peer} }, discardLog())
 	direct.SetFaults(rowstore.Faults{LoseReplies: true})
 	relay.SetFaults(rowstore.Faults{Refuse: true})
-	_, err := transact(t, r, 0, "one")
+	_, err := transact(t, r, storage.Version{}, "one")
 	assert.ErrorIs(t, err, storage.ErrUnavailable)
 	assert.Equal(t, string(store.Get(key).Value), "one")
 	direct.SetFaults(rowstore.Faults{Refuse: true})
@@ -100,11 +101,11 @@
 	direct := store.Client()
 	r := New(direct, func() []string { return nil }, discardLog())
 	direct.SetFaults(rowstore.Faults{Refuse: true})
-	_, err := transact(t, r, 0, "one")
+	_, err := transact(t, r, storage.Version{}, "one")
 	assert.ErrorIs(t, err, storage.ErrNotApplied)
 	direct.SetFaults(rowstore.Faults{})
 	time.Sleep(probeInterval + 50*time.Millisecond)
-	_, err = transact(t, r, 0, "one")
+	_, err = transact(t, r, storage.Version{}, "one")
 	assert.NilError(t, err)
 }
 
@@ -118,11 +119,11 @@
 	relay.SetFaults(rowstore.Faults{})
 	r := New(direct, func() []string { return []string{peer} }, discardLog())
 	direct.SetFaults(rowstore.Faults{Throttle: true})
-	_, err := transact(t, r, 0, "one")
+	_, err := transact(t, r, storage.Version{}, "one")
 	assert.ErrorIs(t, err, storage.ErrThrottled)
-	assert.Equal(t, store.Get(key).Version, uint64(0))
+	assert.Equal(t, store.Get(key).Number, uint64(0))
 	time.Sleep(throttleGracePeriod)
-	_, err = transact(t, r, 0, "one")
+	_, err = transact(t, r, storage.Version{}, "one")
 	assert.NilError(t, err)
 	assert.Equal(t, string(store.Get(key).Value), "one")
 }
@@ -150,7 +151,7 @@
 	table string
 }
 
-func (s slowFeed) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (s slowFeed) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	if table != s.table {
 		return s.Rows.Feed(ctx, table, since, wait)
 	}
@@ -167,7 +168,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
-		_, err := r.Feed(ctx, "reports", 0, 100*time.Millisecond)
+		_, err := r.Feed(ctx, "reports", storage.Version{}, 100*time.Millisecond)
 		ended <- err
 	}()
 	time.Sleep(50 * time.Millisecond)
@@ -219,7 +220,7 @@
 	_, peer := startRelay(t, store)
 	r := New(direct, func() []string { return []string{peer} }, discardLog())
 	direct.SetFaults(rowstore.Faults{Refuse: true})
-	_, err := transact(t, r, 0, "one")
+	_, err := transact(t, r, storage.Version{}, "one")
 	assert.NilError(t, err)
 	direct.SetFaults(rowstore.Faults{Cut: true})
 	time.Sleep(probeInterval)
@@ -283,7 +284,7 @@
 	for name, read := range map[string]func(context.Context) (storage.RowPage, error){
 		"scan": func(ctx context.Context) (storage.RowPage, error) { return r.Range(ctx, key.Table, key.Part, "") },
 		"feed": func(ctx context.Context) (storage.RowPage, error) {
-			return r.Feed(ctx, key.Table, 0, 10*time.Millisecond)
+			return r.Feed(ctx, key.Table, storage.Version{}, 10*time.Millisecond)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -295,3 +296,36 @@
 		})
 	}
 }
+
+// Guards against an answer that came through another host and has lost its era: rows of two eras would be mixed, and a conditional write would be taken for one that depends on nothing.
+func TestRelayedAnswersNameTheEra(t *testing.T) {
+	store := rowstore.New(nil)
+	direct := store.Client()
+	_, peer := startRelay(t, store)
+	direct.SetFaults(rowstore.Faults{Refuse: true})
+	r := New(direct, func() []string { return []string{peer} }, discardLog())
+	store.ReturnFrom(store.Copy())
+	outcome, err := transact(t, r, storage.Version{}, "one")
+	assert.NilError(t, err)
+	assert.Equal(t, outcome.Version, storage.Version{Era: 2, Number: 1})
+	page, err := r.Range(t.Context(), key.Table, key.Part, "")
+	assert.NilError(t, err)
+	assert.Equal(t, page.Version, outcome.Version)
+	assert.Equal(t, page.Rows[0].Version, outcome.Version)
+	second, err := transact(t, r, outcome.Version, "two")
+	assert.NilError(t, err)
+	page, err = r.Feed(t.Context(), key.Table, outcome.Version, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, page.Rows[0].Version, second.Version)
+}
+
+// Guards against hosts of two releases that do not understand each other's versions during a rolling restart: one without eras names a version as a number.
+func TestVersionWithoutEraIsANumberOnTheWire(t *testing.T) {
+	data, err := json.Marshal(storage.PartRow{RowKey: key, Version: storage.Version{Number: 7}})
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), `{"Table":"t","Part":"p","Key":"k","Value":null,"Version":7,"Deleted":false}`)
+	var page storage.RowPage
+	assert.NilError(t, json.Unmarshal([]byte(`{"Rows":[{"Table":"t","Key":"k","Version":5}],"Version":9}`), &page))
+	assert.Equal(t, page.Version, storage.Version{Number: 9})
+	assert.Equal(t, page.Rows[0].Version, storage.Version{Number: 5})
+}
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -108,7 +108,7 @@
 		}
 		ctx, cancel := idle.WithTimeouts(ctx, p.Wait+serveTimeout, maxServeTime)
 		defer cancel()
-		return s.rows.Feed(ctx, p.Table, p.Since, p.Wait)
+		return s.rows.Feed(ctx, p.Table, storage.Version{Era: p.Era, Number: p.Since}, p.Wait)
 	}
 	if m, ok := s.methods[method]; ok {
 		ctx, cancel := context.WithTimeout(ctx, serveTimeout)
--- a/pkg/standin/rowstore/client.go
+++ b/pkg/standin/rowstore/client.go
@@ -156,7 +156,7 @@
 }
 
 // Feed implements storage.Rows.
-func (c *Client) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (c *Client) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	if _, err := c.injectFaults(ctx, table, ""); err != nil {
 		return storage.RowPage{}, err
 	}
--- a/pkg/standin/rowstore/store.go
+++ b/pkg/standin/rowstore/store.go
@@ -18,7 +18,7 @@
 	rows    map[storage.RowKey]storage.PartRow
 	history []storage.PartRow // all changes since oldest, in order of version
 	oldest  uint64            // feeds from an earlier version fail with storage.ErrHistoryGone
-	version uint64
+	version storage.Version
 	changed chan struct{} // closed and replaced at each change
 	clock   func() time.Duration
 	limiter limiter
@@ -32,13 +32,20 @@
 	Feeds        int
 }
 
-// New returns an empty store. clock is its monotonic clock; nil: the time since New.
+// New returns an empty store in its first era. clock is its monotonic clock; nil: the time since New.
 func New(clock func() time.Duration) *Store {
 	if clock == nil {
 		start := time.Now()
 		clock = func() time.Duration { return time.Since(start) }
 	}
-	return &Store{rows: make(map[storage.RowKey]storage.PartRow), changed: make(chan struct{}), clock: clock}
+	return &Store{rows: make(map[storage.RowKey]storage.PartRow), version: storage.Version{Era: 1}, changed: make(chan struct{}), clock: clock}
+}
+
+// NewWithoutEras returns an empty store that names no era.
+func NewWithoutEras() *Store {
+	s := New(nil)
+	s.version.Era = 0
+	return s
 }
 
 // Put writes a row without a precondition, to simulate another writer.
@@ -51,7 +58,7 @@
 	s.apply(storage.RowTxn{Removes: []storage.RowKey{key}})
 }
 
-// Get returns a row, with Version 0 if it is absent.
+// Get returns a row, with version number 0 if it is absent.
 func (s *Store) Get(key storage.RowKey) storage.PartRow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -64,7 +71,41 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history = nil
-	s.oldest = s.version
+	s.oldest = s.version.Number
+}
+
+// Copy is the state of a store at one moment.
+type Copy struct {
+	rows    map[storage.RowKey]storage.PartRow
+	version uint64
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), version: s.version.Number}
+}
+
+// ReturnFrom loses everything that was written after a copy. The store begins a new era, in
+// which it gives out the later versions again, and has no history.
+func (s *Store) ReturnFrom(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = storage.Version{Era: s.version.Era + 1, Number: c.version}
+	s.rows = make(map[storage.RowKey]storage.PartRow, len(c.rows))
+	for key, row := range c.rows {
+		row.Era = s.version.Era
+		s.rows[key] = row
+	}
+	s.history, s.oldest = nil, c.version
+	s.notify()
+}
+
+// notify ends the wait of open feed calls.
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // apply applies a transaction if its preconditions hold.
@@ -73,11 +114,11 @@
 	defer s.mu.Unlock()
 	s.Stats.Transactions++
 	for _, c := range txn.Preconditions {
-		if s.rows[c.RowKey].Version != c.Version {
+		if s.rows[c.RowKey].Number != c.Number {
 			return s.conflict(txn)
 		}
 	}
-	s.version++
+	s.version.Number++
 	for _, p := range txn.Puts {
 		s.record(storage.PartRow{RowKey: p.RowKey, Value: slices.Clone(p.Value), Version: s.version})
 	}
@@ -86,8 +127,7 @@
 			s.record(storage.PartRow{RowKey: key, Version: s.version, Deleted: true})
 		}
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.notify()
 	return storage.RowOutcome{Applied: true, Version: s.version, Now: s.clock()}
 }
 
@@ -143,7 +183,7 @@
 	return slices.Sorted(maps.Keys(parts))
 }
 
-func (s *Store) feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (s *Store) feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	timeout := time.After(wait)
 	for {
 		page, changed, err := s.changes(table, since)
@@ -160,16 +200,16 @@
 	}
 }
 
-func (s *Store) changes(table string, since uint64) (storage.RowPage, <-chan struct{}, error) {
+func (s *Store) changes(table string, since storage.Version) (storage.RowPage, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Stats.Feeds++
 	page := storage.RowPage{Version: s.version, Now: s.clock()}
-	if since < s.oldest {
-		return page, nil, fmt.Errorf("feed of %s since %d: %w", table, since, storage.ErrHistoryGone)
+	if since.Number < s.oldest || since.Number > s.version.Number {
+		return page, nil, fmt.Errorf("feed of %s since %d: %w", table, since.Number, storage.ErrHistoryGone)
 	}
 	for _, row := range s.history {
-		if row.Version > since && row.Table == table {
+		if row.Number > since.Number && row.Table == table {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/pkg/storage/rows.go
+++ b/pkg/storage/rows.go
@@ -11,6 +11,10 @@
 // version. The reader must scan the table again.
 var ErrHistoryGone = errors.New("history no longer available")
 
+// ErrInvalidEra means that an answer of the store names its era in a form that cannot be read.
+// It wraps ErrUnavailable.
+var ErrInvalidEra = fmt.Errorf("invalid era: %w", ErrUnavailable)
+
 // ErrNotApplied means that the store refused a call and did not perform it.
 var ErrNotApplied = errors.New("call not performed")
 
@@ -26,18 +30,19 @@
 	Key   string
 }
 
-// PartRow is a row of a partitioned table. Version 0 means that it does not exist.
+// PartRow is a row of a partitioned table.
 type PartRow struct {
 	RowKey
-	Value   []byte
-	Version uint64
+	Value []byte
+	Version
 	Deleted bool // whether the row was deleted; only in changes of a feed
 }
 
-// Precondition requires that a row has exactly this version; 0 requires that it is absent.
+// Precondition requires that a row has exactly this version; number 0 requires that it is
+// absent.
 type Precondition struct {
 	RowKey
-	Version uint64
+	Version
 }
 
 // RowTxn is a transaction. All its rows must be in the same partition.
@@ -50,7 +55,7 @@
 // RowOutcome is the decision on a RowTxn.
 type RowOutcome struct {
 	Applied bool          // whether the preconditions held and the changes were made
-	Version uint64        // newest version of the store
+	Version               // newest version of the store
 	Now     time.Duration // reading of the store's monotonic clock
 	Current []PartRow     // rows of the preconditions, if the transaction was not applied
 }
@@ -59,7 +64,7 @@
 type RowPage struct {
 	Rows    []PartRow     // rows in key order, or changes
 	More    bool          // whether more rows follow
-	Version uint64        // newest version of the store
+	Version               // newest version of the store
 	Now     time.Duration // reading of the store's monotonic clock
 }
 
@@ -76,6 +81,6 @@
 	Parts(ctx context.Context, table string) ([]string, error)
 	// Feed returns the changes of a table after version since. It waits up to wait
 	// for the first change. It returns ErrHistoryGone (wrapped) if the store no
-	// longer has these changes.
-	Feed(ctx context.Context, table string, since uint64, wait time.Duration) (RowPage, error)
+	// longer has these changes, or since is of another era.
+	Feed(ctx context.Context, table string, since Version, wait time.Duration) (RowPage, error)
 }
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -67,7 +67,7 @@
 type Watcher struct {
 	options         Options
 	rows            map[string]storage.PartRow
-	version         uint64
+	version         storage.Version
 	scanned         bool // the feed can continue from version
 	succeededAt     time.Time
 	failing         bool
@@ -93,7 +93,7 @@
 			delay = minRetryDelay
 			pause.For(ctx, w.options.Pause)
 		case errors.Is(err, storage.ErrHistoryGone):
-			w.options.Log.Info().Str("table", w.options.Table).Uint64("version", w.version).Msg("Feed no longer has the changes since this version. The table is scanned again.")
+			w.options.Log.Info().Str("table", w.options.Table).Uint64("version", w.version.Number).Uint64("era", w.version.Era).Msg("Feed does not have the changes since this version. The table is scanned again.")
 			w.scanned = false
 		default:
 			w.recordFailure(err)
@@ -122,7 +122,9 @@
 			changed = append(changed, row)
 		}
 	}
-	w.version = max(w.version, page.Version)
+	if page.NewerThan(w.version) {
+		w.version = page.Version
+	}
 	if n := superseded(page.Rows); n > 0 && n*2 >= len(page.Rows) {
 		w.logSuperseded(n, len(page.Rows))
 		w.scanned = false
@@ -156,7 +158,7 @@
 // the row or a newer one.
 // It reports whether the copy changed.
 func (w *Watcher) applyRow(row storage.PartRow) bool {
-	if known, ok := w.rows[row.Key]; ok && known.Version >= row.Version {
+	if known, ok := w.rows[row.Key]; ok && !row.NewerThan(known.Version) {
 		return false
 	}
 	if row.Deleted {
@@ -168,18 +170,22 @@
 }
 
 // scan replaces the copy. A scan that is older than the copy comes from a store
-// that serves stale reads and is discarded.
+// that serves stale reads and is discarded. A scan of a later era replaces all rows: what the
+// store lost when it returned from an older copy is not in the table.
 func (w *Watcher) scan(ctx context.Context) error {
 	rows := make(map[string]storage.PartRow)
-	from, version := "", uint64(0)
-	for {
+	from, version := "", storage.Version{}
+	for first := true; ; first = false {
 		page, err := w.scanPage(ctx, from)
 		if err != nil {
 			return err
 		}
-		if version == 0 {
+		if first {
 			version = page.Version
 		}
+		if page.Era != version.Era {
+			return fmt.Errorf("%w: pages of a scan of table %s are of the eras %d and %d", storage.ErrHistoryGone, w.options.Table, version.Era, page.Era)
+		}
 		for _, row := range page.Rows {
 			rows[row.Key] = row
 			from = row.Key + "\x00"
@@ -188,8 +194,8 @@
 			break
 		}
 	}
-	if version < w.version {
-		return fmt.Errorf("%w: scan of table %s returned version %d, older than the known version %d", storage.ErrUnavailable, w.options.Table, version, w.version)
+	if w.version.NewerThan(version) {
+		return fmt.Errorf("%w: scan of table %s returned version %d, older than the known version %d", storage.ErrUnavailable, w.options.Table, version.Number, w.version.Number)
 	}
 	changed := w.replace(rows)
 	w.version, w.scanned = version, true
@@ -215,7 +221,7 @@
 	}
 	for key, row := range rows {
 		known, ok := w.rows[key]
-		if ok && known.Version > row.Version {
+		if ok && known.NewerThan(row.Version) {
 			rows[key] = known
 			continue
 		}
--- a/pkg/watch/watcher_test.go
+++ b/pkg/watch/watcher_test.go
@@ -15,6 +15,7 @@
 	"github.com/peppertrail/peppertrail/pkg/pause"
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
 	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/pkg/storage/era"
 )
 
 const table = "targets"
@@ -128,11 +129,11 @@
 // Guards against a state that is replaced by an older one after a stale read.
 func TestStaleScanIsDiscarded(t *testing.T) {
 	recorder := &stateRecorder{}
-	w := New(Options{Rows: staleRows{page: storage.RowPage{Version: 5, Rows: []storage.PartRow{
-		{RowKey: storage.RowKey{Table: table, Key: "a"}, Value: []byte("old"), Version: 4},
+	w := New(Options{Rows: staleRows{page: storage.RowPage{Version: storage.Version{Number: 5}, Rows: []storage.PartRow{
+		{RowKey: storage.RowKey{Table: table, Key: "a"}, Value: []byte("old"), Version: storage.Version{Number: 4}},
 	}}}, Table: table, Apply: recorder.apply, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}})
-	w.rows["a"] = storage.PartRow{RowKey: storage.RowKey{Table: table, Key: "a"}, Value: []byte("new"), Version: 9}
-	w.version = 9
+	w.rows["a"] = storage.PartRow{RowKey: storage.RowKey{Table: table, Key: "a"}, Value: []byte("new"), Version: storage.Version{Number: 9}}
+	w.version = storage.Version{Number: 9}
 	assert.ErrorContains(t, w.scan(t.Context()), "older than the known version 9")
 	assert.Equal(t, recorder.applied, 0)
 }
@@ -144,7 +145,7 @@
 	limit int // bytes
 }
 
-func (l largeFeed) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (l largeFeed) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	page, err := l.Rows.Feed(ctx, table, since, wait)
 	size := 0
 	for _, r := range page.Rows {
@@ -197,7 +198,7 @@
 	return nil
 }
 
-func (l weakLink) Feed(ctx context.Context, table string, since uint64, wait time.Duration) (storage.RowPage, error) {
+func (l weakLink) Feed(ctx context.Context, table string, since storage.Version, wait time.Duration) (storage.RowPage, error) {
 	page, err := l.Rows.Feed(ctx, table, since, wait)
 	if err == nil {
 		err = l.transfer(ctx, page.Rows)
@@ -236,3 +237,31 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Guards against a watcher that takes a store that has returned from an older copy for one with stale reads, and against a row whose new version number is below the one that the watcher knows: it must read what was written since, and drop rows that the copy lacks.
+func TestRowWrittenAfterReturnFromOlderCopyIsRead(t *testing.T) {
+	for name, change := range map[string]func(*rowstore.Store){
+		"calm table":                   func(*rowstore.Store) {},
+		"numbers of the old era again": func(s *rowstore.Store) { put(s, "c", "1"); put(s, "c", "2"); put(s, "c", "3") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := rowstore.New(nil)
+			put(store, "a", "1")
+			older := store.Copy()
+			recorder := startWatcher(t, era.New(store.Client(), &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}))
+			put(store, "b", "lost")
+			put(store, "a", "2")
+			put(store, "a", "3")
+			eventually(t, "changes", func() bool { return recorder.value("a") == "3" && recorder.value("b") == "lost" })
+			store.ReturnFrom(older)
+			change(store)
+			put(store, "a", "written after the return")
+			returned := time.Now()
+			eventually(t, "row written after the return", func() bool { return recorder.value("a") == "written after the return" })
+			assert.Assert(t, time.Since(returned) < time.Second)
+			assert.Equal(t, recorder.value("b"), "")
+			put(store, "b", "again")
+			eventually(t, "lost row written again", func() bool { return recorder.value("b") == "again" })
+		})
+	}
+}
