edge: keep what is known of targets when the store returns from an older copy

Once the targets are read again in the new era, the registrations of the copy replace what hosts have learned since: a target that drains or has left is ready again until it writes its registration again or lapses (1.2 to 3.6 s), and one that registered after the copy is out of use, though it runs.

Change: the watcher says that a state is the first one after a return.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -106,7 +106,6 @@
 	configurationRowVersion storage.Version                 // version of the configuration row read last; guarded by configurationMu
 	configurationInForce    atomic.Pointer[storage.PartRow] // row of configuration
 	newerNamed              chan struct{}                   // another host has named a newer configuration; capacity 1
-	decodedTargets          map[string]balance.Target       // registered targets by row key; used only by the target watcher
 }
 
 // New returns a daemon that is not started yet. The settings must have passed
@@ -123,7 +122,7 @@
 	d := &Daemon{
 		settings: s, layout: l, logs: logs, log: logs.Logger("edge"),
 		client: upstream.New(), hosts: nexthop.NewSelector(), hostClient: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), crashParts: crashparts.New(), metrics: newMetrics(),
-		decodedTargets: make(map[string]balance.Target), newerNamed: make(chan struct{}, 1),
+		newerNamed: make(chan struct{}, 1),
 	}
 	d.crashParts.Log = logs.Logger("crashparts")
 	d.metrics.observeBlockedParts(func() int { return len(d.crashParts.BlockedParts(time.Now())) })
--- a/pkg/watch/watcher.go
+++ b/pkg/watch/watcher.go
@@ -61,6 +61,10 @@
 	// Changed holds the rows that differ from the previous state, including deleted
 	// ones.
 	Changed []storage.PartRow
+	// Returned means that the store has returned from an older copy, and that this is the
+	// first state read from it since: rows may be older than those of the state before, or
+	// missing.
+	Returned bool
 }
 
 // Watcher keeps a copy of one table.
@@ -69,6 +73,7 @@
 	rows            map[string]storage.PartRow
 	version         storage.Version
 	scanned         bool // the feed can continue from version
+	applied         bool // a state was passed on
 	succeededAt     time.Time
 	failing         bool
 	failureLoggedAt time.Time
@@ -130,7 +135,7 @@
 		w.scanned = false
 	}
 	if len(changed) > 0 || w.failing { // the first state after failed calls is applied even if unchanged
-		w.apply(changed)
+		w.apply(changed, false)
 	}
 	return nil
 }
@@ -197,9 +202,9 @@
 	if w.version.NewerThan(version) {
 		return fmt.Errorf("%w: scan of table %s returned version %d, older than the known version %d", storage.ErrUnavailable, w.options.Table, version.Number, w.version.Number)
 	}
-	changed := w.replace(rows)
+	changed, returned := w.replace(rows), w.version.Era < version.Era && w.applied
 	w.version, w.scanned = version, true
-	w.apply(changed)
+	w.apply(changed, returned)
 	return nil
 }
 
@@ -235,13 +240,14 @@
 
 // apply passes the state on. A state that Apply cannot handle must not end the process:
 // every process that reads it, also after a restart, would end.
-func (w *Watcher) apply(changed []storage.PartRow) {
+func (w *Watcher) apply(changed []storage.PartRow, returned bool) {
+	w.applied = true
 	defer func() {
 		if p := recover(); p != nil {
 			w.options.Log.Error().Str("table", w.options.Table).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("State of the table could not be applied. What was applied before stays in use.")
 		}
 	}()
-	w.options.Apply(State{Rows: w.rows, Changed: changed})
+	w.options.Apply(State{Rows: w.rows, Changed: changed, Returned: returned})
 }
 
 func (w *Watcher) recordSuccess() {
