--- a/cmd/peppertrail/edge.go
+++ b/cmd/peppertrail/edge.go
@@ -35,6 +35,7 @@
 		{"budgets", "what each host holds, has spent and may spend of each budget", e.printBudgets},
 		{"targets", "what each host believes of each target", e.printTargets},
 		{"blocked-parts", "parts of prompts that crash targets, whose requests each host refuses", e.printBlockedParts},
+		{"blocked-requests", "requests that crash targets and that each host refuses", e.printBlockedRequests},
 	} {
 		sub := a.addCommand(group, c.name, c.description, func(ctx context.Context) error { return e.printStates(ctx, c.print) })
 		sub.StringSlice(&e.addresses, "", "at", "address of a daemon's operators' listener; may be repeated")
@@ -137,6 +138,17 @@
 	e.app.printTable([]string{"PART", "HOST"}, rows)
 }
 
+func (e *edgeCommands) printBlockedRequests(states []edge.State) {
+	var rows [][]string
+	for _, s := range states {
+		for _, request := range s.BlockedRequests {
+			rows = append(rows, []string{request, s.Host})
+		}
+	}
+	sortRows(rows)
+	e.app.printTable([]string{"REQUEST", "HOST"}, rows)
+}
+
 func sortRows(rows [][]string) {
 	slices.SortFunc(rows, func(a, b []string) int { return slices.Compare(a, b) })
 }
--- a/cmd/peppertrail/edge_test.go
+++ b/cmd/peppertrail/edge_test.go
@@ -30,12 +30,12 @@
 		assert.Check(t, json.NewEncoder(w).Encode(edge.State{
 			Host: "edge-1", Ready: true, ConfigurationVersion: 7,
 			Targets: []balance.Status{{Target: balance.Target{ID: "i-1", Service: "chef"}, Load: 2.5}},
-			Budgets: []escrow.Status{{Customer: "regie", Prepaid: 1000, Held: 300}}, BlockedParts: []string{"c0ffee"},
+			Budgets: []escrow.Status{{Customer: "regie", Prepaid: 1000, Held: 300}}, BlockedParts: []string{"c0ffee"}, BlockedRequests: []string{"request-7"},
 		}))
 	}))
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	for command, want := range map[string]string{"hosts": "edge-1", "budgets": "regie", "targets": "i-1", "blocked-parts": "c0ffee"} {
+	for command, want := range map[string]string{"hosts": "edge-1", "budgets": "regie", "targets": "i-1", "blocked-parts": "c0ffee", "blocked-requests": "request-7"} {
 		code, out, errs := runTool(t, "edge", command, "--at", address, "--at", "127.0.0.1:1")
 		assert.Equal(t, code, exitFailed)
 		assert.Assert(t, strings.Contains(out, want), out)
--- a/pkg/crashes/recent.go
+++ b/pkg/crashes/recent.go
@@ -1,4 +1,4 @@
-package crashparts
+package crashes
 
 import "time"
 
--- a/pkg/crashes/tracker.go
+++ b/pkg/crashes/tracker.go
@@ -1,4 +1,4 @@
-package crashparts
+package crashes
 
 import (
 	"slices"
@@ -12,117 +12,82 @@
 	// maxCrashes is the number of targets that may crash under a part without an answer in
 	// between before the part is blocked. The users allow five.
 	maxCrashes = 4
-	// maxCrashesIfAnswered replaces maxCrashes for a part of which a request was answered
-	// within answeredTTL: failures of many targets at once break off requests with every
-	// frequent part.
+	// maxRequestCrashes replaces maxCrashes for a request. The users allow three.
+	maxRequestCrashes = 3
+	// maxCrashesIfAnswered replaces these for a key of which a request was answered within
+	// answeredTTL: failures of many targets at once break off requests with every frequent
+	// key.
 	maxCrashesIfAnswered = 12
-	// answeredTTL is how long it is remembered that a request with a part was answered.
+	// answeredTTL is how long it is remembered that a request with a key was answered.
 	answeredTTL = time.Minute
-	// confirmTime is how long a crash does not count yet, so that an answer of the target
-	// can show that only a connection broke.
+	// confirmTime is how long a crash does not count for parts yet, so that an answer of the
+	// target can show that only a connection broke. It counts for requests at once: they
+	// have nothing in common with others.
 	confirmTime = 500 * time.Millisecond
 	// restartTime is less than a crashed target takes to be back. A target that may come
 	// back under its ID is known to be alive only by an answer within it.
 	restartTime = time.Second
-	// blockTime is how long a part is blocked after its last crash. It is much longer than
-	// crashed targets take to be available again.
-	blockTime = 2 * time.Minute
-	// blockTimeIfAnswered replaces blockTime for a part that had answers, which is more
-	// likely to be sound.
-	blockTimeIfAnswered = time.Second
-	// trialTime is how long a part stays blocked at most after a request was let through to
-	// see whether it still crashes targets. The request may never reach a target.
-	trialTime = 10 * time.Second
 	// crashTTL is how long crashes and blocks are remembered.
 	crashTTL = 10 * time.Minute
 	// maxCrashRecords bounds the memory for crashes; further ones are not recorded.
 	maxCrashRecords = 1024
-	// answerReplyAge is the age up to which an earlier answer clears a part that another
+	// answerReplyAge is the age up to which an earlier answer clears a key that another
 	// host reports.
 	answerReplyAge = 10 * time.Second
-	// answerReplyPause is the time between two such replies for a part.
+	// answerReplyPause is the time between two such replies for a key.
 	answerReplyPause = 200 * time.Millisecond
 )
 
-// Tracker records crashes of targets with the prompt parts of the requests that broke, and
-// decides which parts are blocked. It is safe for concurrent use.
+// Tracker records crashes of targets with the keys of the requests that broke, and decides
+// which keys are blocked. It is safe for concurrent use.
 type Tracker struct {
 	// Announce tells other hosts of an event. It must not block. Nil: they are not told.
 	Announce func(Event)
-	// Log logs parts that are blocked and released. Nil: nothing is logged.
+	// Log logs keys that are blocked and released. Nil: nothing is logged.
 	Log *log.Logger
 
-	mu         sync.Mutex
-	crashes    map[Target]*crash
-	blocks     map[string]*block // by key of the part
-	answeredAt *recentTimes      // last answer to a request with a part
-	repliedAt  *recentTimes      // last reply that a part is sound
-}
-
-// crash is a target that broke off requests before they were answered.
-type crash struct {
-	at        time.Time
-	parts     []promptPart
-	evaluated bool // it has counted, or will not
-	explained bool // a blocked part was among the parts
-}
-
-// promptPart is a part of the prompt of a request that broke.
-type promptPart struct {
-	key   string
-	depth int // position among the reported parts of the prompt
-}
-
-func (c *crash) has(part string) bool {
-	return slices.ContainsFunc(c.parts, func(p promptPart) bool { return p.key == part })
-}
-
-// add adds a part, or moves it to a greater depth.
-func (c *crash) add(part promptPart) {
-	for i, known := range c.parts {
-		if known.key == part.key {
-			c.parts[i].depth = max(known.depth, part.depth)
-			return
-		}
-	}
-	c.parts = append(c.parts, part)
-}
-
-// block is a part whose requests are refused.
-type block struct {
-	until       time.Time
-	lastCrashAt time.Time
+	mu               sync.Mutex
+	crashes          map[Target]*crash
+	byKey            map[string][]*crash // the same crashes
+	pending          []*crash            // crashes with keys that were not evaluated yet
+	blocks           map[string]*block   // by key
+	answeredParts    *recentTimes        // last answer to a request with a part
+	answeredRequests *recentTimes        // last answer to a request; apart, as each request has another key
+	repliedAt        *recentTimes        // last reply that a key is sound
 }
 
 // New returns a tracker without records.
 func New() *Tracker {
-	return &Tracker{crashes: make(map[Target]*crash), blocks: make(map[string]*block), answeredAt: newRecentTimes(answeredTTL), repliedAt: newRecentTimes(answerReplyPause)}
+	return &Tracker{
+		crashes: make(map[Target]*crash), byKey: make(map[string][]*crash), blocks: make(map[string]*block),
+		answeredParts: newRecentTimes(answeredTTL), answeredRequests: newRecentTimes(answeredTTL), repliedAt: newRecentTimes(answerReplyPause),
+	}
 }
 
-// Broken records that a target broke off a request with the given parts before it had
-// answered it. It tells other hosts of the parts that they do not know of yet.
-func (t *Tracker) Broken(target Target, parts []string, now time.Time) {
+// Broken records that a target broke off a request with the given keys before it had
+// answered it. It tells other hosts of the keys that they do not know of yet.
+func (t *Tracker) Broken(target Target, keys []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.crashes[target]
-	suspects := slices.DeleteFunc(slices.Clone(parts), func(part string) bool {
-		return t.answeredWithin(part, answerReplyAge, now) || (known != nil && known.has(part))
+	suspects := slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
+		return t.answeredWithin(key, answerReplyAge, now) || (known != nil && known.has(key))
 	})
-	t.recordCrash(target, parts, now)
+	t.recordCrash(target, keys, now)
 	if len(suspects) > 0 {
-		t.announce(Event{Kind: Crashed, Target: target, Parts: suspects})
+		t.announce(Event{Kind: Crashed, Target: target, Keys: suspects})
 	}
 }
 
-// Answered records that a request with the given parts was answered.
-func (t *Tracker) Answered(parts []string, now time.Time) {
+// Answered records that a request with the given keys was answered.
+func (t *Tracker) Answered(keys []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		suspected := t.blocks[part] != nil || t.isSuspected(part)
-		t.recordAnswer(part, now)
+	for _, key := range keys {
+		suspected := t.blocks[key] != nil || t.isSuspected(key)
+		t.recordAnswer(key, now)
 		if suspected {
-			t.reply(part, now)
+			t.reply(key, now)
 		}
 	}
 }
@@ -145,94 +110,126 @@
 	defer t.mu.Unlock()
 	switch e.Kind {
 	case Crashed:
-		for _, part := range e.Parts {
-			if t.answeredWithin(part, answerReplyAge, now) {
-				t.reply(part, now)
+		for _, key := range e.Keys {
+			if t.answeredWithin(key, answerReplyAge, now) {
+				t.reply(key, now)
 			}
 		}
-		t.recordCrash(e.Target, e.Parts, now)
+		t.recordCrash(e.Target, e.Keys, now)
 	case Alive:
 		t.removeCrash(e.Target)
 	case Answered:
-		for _, part := range e.Parts {
-			t.repliedAt.set(part, now)
-			t.recordAnswer(part, now)
+		for _, key := range e.Keys {
+			t.repliedAt.set(key, now)
+			t.recordAnswer(key, now)
 		}
 	case Blocked:
-		for _, part := range e.Parts {
-			t.adoptBlock(part, e.Remaining, now)
+		for _, key := range e.Keys {
+			t.adoptBlock(key, e.Remaining, now)
 		}
 	}
 }
 
-// IsBlocked reports whether a request with the given parts would not be admitted now.
-func (t *Tracker) IsBlocked(parts []string, now time.Time) bool {
+// IsBlocked reports whether a request with the given keys would not be admitted now.
+func (t *Tracker) IsBlocked(keys []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isBlocked(parts, now)
+	return t.isBlocked(keys, now)
 }
 
-// Admit reports whether a request with the given parts may be sent. Once the block of a part
+// Admit reports whether a request with the given keys may be sent. Once the block of a key
 // has run out, it admits one request as a trial and blocks the next ones.
-func (t *Tracker) Admit(parts []string, now time.Time) bool {
+func (t *Tracker) Admit(keys []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isBlocked(parts, now) {
+	if t.isBlocked(keys, now) {
 		return false
 	}
-	for _, part := range parts {
-		if b := t.blocks[part]; b != nil {
-			wait := min(trialTime, t.blockTime(part, now))
+	for _, key := range keys {
+		if b := t.blocks[key]; b != nil {
+			wait := min(trialTime, t.blockTime(key, now))
 			b.until = now.Add(wait)
-			t.announce(Event{Kind: Blocked, Parts: []string{part}, Remaining: wait})
+			t.announce(Event{Kind: Blocked, Keys: []string{key}, Remaining: wait})
 		}
 	}
 	return true
 }
 
 // isBlocked is IsBlocked for a caller that holds the mutex.
-func (t *Tracker) isBlocked(parts []string, now time.Time) bool {
+func (t *Tracker) isBlocked(keys []string, now time.Time) bool {
 	t.evaluate(now)
-	return slices.ContainsFunc(parts, func(part string) bool {
-		b := t.blocks[part]
+	return slices.ContainsFunc(keys, func(key string) bool {
+		b := t.blocks[key]
 		return b != nil && now.Before(b.until)
 	})
 }
 
-// BlockedParts returns an event for each part that is blocked.
-func (t *Tracker) BlockedParts(now time.Time) []Event {
+// Blocked returns an event for each key that is blocked.
+func (t *Tracker) Blocked(now time.Time) []Event {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var events []Event
-	for part, b := range t.blocks {
+	for key, b := range t.blocks {
 		if remaining := b.until.Sub(now); remaining > 0 {
-			events = append(events, Event{Kind: Blocked, Parts: []string{part}, Remaining: remaining})
+			events = append(events, Event{Kind: Blocked, Keys: []string{key}, Remaining: remaining})
 		}
 	}
 	return events
 }
 
+// BlockedParts and BlockedRequests return the keys of parts and of requests that are blocked.
+func (t *Tracker) BlockedParts(now time.Time) []string { return t.blockedKeys(false, now) }
+
+// BlockedRequests is described with BlockedParts.
+func (t *Tracker) BlockedRequests(now time.Time) []string { return t.blockedKeys(true, now) }
+
+func (t *Tracker) blockedKeys(requests bool, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var keys []string
+	for key, b := range t.blocks {
+		if isRequest(key) == requests && now.Before(b.until) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // recordCrash records a crash. The caller holds the mutex, here and below.
-func (t *Tracker) recordCrash(target Target, parts []string, now time.Time) {
+func (t *Tracker) recordCrash(target Target, keys []string, now time.Time) {
 	c := t.crashes[target]
 	if c == nil {
 		t.deleteExpired(now)
 		if len(t.crashes) >= maxCrashRecords {
 			return
 		}
-		c = &crash{at: now}
+		c = newCrash(now)
 		t.crashes[target] = c
 	}
-	for depth, part := range parts {
-		c.add(promptPart{key: part, depth: depth})
-		if b := t.blocks[part]; b != nil {
-			c.explained = true
+	for position, key := range keys {
+		news := c.add(key, position, keys)
+		if news {
+			t.byKey[key] = append(t.byKey[key], c)
+			t.markPending(c, key)
+		}
+		if b := t.blocks[key]; b != nil {
+			c.explains(key)
 			b.lastCrashAt = now
-			b.until = later(b.until, now.Add(t.blockTime(part, now)))
+			b.until = later(b.until, now.Add(t.blockTime(key, now)))
 		}
 	}
 }
 
+// markPending makes the next evaluation consider a key of a crash.
+func (t *Tracker) markPending(c *crash, key string) {
+	c.newRequests = c.newRequests || isRequest(key)
+	if !c.pending {
+		c.pending = true
+		t.pending = append(t.pending, c)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -246,68 +243,71 @@
 	if c == nil {
 		return
 	}
-	delete(t.crashes, target)
-	if !c.explained {
-		return
-	}
-	for _, part := range c.parts {
-		if t.blocks[part.key] != nil && t.crashesUnder(part.key) < maxCrashes {
-			t.release(part.key, "a target has answered since it was taken for crashed")
+	t.forget(target, c)
+	for _, key := range slices.Clone(c.causes) {
+		if t.blocks[key] != nil && len(t.byKey[key]) < crashesAllowed(key) {
+			t.release(key, "a target has answered since it was taken for crashed")
 		}
 	}
 }
 
-func (t *Tracker) crashesUnder(part string) int {
-	n := 0
-	for _, c := range t.crashes {
-		if c.has(part) {
-			n++
+// forget deletes the record of a crash.
+func (t *Tracker) forget(target Target, c *crash) {
+	delete(t.crashes, target)
+	isCrash := func(other *crash) bool { return other == c }
+	for key := range c.keys {
+		if t.byKey[key] = slices.DeleteFunc(t.byKey[key], isCrash); len(t.byKey[key]) == 0 {
+			delete(t.byKey, key)
 		}
 	}
-	return n
+	t.pending = slices.DeleteFunc(t.pending, isCrash)
 }
 
-func (t *Tracker) recordAnswer(part string, now time.Time) {
-	t.answeredAt.set(part, now)
-	if t.blocks[part] != nil {
-		t.release(part, "a request with it was answered")
+func (t *Tracker) recordAnswer(key string, now time.Time) {
+	t.answers(key).set(key, now)
+	if t.blocks[key] != nil {
+		t.release(key, "a request with it was answered")
 	}
 }
 
-func (t *Tracker) answeredWithin(part string, age time.Duration, now time.Time) bool {
-	at := t.answeredAt.get(part)
+// answers returns the times of answers among which those of a key are.
+func (t *Tracker) answers(key string) *recentTimes {
+	if isRequest(key) {
+		return t.answeredRequests
+	}
+	return t.answeredParts
+}
+
+func (t *Tracker) answeredAt(key string) time.Time { return t.answers(key).get(key) }
+
+func (t *Tracker) answeredWithin(key string, age time.Duration, now time.Time) bool {
+	at := t.answeredAt(key)
 	return !at.IsZero() && now.Sub(at) <= age
 }
 
-// isSuspected reports whether crashes have been recorded under a part since its last
-// answer.
-func (t *Tracker) isSuspected(part string) bool {
-	answeredAt := t.answeredAt.get(part)
-	for _, c := range t.crashes {
-		if !c.explained && c.at.After(answeredAt) && c.has(part) {
-			return true
-		}
-	}
-	return false
+// isSuspected reports whether crashes have been recorded under a key since its last answer.
+func (t *Tracker) isSuspected(key string) bool {
+	answeredAt := t.answeredAt(key)
+	return slices.ContainsFunc(t.byKey[key], func(c *crash) bool { return c.at.After(answeredAt) && !c.isExplained(key) })
 }
 
-// reply tells other hosts that requests with a part are answered.
-func (t *Tracker) reply(part string, now time.Time) {
-	if now.Sub(t.repliedAt.get(part)) < answerReplyPause {
+// reply tells other hosts that requests with a key are answered.
+func (t *Tracker) reply(key string, now time.Time) {
+	if now.Sub(t.repliedAt.get(key)) < answerReplyPause {
 		return
 	}
-	t.repliedAt.set(part, now)
-	t.announce(Event{Kind: Answered, Parts: []string{part}})
+	t.repliedAt.set(key, now)
+	t.announce(Event{Kind: Answered, Keys: []string{key}})
 }
 
 func (t *Tracker) announce(e Event) {
 	if t.Announce == nil {
 		return
 	}
-	for parts := range slices.Chunk(e.Parts, maxEventParts) {
-		t.Announce(Event{Kind: e.Kind, Target: e.Target, Parts: parts, Remaining: e.Remaining})
+	for keys := range slices.Chunk(e.Keys, maxEventKeys) {
+		t.Announce(Event{Kind: e.Kind, Target: e.Target, Keys: keys, Remaining: e.Remaining})
 	}
-	if len(e.Parts) == 0 {
+	if len(e.Keys) == 0 {
 		t.Announce(e)
 	}
 }
@@ -316,12 +316,12 @@
 func (t *Tracker) deleteExpired(now time.Time) {
 	for target, c := range t.crashes {
 		if now.Sub(c.at) > crashTTL {
-			delete(t.crashes, target)
+			t.forget(target, c)
 		}
 	}
-	for part, b := range t.blocks {
+	for key, b := range t.blocks {
 		if now.Sub(b.lastCrashAt) > crashTTL {
-			delete(t.blocks, part)
+			delete(t.blocks, key)
 		}
 	}
 }
--- a/pkg/crashes/tracker_test.go
+++ b/pkg/crashes/tracker_test.go
@@ -1,4 +1,4 @@
-package crashparts
+package crashes
 
 import (
 	"encoding/json"
@@ -120,12 +120,12 @@
 	old.Answered([]string{"popular"}, now.Add(-answerReplyAge/2))
 	var reports []Event
 	for i := range maxCrashes {
-		reports = append(reports, Event{Kind: Crashed, Target: target(i), Parts: []string{"popular"}})
+		reports = append(reports, Event{Kind: Crashed, Target: target(i), Keys: []string{"popular"}})
 		started.Receive(reports[i], now)
 	}
 	replies := 0
 	old.Announce = func(e Event) {
-		assert.DeepEqual(t, e, Event{Kind: Answered, Parts: []string{"popular"}})
+		assert.DeepEqual(t, e, Event{Kind: Answered, Keys: []string{"popular"}})
 		replies++
 		started.Receive(e, now)
 	}
@@ -134,7 +134,7 @@
 	}
 	assert.Equal(t, replies, 1)
 	assert.Assert(t, !started.IsBlocked([]string{"popular"}, now.Add(afterConfirm)))
-	started.Receive(Event{Kind: Blocked, Parts: []string{"bad"}, Remaining: time.Hour}, now)
+	started.Receive(Event{Kind: Blocked, Keys: []string{"bad"}, Remaining: time.Hour}, now)
 	assert.Assert(t, started.IsBlocked([]string{"bad"}, now))
 	assert.Assert(t, !started.IsBlocked([]string{"bad"}, now.Add(blockTime)), "a block of another host has no limit")
 }
@@ -166,7 +166,7 @@
 	assert.Assert(t, !tracker.IsBlocked([]string{"popular"}, now))
 	assert.Assert(t, tracker.Admit([]string{"popular"}, now), "no trial")
 	assert.Assert(t, tracker.IsBlocked([]string{"popular"}, now) && !tracker.Admit([]string{"popular"}, now), "a second trial")
-	assert.DeepEqual(t, announced, []Event{{Kind: Blocked, Parts: []string{"popular"}, Remaining: blockTimeIfAnswered}})
+	assert.DeepEqual(t, announced, []Event{{Kind: Blocked, Keys: []string{"popular"}, Remaining: blockTimeIfAnswered}})
 	now = now.Add(blockTimeIfAnswered)
 	assert.Assert(t, tracker.Admit([]string{"popular"}, now), "a trial that reached no target blocks the part for longer than the failure")
 	tracker.Answered([]string{"popular"}, now)
@@ -178,7 +178,7 @@
 	tracker, now := New(), time.Now()
 	reported := map[string]int{}
 	tracker.Announce = func(e Event) {
-		for _, part := range e.Parts {
+		for _, part := range e.Keys {
 			reported[part]++
 		}
 	}
@@ -193,14 +193,14 @@
 func TestKeysArePlainAndShort(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		id := rapid.String().Draw(t, "id")
-		key := Key(id)
+		key := PartKey(id)
 		encoded, err := json.Marshal(key)
 		assert.NilError(t, err)
 		assert.Assert(t, len(encoded) <= maxKeyBytes+2, "%q", encoded)
-		assert.Equal(t, key, Key(id))
+		assert.Equal(t, key, PartKey(id))
 	})
-	assert.Equal(t, Key("5c1e07a2"), "5c1e07a2")
-	assert.Assert(t, Key("<<<") != Key("<<>"))
+	assert.Equal(t, PartKey("5c1e07a2"), "5c1e07a2")
+	assert.Assert(t, PartKey("<<<") != PartKey("<<>"))
 }
 
 // Guards against memory that grows with the parts and targets of all times.
@@ -211,7 +211,7 @@
 		tracker.Broken(target(i), []string{"x"}, now)
 	}
 	assert.Assert(t, len(tracker.crashes) <= maxCrashRecords)
-	assert.Assert(t, len(tracker.answeredAt.current)+len(tracker.answeredAt.previous) <= 2*maxRecent)
+	assert.Assert(t, len(tracker.answeredParts.current)+len(tracker.answeredParts.previous) <= 2*maxRecent)
 	tracker.Broken(target(-1), []string{"x"}, now.Add(crashTTL+time.Second))
 	assert.Equal(t, len(tracker.crashes), 1)
 }
@@ -289,7 +289,7 @@
 		if !now.Before(nextAnnounce) {
 			nextAnnounce = now.Add(announceStep)
 			for i, tracker := range trackers {
-				for _, e := range tracker.BlockedParts(now) {
+				for _, e := range tracker.Blocked(now) {
 					deliver(i, 3, e)
 				}
 			}
@@ -299,3 +299,66 @@
 	assert.Assert(t, late <= 3, "%d hosts, seed %d, a request each %v: %d crashes, %d of them late", hosts, seed, gap, crashes, late)
 	assert.Assert(t, soundRefused*50 <= sound, "%d hosts, seed %d: %d of %d sound requests refused", hosts, seed, soundRefused, sound)
 }
+
+// Guards against a host that counts only the crashes that it records itself, so that a request sent to several hosts crashes more targets than the limit; and against counting a target twice.
+func TestCrashesAreAnnouncedToOtherHosts(t *testing.T) {
+	a, b, now := New(), New(), time.Now()
+	a.Announce = func(e Event) { b.Receive(e, now) }
+	crashing, other := []string{"first", RequestKey(7)}, []string{"first", RequestKey(8)}
+	for i := range maxRequestCrashes {
+		assert.Assert(t, !b.IsBlocked(crashing, now))
+		a.Broken(target(i), crashing, now)
+		a.Broken(target(i), crashing, now) // the same target again
+	}
+	assert.Assert(t, a.IsBlocked(crashing, now) && b.IsBlocked(crashing, now))
+	assert.Assert(t, !b.IsBlocked(other, now))
+}
+
+// Guards against a sound request that comes often and is refused because several targets fail at once while they run it: an answer within a minute speaks for it.
+func TestRequestThatWasAnsweredIsNotBlockedByOneFailure(t *testing.T) {
+	tracker, now := New(), time.Now()
+	frequent := []string{RequestKey(7)}
+	tracker.Answered(frequent, now)
+	crashUnder(tracker, 0, maxCrashesIfAnswered-1, now.Add(time.Second), frequent...)
+	now = now.Add(time.Second + afterConfirm)
+	assert.Assert(t, !tracker.IsBlocked(frequent, now))
+	crashUnder(tracker, 100, maxRequestCrashes, now, RequestKey(8))
+	assert.Assert(t, tracker.IsBlocked([]string{RequestKey(8)}, now))
+}
+
+// Guards against refusing sound requests because they broke off together with one that crashes targets, and against a request that is not found because a sound one broke off as often.
+func TestRequestsOfCrashedTargetsAreNotBlocked(t *testing.T) {
+	tracker, now := New(), time.Now()
+	const crashing, frequent, retried = 7, 8, 9
+	for i := range maxRequestCrashes {
+		for n := range 50 {
+			tracker.Broken(target(i), []string{"first", RequestKey(uint64(1000 + 100*i + n))}, now)
+		}
+		tracker.Broken(target(i), []string{"first", RequestKey(frequent)}, now)
+		tracker.Broken(target(i), []string{"first", "second", RequestKey(retried)}, now) // never answered
+		tracker.Broken(target(i), []string{RequestKey(crashing)}, now.Add(time.Millisecond))
+		tracker.Answered([]string{"first", RequestKey(frequent)}, now.Add(100*time.Millisecond))
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, tracker.IsBlocked([]string{RequestKey(crashing)}, now))
+	for _, sound := range [][]string{{"first", RequestKey(frequent)}, {"first", RequestKey(1000)}, {"first", "second", RequestKey(10)}} {
+		assert.Assert(t, !tracker.IsBlocked(sound, now), "%v", sound)
+	}
+}
+
+// Guards against a part that crashes targets and is blocked late because the first requests with it were repeats of one, which explains their crashes.
+func TestRepeatedRequestDoesNotHideItsPart(t *testing.T) {
+	tracker, now := New(), time.Now()
+	crashUnder(tracker, 0, maxRequestCrashes, now, "bad", RequestKey(7))
+	now = now.Add(afterConfirm)
+	assert.Assert(t, tracker.IsBlocked([]string{"bad", RequestKey(7)}, now))
+	assert.Assert(t, !tracker.IsBlocked([]string{"bad", RequestKey(8)}, now))
+	crashUnder(tracker, 10, maxCrashes-maxRequestCrashes, now, "bad", RequestKey(8))
+	now = now.Add(afterConfirm)
+	assert.Assert(t, tracker.IsBlocked([]string{"bad", RequestKey(9)}, now))
+}
+
+// Guards against a part of a prompt whose id looks like the key of a request.
+func TestPartIsNoRequest(t *testing.T) {
+	assert.Assert(t, !isRequest(PartKey(RequestKey(7))))
+}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -17,7 +17,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
-	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/crashes"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/forward"
@@ -80,8 +80,7 @@
 	client       *upstream.Client
 	targets      *balance.Set
 	budgets      *escrow.Manager
-	crashTracker *forward.CrashTracker
-	crashParts   *crashparts.Tracker
+	crashes      *crashes.Tracker
 	rateLimits   *ratelimit.Limiter
 	handler      *forward.Handler
 	hosts        *nexthop.Selector // hosts that requests are forwarded to which this host cannot serve
@@ -121,11 +120,11 @@
 	}
 	d := &Daemon{
 		settings: s, layout: l, logs: logs, log: logs.Logger("edge"),
-		client: upstream.New(), hosts: nexthop.NewSelector(), hostClient: upstream.New(), targets: balance.NewSet(), crashTracker: forward.NewCrashTracker(), crashParts: crashparts.New(), metrics: newMetrics(),
+		client: upstream.New(), hosts: nexthop.NewSelector(), hostClient: upstream.New(), targets: balance.NewSet(), crashes: crashes.New(), metrics: newMetrics(),
 		newerNamed: make(chan struct{}, 1),
 	}
-	d.crashParts.Log = logs.Logger("crashparts")
-	d.metrics.observeBlockedParts(func() int { return len(d.crashParts.BlockedParts(time.Now())) })
+	d.crashes.Log = logs.Logger("crashes")
+	d.metrics.observeBlocked(func() int { return len(d.crashes.BlockedParts(time.Now())) }, func() int { return len(d.crashes.BlockedRequests(time.Now())) })
 	d.client.OnDial = d.metrics.countDial
 	d.metrics.observeConfigurationLag(d.configurationBehind)
 	d.metrics.observeLostPaths(func() int { return len(d.targets.LostPaths(time.Now())) })
@@ -142,7 +141,7 @@
 	d.metrics.observeLimitedTargets(func() int { return len(d.limitedTargets()) })
 	d.handler = forward.New(forward.Options{
 		Dialect: headers, Configuration: d.configuration.Load, ConfigurationConfirmed: d.configurationConfirmed, ConfigurationOutdated: d.configurationOutdated,
-		Hosts: d.hosts, HostClient: d.hostClient, Admission: nexthop.NewAdmission(nexthop.Limit(s.Cores, s.LinkMbps)), Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, CrashTracker: d.crashTracker, CrashParts: d.crashParts,
+		Hosts: d.hosts, HostClient: d.hostClient, Admission: nexthop.NewAdmission(nexthop.Limit(s.Cores, s.LinkMbps)), Targets: d.targets, RateLimits: d.rateLimits, Client: d.client, Budgets: d.budgets, Crashes: d.crashes,
 		Overloaded: overloaded, CallerClosed: callerClosed, Stop: d.stop.Load, RetryRatio: s.RetryRatio, RetryReserve: d.retryReserve, RetryWindow: s.RetryWindow, StartedAt: time.Now(),
 		BufferedBytes: int64(bufferedBodiesShare * float64(s.MemoryBytes)), Observer: d.metrics, Log: logs.Logger("forward"),
 	})
@@ -174,7 +173,7 @@
 	go d.watchTargets(componentsCtx)
 	go d.updateHosts(componentsCtx)
 	go d.learnFromPeers(componentsCtx)
-	go d.announceBlockedParts(componentsCtx)
+	go d.announceBlocked(componentsCtx)
 	go d.probeLostPaths(componentsCtx)
 	go d.repeatConfigurationVersion(componentsCtx)
 	go d.fetchConfigurations(componentsCtx)
--- a/pkg/edge/hosts.go
+++ b/pkg/edge/hosts.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
-	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/crashes"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/nexthop"
 	"github.com/peppertrail/peppertrail/pkg/pause"
@@ -127,11 +127,8 @@
 		case m.Customer != "":
 			d.budgets.NoteShortage(m.Customer)
 			return
-		case m.CrashFingerprint != 0:
-			d.crashTracker.Record(m.CrashFingerprint, m.Target, time.Now())
-			return
 		case m.CrashEvent != "":
-			d.crashParts.Receive(crashEvent(m), time.Now())
+			d.crashes.Receive(crashEvent(m), time.Now())
 			return
 		case m.LimitRevision > 0:
 			d.rateLimits.Receive(rateLimitOf(m), time.Now())
@@ -157,10 +154,7 @@
 	d.targets.Announce = func(p balance.PromptUpdate) {
 		node.Send(gossip.Message{Number: p.Number, Target: p.Target, Tokens: p.Tokens})
 	}
-	d.crashTracker.Announce = func(fingerprint uint64, target string) {
-		node.Send(gossip.Message{CrashFingerprint: fingerprint, Target: target})
-	}
-	d.crashParts.Announce = func(e crashparts.Event) { node.Send(crashEventMessage(e)) }
+	d.crashes.Announce = func(e crashes.Event) { node.Send(crashEventMessage(e)) }
 	d.targets.AnnounceLeaving = func(id string, born int64) {
 		node.Send(gossip.Message{Target: id, Leaves: true, Born: born})
 	}
--- a/pkg/edge/learn.go
+++ b/pkg/edge/learn.go
@@ -27,9 +27,9 @@
 	learnReadyTimeout = 2 * time.Second
 )
 
-// learnFromPeers asks other hosts for targets that leave, rate limits of targets and blocked
-// parts of prompts. The process that ran on this host before may have known of them, and the
-// registrations of the targets may still say that they are ready.
+// learnFromPeers asks other hosts for targets that leave, rate limits of targets, and requests
+// and parts of prompts that crash targets. The process that ran on this host before may have
+// known of them, and the registrations of the targets may still say that they are ready.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, learnSearchTime)
 	defer cancel()
@@ -71,6 +71,6 @@
 		}
 	}
 	d.learnRateLimits(ctx, peer)
-	d.learnBlockedParts(ctx, peer)
+	d.learnBlocked(ctx, peer)
 	return 1
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -62,12 +62,18 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-// observeBlockedParts exports the number of parts of prompts that are blocked.
-func (m *metrics) observeBlockedParts(count func() int) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(
-		prometheus.GaugeOpts{Name: "peppertrail_edge_blocked_prompt_parts", Help: "Parts of prompts that crash targets, whose requests are refused."},
-		func() float64 { return float64(count()) },
-	))
+// observeBlocked exports the number of parts of prompts and of requests that are blocked.
+func (m *metrics) observeBlocked(parts, requests func() int) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "peppertrail_edge_blocked_prompt_parts", Help: "Parts of prompts that crash targets, whose requests are refused."},
+			func() float64 { return float64(parts()) },
+		),
+		prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "peppertrail_edge_blocked_requests", Help: "Requests that crash targets and are refused."},
+			func() float64 { return float64(requests()) },
+		),
+	)
 }
 
 // observeLimitedTargets exports the number of targets that name a rate limit.
--- a/pkg/edge/peer_calls.go
+++ b/pkg/edge/peer_calls.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
-	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/crashes"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/gossip"
 	"github.com/peppertrail/peppertrail/pkg/ratelimit"
@@ -36,8 +36,8 @@
 	handle(server, methodRateLimits, func(context.Context, struct{}) ([]ratelimit.Limit, error) {
 		return d.rateLimits.Limits(), nil
 	})
-	handle(server, methodBlockedParts, func(context.Context, struct{}) ([]crashparts.Event, error) {
-		return d.crashParts.BlockedParts(time.Now()), nil
+	handle(server, methodBlocked, func(context.Context, struct{}) ([]crashes.Event, error) {
+		return d.crashes.Blocked(time.Now()), nil
 	})
 	handle(server, methodSettle, func(_ context.Context, request escrow.SettleRequest) (struct{}, error) {
 		d.budgets.SettleFor(request)
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -38,8 +38,9 @@
 	LostPaths            []string          `json:"lost_paths,omitempty"`    // services of which no target can be reached
 	Targets              []balance.Status  `json:"targets"`
 	Budgets              []escrow.Status   `json:"budgets"`
-	RateLimits           []ratelimit.Limit `json:"rate_limits,omitempty"`   // of targets that name one
-	BlockedParts         []string          `json:"blocked_parts,omitempty"` // parts of prompts that crash targets
+	RateLimits           []ratelimit.Limit `json:"rate_limits,omitempty"`      // of targets that name one
+	BlockedParts         []string          `json:"blocked_parts,omitempty"`    // parts of prompts that crash targets
+	BlockedRequests      []string          `json:"blocked_requests,omitempty"` // requests that crash targets, by the key in their log lines
 }
 
 // adminHandler serves the metrics and the state of the daemon.
@@ -63,9 +64,8 @@
 	s.RateLimits = d.limitedTargets()
 	s.ConfigurationBehind = d.configurationBehind()
 	s.LostPaths = slices.Sorted(maps.Keys(d.targets.LostPaths(time.Now())))
-	for _, e := range d.crashParts.BlockedParts(time.Now()) {
-		s.BlockedParts = append(s.BlockedParts, e.Parts...)
-	}
+	s.BlockedParts = d.crashes.BlockedParts(time.Now())
+	s.BlockedRequests = d.crashes.BlockedRequests(time.Now())
 	if c := d.configuration.Load(); c != nil {
 		s.ConfigurationVersion = c.Version
 		s.ConfigurationAge = time.Since(*d.configurationAppliedAt.Load())
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -43,7 +43,7 @@
 			c.stoppedBy = stopDeadline
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CallerGone)
 		}
-		if !c.h.CrashParts.Admit(c.partKeys, time.Now()) {
+		if !c.h.Crashes.Admit(c.crashKeys, time.Now()) {
 			c.stoppedBy = stopCrashes
 			return c.forwardErrorResponseOrRefuse(forwardErrorResponse, CrashesTargets)
 		}
@@ -164,7 +164,7 @@
 	defer response.Close()
 	c.sentAttempts++
 	if response.Status != http.StatusMisdirectedRequest {
-		c.h.CrashParts.Responded(crashTarget(a), c.lastAttemptAt, time.Now())
+		c.h.Crashes.Responded(crashTarget(a), c.lastAttemptAt, time.Now())
 	}
 	c.recordTargetState(a, response)
 	targetLoad := c.reportedLoad(a.Target.ID, response)
@@ -213,7 +213,7 @@
 		}
 		return attemptResult{reason: DeadlinePassed, mayHaveRun: upstream.MayHaveRun(err)}
 	}
-	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Strs("parts", c.partKeys).Err(err).Msg("Attempt failed before a response header arrived.")
+	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Strs("parts", c.partKeys()).Strs("request_key", c.requestKey()).Err(err).Msg("Attempt failed before a response header arrived.")
 	switch {
 	case errors.Is(err, upstream.ErrConnLimit):
 		a.End(now, balance.ConnectionLimit)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -28,11 +28,10 @@
 	customer    *routing.Customer
 	id          string
 	body        []byte
-	fingerprint uint64 // identifies the request when it is repeated under another id
 	cost        dialect.Cost
 	outputHint  int64          // expected output in tokens
 	parts       []balance.Part // parts of the prompt that targets cache
-	partKeys    []string       // keys of the parts that other requests may share
+	crashKeys   []string       // keys of the parts that other requests may share, and of the request itself
 	reservation *escrow.Reservation
 	refusal     *Refusal // how the request has ended; nil while it is open, and if the response of a target was forwarded
 
--- a/pkg/forward/crashes_test.go
+++ b/pkg/forward/crashes_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/crashes"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/standin/replica"
 )
@@ -22,7 +22,7 @@
 // Guards against a request with a blocked part that is sent, is answered later than at once, or gets no Retry-After; and against a block whose trial request is refused as well.
 func TestBlockedPartIsRefusedUntilTrial(t *testing.T) {
 	r := newFixture(t, 2)
-	r.handler.CrashParts.Receive(crashparts.Event{Kind: crashparts.Blocked, Parts: []string{"bad"}, Remaining: 300 * time.Millisecond}, time.Now())
+	r.handler.Crashes.Receive(crashes.Event{Kind: crashes.Blocked, Keys: []string{"bad"}, Remaining: 300 * time.Millisecond}, time.Now())
 	refused := r.postParts("r1", "bad")
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
 	assert.Assert(t, refused.header.Get("Retry-After") != "")
@@ -32,7 +32,7 @@
 	r.setFaults(replica.Faults{LoseResponse: true})
 	assert.Equal(t, r.postParts("r3", "bad").status, http.StatusBadGateway)
 	assert.Equal(t, r.postParts("r4", "bad").status, http.StatusServiceUnavailable, "the trial has failed")
-	r.handler.CrashParts.Receive(crashparts.Event{Kind: crashparts.Answered, Parts: []string{"bad"}}, time.Now())
+	r.handler.Crashes.Receive(crashes.Event{Kind: crashes.Answered, Keys: []string{"bad"}}, time.Now())
 	r.setFaults(replica.Faults{})
 	assert.Equal(t, r.postParts("r5", "bad").status, http.StatusOK)
 }
@@ -40,14 +40,14 @@
 // Guards against recording the last part of a prompt, which belongs to one request or session.
 func TestLastPartIsNotRecorded(t *testing.T) {
 	r := newFixture(t, 1)
-	r.handler.CrashParts.Receive(crashparts.Event{Kind: crashparts.Blocked, Parts: []string{"r1"}, Remaining: time.Minute}, time.Now())
+	r.handler.Crashes.Receive(crashes.Event{Kind: crashes.Blocked, Keys: []string{"r1"}, Remaining: time.Minute}, time.Now())
 	assert.Equal(t, r.postParts("r1", "sound").status, http.StatusOK)
 }
 
 // Guards against taking a stream for answered because its connection ended between two events, as that of a crashed target may.
 func TestStreamThatEndsWithItsConnectionClearsNoPart(t *testing.T) {
 	r := newFixture(t, 1)
-	r.handler.CrashParts.Receive(crashparts.Event{Kind: crashparts.Blocked, Parts: []string{"bad"}, Remaining: time.Millisecond}, time.Now())
+	r.handler.Crashes.Receive(crashes.Event{Kind: crashes.Blocked, Keys: []string{"bad"}, Remaining: time.Millisecond}, time.Now())
 	time.Sleep(5 * time.Millisecond)
 	r.setFaults(replica.Faults{FrameByClose: true, AbortAfterEvents: 1, AbortRegularly: true})
 	assert.Equal(t, r.postParts("r1", "bad").status, http.StatusOK)
--- a/pkg/forward/crashing_request_test.go
+++ b/pkg/forward/crashing_request_test.go
@@ -11,6 +11,9 @@
 	"github.com/peppertrail/peppertrail/pkg/standin/replica"
 )
 
+// maxCrashedTargets is how many targets a request may crash before it is refused.
+const maxCrashedTargets = 3
+
 // Guards against a request that is repeated under new ids and crashes more targets
 // than the limit, and against refusing other requests because of it.
 func TestCrashingRequestIsRefusedAfterLimit(t *testing.T) {
@@ -45,19 +48,3 @@
 		assert.Equal(t, r.postBody("answered", "/unsafe/x", "popular").status, http.StatusOK)
 	}
 }
-
-// Guards against a host that counts only the crashes that it records itself, so that
-// a request sent to several hosts crashes more targets than the limit.
-func TestCrashesAreAnnouncedToOtherHosts(t *testing.T) {
-	a, b := NewCrashTracker(), NewCrashTracker()
-	now := time.Now()
-	a.Announce = func(fingerprint uint64, target string) { b.Record(fingerprint, target, now) }
-	for i := range maxCrashedTargets {
-		assert.Assert(t, !b.IsRefused(7, now))
-		a.RecordAndAnnounce(7, fmt.Sprint("t", i), now)
-		a.RecordAndAnnounce(7, fmt.Sprint("t", i), now) // the same target again
-	}
-	assert.Assert(t, a.IsRefused(7, now) && b.IsRefused(7, now))
-	assert.Assert(t, !b.IsRefused(8, now))
-	assert.Assert(t, !b.IsRefused(7, now.Add(crashRecordTTL)))
-}
--- a/pkg/forward/fixture_test.go
+++ b/pkg/forward/fixture_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
-	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/crashes"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/ratelimit"
@@ -91,7 +91,7 @@
 	set := balance.NewSet()
 	r.handler = New(Options{
 		Dialect: dialect.Default(), Configuration: r.config.Load, Targets: set, RateLimits: ratelimit.New(ratelimit.Options{Log: discardLog}), Client: upstream.New(), Budgets: r.budgets,
-		CrashTracker: NewCrashTracker(), CrashParts: crashparts.New(), Stop: r.stop.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
+		Crashes: crashes.New(), Stop: r.stop.Load, RetryRatio: 0.2, RetryReserve: func() float64 { return 40 }, RetryWindow: 10 * time.Second, StartedAt: time.Now().Add(-10 * time.Second), Observer: &r.observer, Log: discardLog,
 	})
 	r.handler.RateLimits.Resume(nil, time.Now())
 	var targets []balance.Target
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -9,7 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/peppertrail/peppertrail/pkg/balance"
-	"github.com/peppertrail/peppertrail/pkg/crashparts"
+	"github.com/peppertrail/peppertrail/pkg/crashes"
 	"github.com/peppertrail/peppertrail/pkg/dialect"
 	"github.com/peppertrail/peppertrail/pkg/escrow"
 	"github.com/peppertrail/peppertrail/pkg/nexthop"
@@ -31,10 +31,8 @@
 	RateLimits             *ratelimit.Limiter
 	Client                 *upstream.Client
 	Budgets                *escrow.Manager
-	// CrashTracker and CrashParts know which requests, and which parts of prompts, crash
-	// targets.
-	CrashTracker *CrashTracker
-	CrashParts   *crashparts.Tracker
+	// Crashes knows which requests, and which parts of prompts, crash targets.
+	Crashes *crashes.Tracker
 	// Overloaded reports whether the host has too many connections to serve the request.
 	// Nil: it never has.
 	Overloaded func(*http.Request) bool
--- a/pkg/forward/prepare.go
+++ b/pkg/forward/prepare.go
@@ -85,8 +85,8 @@
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
-	c.fingerprint = c.requestFingerprint()
-	if c.h.CrashTracker.IsRefused(c.fingerprint, c.receivedAt) || c.h.CrashParts.IsBlocked(c.partKeys, c.receivedAt) {
+	c.setCrashKeys()
+	if c.h.Crashes.IsBlocked(c.crashKeys, c.receivedAt) {
 		return refuseNotRun(CrashesTargets, retryAfterCrashes)
 	}
 	c.service = c.config.Service(c.route.Service(splitPosition(c.id)))
@@ -154,7 +154,6 @@
 		if c.parts, err = d.ParseParts(value); err != nil {
 			return c.refuseHeader(d.PromptParts, err)
 		}
-		c.partKeys = partKeys(c.parts)
 	}
 	c.outputHint = c.cost.MaxOutput
 	if hint, err := strconv.ParseInt(c.r.Header.Get(d.OutputHint), 10, 64); err == nil && hint >= 0 {
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -23,7 +23,7 @@
 			a.End(now, balance.Cancelled)
 			return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
 		}
-		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Strs("parts", c.partKeys).Err(err).Msg("Response body of a target could not be read to its end.")
+		c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Str("framing", string(response.Framing)).Strs("parts", c.partKeys()).Err(err).Msg("Response body of a target could not be read to its end.")
 		if errors.Is(err, errBodyMemory) {
 			a.End(now, balance.Failed)
 			return attemptResult{reason: TargetFailed, mayHaveRun: true}
@@ -111,10 +111,8 @@
 	}
 }
 
-// recordResponse reports a completely forwarded response to the observer and the log,
-// and clears the crash record of the request.
+// recordResponse reports a completely forwarded response to the observer and the log.
 func (c *call) recordResponse(status int) {
-	c.h.CrashTracker.Clear(c.fingerprint)
 	total := time.Since(c.receivedAt)
 	if c.timeToFirstByte == 0 {
 		c.timeToFirstByte = total
--- a/pkg/forward/stop_reason.go
+++ b/pkg/forward/stop_reason.go
@@ -32,7 +32,7 @@
 		return "" // nothing was sent
 	case c.sentAttempts >= maxSentAttempts:
 		return stopAttemptLimit
-	case result.reason == AnswerBroken && c.h.CrashTracker.IsRefused(c.fingerprint, now):
+	case result.reason == AnswerBroken && c.h.Crashes.IsBlocked(c.crashKeys, now):
 		return stopCrashes
 	case result.overrun:
 		return stopOverrun
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -161,6 +161,6 @@
 	a.End(now, balance.Broken)
 	c.recordBroken(a, firstEventAt, now)
 	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Str("end", string(end)).
-		Int("trailing_bytes", c.trailingBytes).Strs("parts", c.partKeys).Err(err).Msg("Event stream of a target ended before it was complete.")
+		Int("trailing_bytes", c.trailingBytes).Strs("parts", c.partKeys()).Err(err).Msg("Event stream of a target ended before it was complete.")
 	return attemptResult{reason: AnswerBroken, mayHaveRun: true, overrun: end == StreamOverrun && c.headerSent}
 }
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -29,11 +29,11 @@
 	maxFanout = 24
 )
 
-// Message reports one of seven events: a prompt was sent to a target or the target
+// Message reports one of six events: a prompt was sent to a target or the target
 // has finished processing it; the sending host lacks tokens of a customer's budget for
-// a request; a request crashed its target; a target has said that it leaves; a target
-// names a limit of its requests, or none any longer; the sending host reaches no target of
-// a service; or what CrashEvent says of Parts.
+// a request; a target has said that it leaves; a target names a limit of its requests, or
+// none any longer; the sending host reaches no target of a service; or what CrashEvent says
+// of Keys.
 // A message without an event only tells the ConfigurationVersion, as all messages do.
 type Message struct {
 	Host string `json:"h"`
@@ -41,13 +41,12 @@
 	// Node; 0: none.
 	ConfigurationVersion int64 `json:"g,omitempty"`
 
-	Number           uint64 `json:"n,omitempty"` // identifies the prompt among those of the sending host
-	Target           string `json:"t,omitempty"`
-	Tokens           int64  `json:"p,omitempty"` // prompt length; 0: the target has finished processing the prompt
-	Customer         string `json:"c,omitempty"` // customer of whose budget the sending host lacks tokens for a request
-	CrashFingerprint uint64 `json:"x,omitempty"` // fingerprint of a request that crashed Target
-	Leaves           bool   `json:"l,omitempty"` // Target leaves
-	Born             int64  `json:"b,omitempty"` // start of Target in Unix milliseconds; 0: unknown
+	Number   uint64 `json:"n,omitempty"` // identifies the prompt among those of the sending host
+	Target   string `json:"t,omitempty"`
+	Tokens   int64  `json:"p,omitempty"` // prompt length; 0: the target has finished processing the prompt
+	Customer string `json:"c,omitempty"` // customer of whose budget the sending host lacks tokens for a request
+	Leaves   bool   `json:"l,omitempty"` // Target leaves
+	Born     int64  `json:"b,omitempty"` // start of Target in Unix milliseconds; 0: unknown
 
 	LimitRevision uint64  `json:"v,omitempty"` // revision of what Target says of the requests that it takes; 0: nothing
 	PerSecond     float64 `json:"f,omitempty"` // requests per second that Target takes
@@ -55,9 +54,9 @@
 
 	LostService string `json:"s,omitempty"` // service of which the sending host reaches no target
 
-	CrashEvent  string   `json:"e,omitempty"` // kind of a crashparts.Event
-	Parts       []string `json:"k,omitempty"` // keys of parts of prompts
-	RemainingMs int64    `json:"r,omitempty"` // how long requests with Parts stay refused, in milliseconds
+	CrashEvent  string   `json:"e,omitempty"` // kind of a crashes.Event
+	Keys        []string `json:"k,omitempty"` // keys of requests and of parts of prompts
+	RemainingMs int64    `json:"r,omitempty"` // how long requests with Keys stay refused, in milliseconds
 }
 
 // Node exchanges messages with other hosts. It is safe for concurrent use.
--- a/pkg/standin/replica/faults.go
+++ b/pkg/standin/replica/faults.go
@@ -17,5 +17,6 @@
 	RateLimit        string        // value of the header that names the requests per second that the replica takes; empty: no header
 	EventPause       time.Duration // time before each event of a stream
 	CrashPart        string        // id of a prompt part: the replica crashes for good when it begins the response to a request with that part
+	CrashPath        string        // path of requests, without a query: the replica crashes when it begins to run one of them
 	RetryAfter       string        // with RejectAll: value of the Retry-After header; empty: no header
 }
--- a/pkg/standin/replica/replica.go
+++ b/pkg/standin/replica/replica.go
@@ -33,18 +33,19 @@
 // Replica is a stand-in target behind its own HTTP server. It is safe for
 // concurrent use, except that EventCount must not be set while a request is served.
 type Replica struct {
-	ID         string
-	EventCount int   // number of events in a stream
-	Born       int64 // start of the replica in Unix milliseconds, for its registration; 0: not registered
+	ID         string // changes only in Restart
+	EventCount int    // number of events in a stream
+	Born       int64  // start of the replica in Unix milliseconds, for its registration; 0: not registered
 	dialect    dialect.Dialect
-	server     *httptest.Server
 
 	mu       sync.Mutex
+	server   *httptest.Server
 	faults   Faults
 	endless  Endless
 	runs     []Run
 	rejected int
 	crashed  bool
+	crashes  []time.Time
 }
 
 // New starts a replica with an id on a loopback address.
@@ -56,8 +57,11 @@
 
 // Close stops the replica and closes its connections.
 func (r *Replica) Close() {
-	r.server.CloseClientConnections()
-	r.server.Close()
+	r.mu.Lock()
+	server := r.server
+	r.mu.Unlock()
+	server.CloseClientConnections()
+	server.Close()
 }
 
 // Target returns the replica as a balancing target of the named service.
@@ -66,7 +70,11 @@
 }
 
 // Addr returns the replica's address as IP:port.
-func (r *Replica) Addr() string { return strings.TrimPrefix(r.server.URL, "http://") }
+func (r *Replica) Addr() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.TrimPrefix(r.server.URL, "http://")
+}
 
 // SetFaults replaces the faults.
 func (r *Replica) SetFaults(f Faults) {
@@ -75,6 +83,12 @@
 	r.faults = f
 }
 
+func (r *Replica) id() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ID
+}
+
 func (r *Replica) currentFaults() Faults {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -109,7 +123,7 @@
 	if err != nil {
 		return
 	}
-	if expected := request.Header.Get(r.dialect.ExpectTarget); expected != "" && expected != r.ID {
+	if expected := request.Header.Get(r.dialect.ExpectTarget); expected != "" && expected != r.id() {
 		r.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
@@ -126,6 +140,10 @@
 		close(run.Disconnected)
 		return
 	}
+	if faults.crashesOn(request) {
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(faults.Delay):
 	case <-request.Context().Done():
@@ -138,7 +156,7 @@
 	if faults.LoseResponse || r.Crashed() {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(IDHeader, r.ID)
+	w.Header().Set(IDHeader, r.id())
 	if faults.Status != 0 {
 		w.WriteHeader(faults.Status)
 		fmt.Fprintf(w, "status of %s", r.ID)
