crashes: tests of targets that start again under their IDs

Cause: CrashTracker counted a crashed target by its ID alone, so two targets never counted for more than two crashes. Ruled out: lost datagrams and restarts of hosts, of which there are none, and the limit itself: with three targets the request is refused.

The same cause was looked for elsewhere: leaving targets, rate limits and the state of a target in the balancer go by ID and start already.

--- a/pkg/crashes/tracker_test.go
+++ b/pkg/crashes/tracker_test.go
@@ -314,6 +314,18 @@
 	assert.Assert(t, !b.IsBlocked(other, now))
 }
 
+// Guards against a request that is never refused because its targets start again under their IDs, as seen with two targets left of a service.
+func TestEachStartOfATargetCounts(t *testing.T) {
+	tracker, now := New(), time.Now()
+	crashing := []string{RequestKey(7)}
+	for i := range maxRequestCrashes {
+		assert.Assert(t, !tracker.IsBlocked(crashing, now))
+		tracker.Broken(Target{ID: fmt.Sprint("t", i%2), Born: now.UnixMilli()}, crashing, now)
+		now = now.Add(3 * time.Second)
+	}
+	assert.Assert(t, tracker.IsBlocked(crashing, now))
+}
+
 // Guards against a sound request that comes often and is refused because several targets fail at once while they run it: an answer within a minute speaks for it.
 func TestRequestThatWasAnsweredIsNotBlockedByOneFailure(t *testing.T) {
 	tracker, now := New(), time.Now()
