edge: a fleet that starts again knows what crashes targets

What targets saw: when all hosts start at once, as after a loss of power, each start costs three more crashes by a request that had been refused.

Cause: the same as of the faults before: a process that starts asks other hosts, and none is left that remembers.

Change: the row by which hosts know each other carries up to eight blocked requests and parts of prompts. Processes read these rows before they write their own, and before they are ready. Rows older than two minutes are not believed, as a block may have been released since.

A block younger than the row (4 s) is lost with its fleet.

--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/crashes"
@@ -21,6 +24,12 @@
 	blockedFanout = 3
 	// maxAnnouncedBlocks is the number of blocks, chosen at random, in one announcement.
 	maxAnnouncedBlocks = 8
+	// maxBlockNotes is the number of blocks in the row of a host, which every host reads. They
+	// are those that last longest.
+	maxBlockNotes = 8
+	// maxNotesAge is the age up to which the row of a process that has ended is believed. What
+	// it tells may have been released since.
+	maxNotesAge = 2 * time.Minute
 )
 
 // crashEventMessage returns the datagram for an event.
@@ -69,3 +78,36 @@
 		d.crashes.Receive(e, time.Now())
 	}
 }
+
+// blockNotes returns what the row of this host tells of blocked requests and parts of prompts.
+// Processes that start while no other one runs, as after a loss of power, have no host to ask.
+func (d *Daemon) blockNotes() json.RawMessage {
+	blocked := d.crashes.Blocked(time.Now())
+	if len(blocked) == 0 {
+		return nil
+	}
+	slices.SortFunc(blocked, func(a, b crashes.Event) int { return cmp.Compare(b.Remaining, a.Remaining) })
+	notes, err := json.Marshal(blocked[:min(len(blocked), maxBlockNotes)])
+	if err != nil {
+		d.log.Error().Err(err).Msg("Blocked requests and parts of prompts cannot be encoded. Other hosts are not told by the row of this host.")
+		return nil
+	}
+	return notes
+}
+
+// receiveBlockNotes applies the notes in the row of another process.
+func (d *Daemon) receiveBlockNotes(notes json.RawMessage, age time.Duration) {
+	if age > maxNotesAge {
+		return
+	}
+	var blocked []crashes.Event
+	if err := json.Unmarshal(notes, &blocked); err != nil {
+		d.log.Error().Err(err).Msg("Notes in the row of another host cannot be decoded. They are ignored.")
+		return
+	}
+	for _, e := range blocked[:min(len(blocked), maxBlockNotes)] {
+		if e.Remaining -= age; e.Kind == crashes.Blocked && e.Remaining > 0 {
+			d.crashes.Receive(e, time.Now())
+		}
+	}
+}
--- a/pkg/escrow/host_row.go
+++ b/pkg/escrow/host_row.go
@@ -14,6 +14,9 @@
 	// RequestAddr is the address at which the host takes requests of other hosts; empty: none.
 	RequestAddr string `json:"r,omitempty"`
 	StoreTimeMs int64  `json:"t"` // store clock when the row was written, or slightly before, in milliseconds
+	// Notes is what the process tells all hosts, also those that start after its end; empty:
+	// nothing. This package does not interpret it.
+	Notes json.RawMessage `json:"k,omitempty"`
 }
 
 func (r HostRow) encode() []byte { return mustEncode(r) }
--- a/pkg/escrow/membership.go
+++ b/pkg/escrow/membership.go
@@ -160,6 +160,7 @@
 	if err != nil {
 		return storage.Version{}, err
 	}
+	m.receiveNotes(page)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordStoreTime(page.Now, sentAt)
@@ -172,6 +173,20 @@
 	return page.Version, nil
 }
 
+// receiveNotes passes on the notes in rows of other processes.
+func (m *Manager) receiveNotes(page storage.RowPage) {
+	if m.options.ReceiveNotes == nil {
+		return
+	}
+	for _, row := range page.Rows {
+		r, err := decodeHostRow(row.Value)
+		if row.Deleted || err != nil || len(r.Notes) == 0 || r.Incarnation == m.options.Incarnation {
+			continue // a row that cannot be decoded is logged where the hosts are read from it
+		}
+		m.options.ReceiveNotes(r.Notes, r.age(page.Now))
+	}
+}
+
 // announceHost writes the own host row periodically.
 func (m *Manager) announceHost(ctx context.Context) {
 	for partIndex := 0; ctx.Err() == nil; {
@@ -195,8 +210,12 @@
 // of an earlier process of this host was not looked for, which it would replace.
 func (m *Manager) ownHostRow() (HostRow, bool) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	return HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, RequestAddr: m.options.RequestAddr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0 && m.membership.read
+	row, known := HostRow{Incarnation: m.options.Incarnation, Addr: m.options.Addr, RequestAddr: m.options.RequestAddr, StoreTimeMs: m.estimatedStoreTime().Milliseconds()}, m.storeTimeReadAt != 0 && m.membership.read
+	m.mu.Unlock()
+	if known && m.options.Notes != nil {
+		row.Notes = m.options.Notes()
+	}
+	return row, known
 }
 
 func (m *Manager) putRow(ctx context.Context, key storage.RowKey, value []byte) error {
--- a/pkg/escrow/options.go
+++ b/pkg/escrow/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/phuslu/log"
@@ -95,6 +96,12 @@
 	// SendSettlements sends settlements of such reservations, for Manager.SettleFor.
 	RequestReservation func(ctx context.Context, addr string, request ReserveRequest) (ReserveReply, error)
 	SendSettlements    func(ctx context.Context, addr string, request SettleRequest) error
+	// Notes returns what the row of this host tells all hosts, nil for nothing. ReceiveNotes is
+	// called with the notes in a row that was read, and the age of the row. Rows outlast their
+	// processes, so that a fleet that starts anew learns what the one before knew. They must
+	// not block. Nil: nothing is told.
+	Notes        func() json.RawMessage
+	ReceiveNotes func(notes json.RawMessage, age time.Duration)
 	// CountWrittenOff counts tokens that are counted as spent by an ended process
 	// beyond its last report. It must not block. Nil: they are not counted.
 	CountWrittenOff func(cause WriteOffCause, tokens int64)
