forward: events without end share the memory for buffered bodies

Report of other operators: a faulty replica sends bytes that are no answer, without end; the machine that has called it keeps them all, runs out of memory, and the requests of its other clients end with it.

Whether it can happen here: heads, bodies, rejections and replies have limits, and buffered bodies share a bound. An event that does not end was kept up to 1 MiB for each stream, with no bound for all streams.

Change: the memory of incomplete events beyond 64 KiB for each stream counts against the bound for buffered bodies, an eighth of the process's memory. A stream that exceeds it ends with no_memory, as a failure of its target but not as a crash. An event is counted by the memory that it takes, and a stream gives up the memory of a large event once it is complete.

--- a/pkg/forward/body_memory.go
+++ b/pkg/forward/body_memory.go
@@ -16,6 +16,8 @@
 	// ownBodyBytes is how much of the buffered bodies of a request does not count
 	// against Options.BufferedBytes, so that small responses do not depend on others.
 	ownBodyBytes = 256 << 10
+	// ownEventBytes is the same for the event of a stream that is not complete yet.
+	ownEventBytes = 64 << 10
 	// defaultBufferedBytes bounds the buffered bodies of all requests if Options sets no
 	// limit.
 	defaultBufferedBytes = 64 << 20
@@ -27,7 +29,7 @@
 )
 
 // bodyMemory counts the bytes of buffered bodies of all requests beyond ownBodyBytes of
-// each.
+// each, and those of incomplete events beyond ownEventBytes of each stream.
 type bodyMemory struct {
 	used atomic.Int64
 	max  int64
@@ -42,6 +44,28 @@
 	return false
 }
 
+// eventMemory counts the memory of the incomplete event of one stream.
+type eventMemory struct {
+	shared  *bodyMemory
+	counted int64
+}
+
+// resize counts the size of the event in place of the one before. It reports whether that many
+// bytes may be used.
+func (m *eventMemory) resize(size int) bool {
+	excess := max(0, int64(size)-ownEventBytes)
+	if more := excess - m.counted; more > 0 && !m.shared.take(more) {
+		return false
+	} else if more < 0 {
+		m.shared.used.Add(more)
+	}
+	m.counted = excess
+	return true
+}
+
+// release ends the counting.
+func (m *eventMemory) release() { m.resize(0) }
+
 // bufferedReader reads the body of a response that is buffered, and counts its bytes.
 type bufferedReader struct {
 	call     *call
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -367,6 +368,86 @@
 	assert.Assert(t, taken < requests*maxBufferedBodyBytes, "the host took %d bytes", taken)
 }
 
+// holdingTarget answers each request with the start of an event and holds it until its peer
+// closes the connection.
+func holdingTarget(t *testing.T, eventBytes int) (target balance.Target, open *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	open = &atomic.Int64{}
+	filler := strings.Repeat("x", 16<<10)
+	hold := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		head := strings.ReplaceAll(headStream, "{id}", request.Header.Get(dialect.Default().RequestID))
+		open.Add(1)
+		defer open.Add(-1)
+		_, err = io.WriteString(conn, head+"\r\nid: 1\ndata: ")
+		for sent := 0; sent < eventBytes && err == nil; sent += len(filler) {
+			_, err = io.WriteString(conn, filler)
+		}
+		if err == nil {
+			_, _ = io.Copy(io.Discard, r) // until the peer closes
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go hold(conn)
+		}
+	}()
+	return balance.Target{ID: "e0", Service: testService, Addr: l.Addr().String(), Slots: 1000}, open
+}
+
+// Guards against events without end of many streams that together take more memory than a host has, each of them below the limit of one event, and against sound streams that fail because of them.
+func TestEndlessEventsShareTheirMemory(t *testing.T) {
+	const (
+		streams     = 150
+		eventBytes  = maxEventBytes * 9 / 10
+		sharedBytes = 8 << 20
+		// What grows takes up to three times its size until garbage is collected. All events
+		// together have 141 MB.
+		allowed = 3 * (sharedBytes + streams*ownEventBytes)
+	)
+	r := newFixture(t, 1)
+	r.configure(1 << 30)
+	r.handler.bodies.max = sharedBytes
+	endless, open := holdingTarget(t, eventBytes)
+	r.handler.Targets.Apply([]balance.Target{endless})
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() { r.post(fmt.Sprint("r", i), "/stream/x") })
+	}
+	peak := int64(0)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		peak = max(peak, heap()-before)
+	}
+	t.Logf("%d MB more memory in use, %d streams open", peak>>20, open.Load())
+	r.handler.Targets.Apply([]balance.Target{r.replicas[0].Target(testService)})
+	got := r.post("sound", "/stream/sound")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	group.Wait()
+	assert.Assert(t, peak < allowed, "%d MB more memory in use", peak>>20)
+	assert.Equal(t, r.handler.bodies.used.Load(), int64(0))
+}
+
 // Guards against a small response that fails because of large ones of other requests.
 func TestSmallBodyNeedsNoSharedMemory(t *testing.T) {
 	r := newFixture(t, 1)
--- a/pkg/forward/event.go
+++ b/pkg/forward/event.go
@@ -67,10 +67,16 @@
 		s.scan = eventScan{}
 	}
 	s.pending = s.pending[:copy(s.pending, s.pending[start:])]
+	if cap(s.pending) > ownEventBytes && len(s.pending) <= ownEventBytes/2 {
+		s.pending = slices.Clone(s.pending) // frees the memory of a large event
+	}
 	s.count += len(events)
 	return events
 }
 
+// size returns the memory that the incomplete event takes, in bytes.
+func (s *eventSplitter) size() int { return cap(s.pending) }
+
 // remainder returns the bytes after the last complete event.
 func (s *eventSplitter) remainder() []byte { return s.pending }
 
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -44,6 +44,8 @@
 	buffer := make([]byte, streamBufferBytes)
 	stall := newStallTimer(c.h.StreamStallTimeout, response)
 	defer stall.stop()
+	memory := eventMemory{shared: &c.h.bodies}
+	defer memory.release()
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
@@ -68,6 +70,9 @@
 		if splitter.responseHead {
 			err = errResponseInStream
 		}
+		if err == nil && !memory.resize(splitter.size()) {
+			err = errBodyMemory
+		}
 		if err != nil && stall.expired() {
 			err = errStreamStalled
 		}
@@ -157,10 +162,16 @@
 	case StreamCancelled:
 		a.End(now, balance.Cancelled)
 		return attemptResult{reason: DeadlinePassed, mayHaveRun: true}
+	case StreamNoMemory:
+		a.End(now, balance.Failed)
+	default:
+		a.End(now, balance.Broken)
+		c.recordBroken(a, firstEventAt, now)
 	}
-	a.End(now, balance.Broken)
-	c.recordBroken(a, firstEventAt, now)
 	c.h.Log.Info().Str("request", c.id).Str("target", a.Target.ID).Int64("events", c.events).Str("framing", string(response.Framing)).Str("end", string(end)).
 		Int("trailing_bytes", c.trailingBytes).Strs("parts", c.partKeys()).Err(err).Msg("Event stream of a target ended before it was complete.")
+	if end == StreamNoMemory {
+		return attemptResult{reason: TargetFailed, mayHaveRun: true}
+	}
 	return attemptResult{reason: AnswerBroken, mayHaveRun: true, overrun: end == StreamOverrun && c.headerSent}
 }
--- a/pkg/forward/stream_end.go
+++ b/pkg/forward/stream_end.go
@@ -19,6 +19,7 @@
 	StreamEmpty       StreamEnd = "no_event"         // the connection ended before the first event, and nothing else marks the end of the body
 	StreamInterrupted StreamEnd = "interrupted"      // the connection failed before the end of the body
 	StreamLongEvent   StreamEnd = "event_too_long"   // an event exceeded maxEventBytes
+	StreamNoMemory    StreamEnd = "no_memory"        // the events without end of all streams used up their shared memory
 	StreamOverrun     StreamEnd = "too_many_events"  // there were more events than the request can produce
 	StreamOverwritten StreamEnd = "response_head"    // the head of another response followed an event
 	StreamStalled     StreamEnd = "stalled"          // no event with data was completed for Options.StreamStallTimeout
@@ -68,6 +69,8 @@
 		return StreamEmpty
 	case errors.Is(err, errEventTooLong):
 		return StreamLongEvent
+	case errors.Is(err, errBodyMemory):
+		return StreamNoMemory
 	case errors.Is(err, errTooManyEvents):
 		return StreamOverrun
 	case errors.Is(err, errResponseInStream):
