--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -262,3 +263,8 @@
 	}
 	s.rows.Put(storage.RowKey{Table: table, Key: key}, data)
 }
+
+// asTimeout reports whether err is a time-out of a connection.
+func asTimeout(err error, network *net.Error) bool {
+	return errors.As(err, network) && (*network).Timeout()
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,7 +20,7 @@
 func main() {
 	cases := map[string]func(*record, bool) (bool, error){
 		"memory": runMemory,
-		"bodies": runBodies,
+		"bodies": runBodies, "heads": runHeads,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
