--- a/review/stand-2/answered.go
+++ b/review/stand-2/answered.go
@@ -32,8 +32,25 @@
 }
 
 // runAnswered plays clients whose requests are all served at once, with heads over the limit that
-// name many parts of their prompts. The platform's part: a process that exceeds memoryMb is killed.
+// name many parts of their prompts.
 func runAnswered(r *record, trouble bool) (held bool, err error) {
+	return runLongHeads(r, trouble, &modelService{}, &partClients{clients: 40, results: make(map[string]int)})
+}
+
+// Figures of the case "ids".
+const (
+	idClients    = 400
+	idEventPause = 500 * time.Millisecond
+)
+
+// runIDs plays clients whose heads are over the limit because of their id.
+func runIDs(r *record, trouble bool) (held bool, err error) {
+	return runLongHeads(r, trouble, &modelService{eventPause: idEventPause}, &partClients{clients: idClients, longID: true, results: make(map[string]int)})
+}
+
+// runLongHeads plays clients whose heads are over the limit. The platform's part: a process that
+// exceeds memoryMb is killed.
+func runLongHeads(r *record, trouble bool, model *modelService, c *partClients) (held bool, err error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return false, err
@@ -41,7 +58,6 @@
 	defer os.RemoveAll(dir)
 	s := newStore()
 	defer s.server.Close()
-	model := &modelService{}
 	for i := range modelReplicas {
 		addr, err := model.listen(false)
 		if err != nil {
@@ -72,7 +88,7 @@
 		size = ordinaryHead
 	}
 	r.line("daemon ready, %.0f MB; heads of %d bytes", d.memory("VmRSS"), size)
-	c := &partClients{daemon: d, headBytes: size, results: make(map[string]int)}
+	c.daemon, c.headBytes = d, size
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Go(func() { c.run(stop) })
@@ -102,9 +118,12 @@
 	return !ended, nil
 }
 
-// partClients send streams whose heads name many parts of the prompt. The first part of each is
-// its own, as that of a session; the others are shared.
+// partClients send streams with long heads, which name many parts of the prompt: the first part of
+// each is its own, as that of a session; the others are shared. With longID it is the id of the
+// request that is long.
 type partClients struct {
+	clients   int // that send at a time, each on a connection of its own
+	longID    bool
 	daemon    *daemon
 	headBytes int
 	mu        sync.Mutex
@@ -121,7 +140,7 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	jobs := make(chan int)
-	for range 40 {
+	for range c.clients {
 		wait.Go(func() { c.work(jobs) })
 	}
 	defer close(jobs)
@@ -168,7 +187,11 @@
 }
 
 func (c *partClients) exchange(conn net.Conn, reader *bufio.Reader, i int) string {
-	head := fmt.Sprintf("POST /m/%d HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a%d\r\nCredential: k\r\nModel: m\r\nToken-Usage: 1800,27\r\nDeadline-Ms: 10000\r\nContent-Length: 6\r\nPrompt-Prefix: ", i, i)
+	id := fmt.Sprintf("a%015d", i)
+	if c.longID {
+		id += strings.Repeat("f", max(0, c.headBytes-300))
+	}
+	head := fmt.Sprintf("POST /m/%d HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nCredential: k\r\nModel: m\r\nToken-Usage: 1800,27\r\nDeadline-Ms: 10000\r\nContent-Length: 6\r\nPrompt-Prefix: ", i, id)
 	own := fmt.Sprintf("%08x:1", i)
 	rest := max(1, (c.headBytes-len(head)-len(own)-4)/13)
 	var parts strings.Builder
--- a/review/stand-2/heads.go
+++ b/review/stand-2/heads.go
@@ -104,7 +104,8 @@
 
 // modelService is the replicas of the model service.
 type modelService struct {
-	open, got atomic.Int64
+	eventPause time.Duration // between the three events of a stream; 0: 50 ms
+	open, got  atomic.Int64
 }
 
 func (m *modelService) listen(inTrouble bool) (addr string, err error) {
@@ -143,7 +144,7 @@
 			m.open.Add(-1)
 			return
 		}
-		err = sendStream(conn, head)
+		err = m.sendStream(conn, head)
 		m.open.Add(-1)
 		if err != nil {
 			return
@@ -174,12 +175,16 @@
 }
 
 // sendStream sends three events.
-func sendStream(conn net.Conn, head string) error {
+func (m *modelService) sendStream(conn net.Conn, head string) error {
+	pause := m.eventPause
+	if pause == 0 {
+		pause = 50 * time.Millisecond
+	}
 	if _, err := io.WriteString(conn, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return err
 	}
 	for n := range 3 {
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(pause)
 		event := fmt.Sprintf("id: %d\ndata: nine tokens\n\n", n+1)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return err
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,7 +21,7 @@
 	cases := map[string]func(*record, bool) (bool, error){
 		"memory": runMemory,
 		"bodies": runBodies, "heads": runHeads,
-		"answered": runAnswered,
+		"answered": runAnswered, "ids": runIDs,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
