--- a/review/stand-2/answered.go
+++ b/review/stand-2/answered.go
@@ -32,25 +32,11 @@
 }
 
 // runAnswered plays clients whose requests are all served at once, with heads over the limit that
-// name many parts of their prompts.
+// name many parts of their prompts. The platform's part: a process that exceeds memoryMb is
+// killed.
 func runAnswered(r *record, trouble bool) (held bool, err error) {
-	return runLongHeads(r, trouble, &modelService{}, &partClients{clients: 40, results: make(map[string]int)})
-}
-
-// Figures of the case "ids".
-const (
-	idClients    = 400
-	idEventPause = 500 * time.Millisecond
-)
-
-// runIDs plays clients whose heads are over the limit because of their id.
-func runIDs(r *record, trouble bool) (held bool, err error) {
-	return runLongHeads(r, trouble, &modelService{eventPause: idEventPause}, &partClients{clients: idClients, longID: true, results: make(map[string]int)})
-}
-
-// runLongHeads plays clients whose heads are over the limit. The platform's part: a process that
-// exceeds memoryMb is killed.
-func runLongHeads(r *record, trouble bool, model *modelService, c *partClients) (held bool, err error) {
+	model := &modelService{}
+	c := &partClients{clients: 40, results: make(map[string]int)}
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return false, err
@@ -72,7 +58,7 @@
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":   []any{map[string]any{"name": "t", "apiKeys": []string{"k"}, "prepaid": 1_000_000_000}},
 	})
-	d, err := newDaemon(dir, "edge-1", "127.0.0.1", "z", s.addr())
+	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
 	}
@@ -119,11 +105,9 @@
 }
 
 // partClients send streams with long heads, which name many parts of the prompt: the first part of
-// each is its own, as that of a session; the others are shared. With longID it is the id of the
-// request that is long.
+// each is its own, as that of a session; the others are shared.
 type partClients struct {
 	clients   int // that send at a time, each on a connection of its own
-	longID    bool
 	daemon    *daemon
 	headBytes int
 	mu        sync.Mutex
@@ -188,9 +172,6 @@
 
 func (c *partClients) exchange(conn net.Conn, reader *bufio.Reader, i int) string {
 	id := fmt.Sprintf("a%015d", i)
-	if c.longID {
-		id += strings.Repeat("f", max(0, c.headBytes-300))
-	}
 	head := fmt.Sprintf("POST /m/%d HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nCredential: k\r\nModel: m\r\nToken-Usage: 1800,27\r\nDeadline-Ms: 10000\r\nContent-Length: 6\r\nPrompt-Prefix: ", i, id)
 	own := fmt.Sprintf("%08x:1", i)
 	rest := max(1, (c.headBytes-len(head)-len(own)-4)/13)
--- a/review/stand-2/bodies.go
+++ b/review/stand-2/bodies.go
@@ -62,7 +62,7 @@
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":   append(tenants(), map[string]any{"name": "ordinary", "apiKeys": []string{"own"}, "prepaid": 1_000_000}),
 	})
-	d, err := newDaemon(dir, "edge-1", "127.0.0.1", "z", s.addr())
+	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -67,31 +67,41 @@
 	log       []string
 }
 
-// freePorts returns n consecutive ports that are free.
+// Ports of daemons are below those that the system gives to connections of callers: a daemon that
+// is started again finds them free.
+const (
+	firstDaemonPort = 20_000
+	lastDaemonPort  = 32_000
+)
+
+// freePorts returns the first of n consecutive ports that are free.
 func freePorts(ip string, n int) (first int, err error) {
-	for range 200 {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return 0, err
-		}
-		first = l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		ok := first+n < 65000
-		for p := first; ok && p < first+n; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
-			if err != nil {
-				ok = false
-				break
-			}
-			_ = l.Close()
-		}
-		if ok {
+	start := os.Getpid() % ((lastDaemonPort - firstDaemonPort) / n)
+	for i := range (lastDaemonPort - firstDaemonPort) / n {
+		first := firstDaemonPort + (start+i)*n%(lastDaemonPort-firstDaemonPort)
+		if portsFree(ip, first, n) {
 			return first, nil
 		}
 	}
 	return 0, fmt.Errorf("no %d free ports in a row on %s", n, ip)
 }
 
+func portsFree(ip string, first, n int) bool {
+	for port := first; port < first+n; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+// machineIP returns a loopback address of a machine of this run.
+func machineIP(machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 1+os.Getpid()/100%200, machine)
+}
+
 // newDaemon writes the settings of a machine on the given address. storeAddr is the address of
 // the store as this machine reaches it.
 func newDaemon(dir, name, ip, zone, storeAddr string) (*daemon, error) {
--- a/review/stand-2/heads.go
+++ b/review/stand-2/heads.go
@@ -60,7 +60,7 @@
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":   []any{map[string]any{"name": "t", "apiKeys": []string{"k"}, "prepaid": 1_000_000_000}},
 	})
-	d, err := newDaemon(dir, "edge-1", "127.0.0.1", "z", s.addr())
+	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
 	}
@@ -104,8 +104,7 @@
 
 // modelService is the replicas of the model service.
 type modelService struct {
-	eventPause time.Duration // between the three events of a stream; 0: 50 ms
-	open, got  atomic.Int64
+	open, got atomic.Int64
 }
 
 func (m *modelService) listen(inTrouble bool) (addr string, err error) {
@@ -144,7 +143,7 @@
 			m.open.Add(-1)
 			return
 		}
-		err = m.sendStream(conn, head)
+		err = sendStream(conn, head)
 		m.open.Add(-1)
 		if err != nil {
 			return
@@ -175,16 +174,12 @@
 }
 
 // sendStream sends three events.
-func (m *modelService) sendStream(conn net.Conn, head string) error {
-	pause := m.eventPause
-	if pause == 0 {
-		pause = 50 * time.Millisecond
-	}
+func sendStream(conn net.Conn, head string) error {
 	if _, err := io.WriteString(conn, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return err
 	}
 	for n := range 3 {
-		time.Sleep(pause)
+		time.Sleep(50 * time.Millisecond)
 		event := fmt.Sprintf("id: %d\ndata: nine tokens\n\n", n+1)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return err
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,9 +19,11 @@
 
 func main() {
 	cases := map[string]func(*record, bool) (bool, error){
-		"memory": runMemory,
-		"bodies": runBodies, "heads": runHeads,
-		"answered": runAnswered, "ids": runIDs,
+		"drill":    runDrill,
+		"answered": runAnswered,
+		"memory":   runMemory,
+		"heads":    runHeads,
+		"bodies":   runBodies,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
--- a/review/stand-2/memory.go
+++ b/review/stand-2/memory.go
@@ -58,7 +58,7 @@
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":   tenants(),
 	})
-	d, err := newDaemon(dir, "edge-1", "127.0.0.1", "z", s.addr())
+	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
 	}
