--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -64,7 +64,6 @@
 	cmd       *exec.Cmd
 	exited    chan struct{}
 	mu        sync.Mutex
-	log       []string
 }
 
 // Ports of daemons are below those that the system gives to connections of callers: a daemon that
