--- a/review/stand-2/answered.go
+++ b/review/stand-2/answered.go
@@ -49,15 +49,9 @@
 		if err != nil {
 			return false, err
 		}
-		s.put("servers", fmt.Sprintf("i-%d", i), map[string]any{"service": "llm", "address": addr, "zone": "z", "version": "v1", "slots": 64, "state": "ready", "coldRemainingMs": 0, "sequence": 1})
-	}
-	s.put("op", "config", map[string]any{
-		"version":   1,
-		"routeList": []any{map[string]any{"name": "menu-plan", "hostname": "h.example", "pathPrefix": "/m/", "routeKind": "streaming", "timeoutMs": 10000, "latencyTargetMs": 600, "gapTargetMs": 250, "service": "llm", "maxAttempts": 1, "sessionAffinity": true}},
-		"services":  []any{map[string]any{"name": "llm", "healthPath": "/healthz", "maxConnections": 370, "runtime": map[string]any{"slots": 64, "kvCapacity": 444000, "stride": 9}}},
-		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":   []any{map[string]any{"name": "t", "apiKeys": []string{"k"}, "prepaid": 1_000_000_000}},
-	})
+		s.register(fmt.Sprintf("i-%d", i), "llm", addr, 64, 1)
+	}
+	s.configureModel(1_000_000_000)
 	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
--- a/review/stand-2/bodies.go
+++ b/review/stand-2/bodies.go
@@ -49,19 +49,12 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		w.Header().Set("Attempt-Id", q.Header.Get("Attempt-Id"))
-		w.Header().Set("Server-Signature", "signature-of-i-1")
+		w.Header().Set(headers.RequestID, q.Header.Get(headers.RequestID))
 		_, _ = io.WriteString(w, "answer")
 	}))
 	defer target.Close()
-	s.put("servers", "i-1", map[string]any{"service": "app", "address": strings.TrimPrefix(target.URL, "http://"), "zone": "z", "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": 1})
-	s.put("op", "config", map[string]any{
-		"version":   1,
-		"routeList": []any{map[string]any{"name": "order", "hostname": "h.example", "pathPrefix": "/o/", "routeKind": "unsafe", "timeoutMs": 10000, "latencyTargetMs": 300, "service": "app", "maxAttempts": 1}},
-		"services":  []any{map[string]any{"name": "app", "healthPath": "/healthz", "maxConnections": 370}},
-		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":   append(tenants(), map[string]any{"name": "ordinary", "apiKeys": []string{"own"}, "prepaid": 1_000_000}),
-	})
+	s.register("i-1", "app", strings.TrimPrefix(target.URL, "http://"), 6, 1)
+	s.configureApp()
 	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
@@ -215,7 +208,7 @@
 		return
 	}
 	q.Host = "h.example"
-	q.Header = http.Header{"Attempt-Id": {fmt.Sprintf("own%d", i)}, "Credential": {"own"}, "Deadline-Ms": {"1500"}}
+	q.Header = http.Header{headers.RequestID: {fmt.Sprintf("own%d", i)}, headers.Key: {"own"}, headers.CallTimeout: {"1500"}}
 	result, answered, served := "", false, false
 	if response, err := client.Do(q); err != nil {
 		result = err.Error()[strings.LastIndex(err.Error(), ":")+1:]
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -20,7 +19,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/standin/rowstore"
-	"github.com/peppertrail/peppertrail/pkg/storage"
+	"github.com/peppertrail/peppertrail/platform"
 	"github.com/peppertrail/peppertrail/platform/standin"
 )
 
@@ -183,7 +182,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command("target/peppertraild") // the command of deploy/system.toml
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PEPPERTRAIL_BOOT=" + d.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + d.settings}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -265,14 +264,6 @@
 
 func (s *store) addr() string { return strings.TrimPrefix(s.server.URL, "http://") }
 
-func (s *store) put(table, key string, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	s.rows.Put(storage.RowKey{Table: table, Key: key}, data)
-}
-
 // asTimeout reports whether err is a time-out of a connection.
 func asTimeout(err error, network *net.Error) bool {
 	return errors.As(err, network) && (*network).Timeout()
--- a/review/stand-2/memory.go
+++ b/review/stand-2/memory.go
@@ -45,19 +45,12 @@
 			return
 		}
 		ran.Add(1)
-		w.Header().Set("Attempt-Id", q.Header.Get("Attempt-Id"))
-		w.Header().Set("Server-Signature", "signature-of-i-1")
+		w.Header().Set(headers.RequestID, q.Header.Get(headers.RequestID))
 		_, _ = io.WriteString(w, "answer")
 	}))
 	defer target.Close()
-	s.put("servers", "i-1", map[string]any{"service": "app", "address": strings.TrimPrefix(target.URL, "http://"), "zone": "z", "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": 1})
-	s.put("op", "config", map[string]any{
-		"version":   1,
-		"routeList": []any{map[string]any{"name": "order", "hostname": "h.example", "pathPrefix": "/o/", "routeKind": "unsafe", "timeoutMs": 10000, "latencyTargetMs": 300, "service": "app", "maxAttempts": 1}},
-		"services":  []any{map[string]any{"name": "app", "healthPath": "/healthz", "maxConnections": 370}},
-		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":   tenants(),
-	})
+	s.register("i-1", "app", strings.TrimPrefix(target.URL, "http://"), 6, 1)
+	s.configureApp()
 	d, err := newDaemon(dir, "edge-1", machineIP(1), "z", s.addr())
 	if err != nil {
 		return false, err
@@ -108,15 +101,6 @@
 	return !killed, nil
 }
 
-// tenants returns ten tenants with a key each, k0 to k9.
-func tenants() []any {
-	var all []any
-	for i := range 10 {
-		all = append(all, map[string]any{"name": fmt.Sprintf("t%d", i), "apiKeys": []string{fmt.Sprintf("k%d", i)}, "prepaid": 1_000_000})
-	}
-	return all
-}
-
 // crowd is many clients that do not end their requests.
 type crowd struct {
 	daemon           *daemon
@@ -202,7 +186,7 @@
 			return
 		}
 		q.Host = "h.example"
-		q.Header = http.Header{"Attempt-Id": {fmt.Sprintf("own%d", i)}, "Credential": {"k1"}, "Deadline-Ms": {"1500"}}
+		q.Header = http.Header{headers.RequestID: {fmt.Sprintf("own%d", i)}, headers.Key: {"own"}, headers.CallTimeout: {"1500"}}
 		status := 0
 		if response, err := client.Do(q); err == nil {
 			if _, err := io.Copy(io.Discard, response.Body); err == nil {
