httpstrict: a reset during the upload is not the end of a response

Callers got a part of an answer as a complete one: a target answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the request was still being written.

Cause: the kernel reports a reset to one system call only. A write that waits for room is woken first as often as the read; it then fails with ECONNRESET, and the read returns 0 bytes, the regular end of a body without a length and chunks. The error of the write was dropped, since a target that answers early may stop reading. net/http's Transport does the same, so that engines, the store, the platform and reports were concerned as well.

Change: a connection to a target, another host, an engine or the store is an httpstrict.Conn, whose reads end with io.EOF only if no write has found the connection lost. A read that ends during a write waits for the write, unless the peer has only closed its side (state CLOSE_WAIT), as it may read on for long. If the peer had closed its side before the reset, the kernel reports EPIPE to the write, and what was read is complete.

--- a/pkg/engine/dial.go
+++ b/pkg/engine/dial.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"github.com/peppertrail/peppertrail/pkg/httpstrict"
 )
 
 // trackedDial returns a dial function whose connections record whether a request
@@ -13,6 +15,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: httpstrict.NewConn(conn)}, nil
 	}
 }
--- /dev/null
+++ b/pkg/forward/broken_response_test.go
@@ -0,0 +1,142 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/balance"
+	"github.com/peppertrail/peppertrail/pkg/dialect"
+	"github.com/peppertrail/peppertrail/pkg/nexthop"
+	"github.com/peppertrail/peppertrail/pkg/standin/rawserver"
+)
+
+// resetRepeats is how often the tests repeat an exchange in which the order of a reset, a write
+// and a read varies.
+const resetRepeats = 10
+
+// largeBody is not written to its end before a target answers early.
+var largeBody = strings.Repeat("x", rawserver.UnreadBytes)
+
+// rawAnswer is an answer that echoes the id of its request.
+type rawAnswer struct {
+	head rawserver.Head
+	body string
+	end  rawserver.End
+}
+
+// start starts a server that gives the answer, and returns its address.
+func (a rawAnswer) start(t *testing.T) string {
+	t.Helper()
+	name := dialect.Default().RequestID
+	s := rawserver.New(rawserver.Answer{End: a.end, Text: func(r *http.Request) string { return a.head.Text(name+": "+r.Header.Get(name)) + a.body }})
+	t.Cleanup(s.Close)
+	return s.Addr()
+}
+
+// receivers are hosts that read the answer of the server at addr in different places.
+var receivers = map[string]func(t *testing.T, addr string) *fixture{
+	"target": newTargetReader,
+	"other host": func(t *testing.T, addr string) *fixture {
+		r := newCutOffFixture(t)
+		r.permitLargeBodies()
+		r.handler.Hosts.SetHosts([]nexthop.Host{{Name: addr, Addr: addr}})
+		return r
+	},
+	"target of another host": func(t *testing.T, addr string) *fixture {
+		r := newCutOffFixture(t, newTargetReader(t, addr))
+		r.permitLargeBodies()
+		return r
+	},
+}
+
+func newTargetReader(t *testing.T, addr string) *fixture {
+	t.Helper()
+	r := newFixture(t, 0)
+	r.permitLargeBodies()
+	r.handler.Targets.Apply([]balance.Target{{ID: addr, Service: testService, Addr: addr, Slots: 8}})
+	return r
+}
+
+// permitLargeBodies makes the host accept requests with largeBody.
+func (r *fixture) permitLargeBodies() {
+	c := *r.config.Load()
+	c.Limits.BodyBytes = 2 * rawserver.UnreadBytes
+	r.config.Store(&c)
+}
+
+// upload sends a request with largeBody.
+func (r *fixture) upload(id, path string) reply {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+	defer cancel()
+	return r.send(ctx, id, path, largeBody)
+}
+
+var withoutLength = rawserver.Head{Status: "200 OK"}
+
+// Guards against passing on as complete a part of an answer whose connection was reset while the
+// request was written.
+func TestResetDuringUploadIsNotAnAnswer(t *testing.T) {
+	for name, newReceiver := range receivers {
+		t.Run(name, func(t *testing.T) {
+			for i := range resetRepeats {
+				r := newReceiver(t, rawAnswer{withoutLength, "part", rawserver.Reset}.start(t))
+				got := r.upload(fmt.Sprint(i), "/unsafe/x")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusBadGateway, "run %d: %q", i, got.body)
+			}
+		})
+	}
+}
+
+// Guards against ending an event stream regularly after a reset between two events.
+func TestResetDuringUploadBreaksEventStream(t *testing.T) {
+	head := rawserver.Head{Status: "200 OK", Fields: []string{"Content-Type: text/event-stream"}}
+	for name, newReceiver := range receivers {
+		t.Run(name, func(t *testing.T) {
+			for i := range resetRepeats {
+				r := newReceiver(t, rawAnswer{head, "id: 1\ndata: a\n\n", rawserver.Reset}.start(t))
+				got := r.upload(fmt.Sprint(i), "/stream/x")
+				if got.status == http.StatusOK {
+					assert.Assert(t, got.err != nil, "run %d: the stream looks complete: %q", i, got.body)
+					continue
+				}
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusBadGateway, "run %d: %q", i, got.body)
+			}
+		})
+	}
+}
+
+// Guards against losing a whole answer that arrives before the request is written, whatever the
+// target does with the connection after its regular end.
+func TestEarlyAnswerReachesTheCaller(t *testing.T) {
+	const body = "whole answer"
+	withLength := rawserver.Head{Status: "200 OK", Fields: []string{fmt.Sprint("Content-Length: ", len(body))}}
+	chunked := rawserver.Head{Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked"}}
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for name, newReceiver := range receivers {
+		for _, answer := range []rawAnswer{
+			{withLength, body, rawserver.Keep}, {chunked, chunks, rawserver.Keep},
+			{withLength, body, rawserver.HalfClose}, {withoutLength, body, rawserver.HalfClose},
+			{withoutLength, body, rawserver.Close}, {withoutLength, body, rawserver.HalfCloseUnread}, {withoutLength, body, rawserver.HalfCloseReset},
+			{withLength, body, rawserver.Reset}, {chunked, chunks, rawserver.Reset},
+		} {
+			t.Run(fmt.Sprintf("%s, %v, %v", name, answer.head.Fields, answer.end), func(t *testing.T) {
+				r := newReceiver(t, answer.start(t))
+				for i := range resetRepeats {
+					got := r.upload(fmt.Sprint(i), "/unsafe/x")
+					assert.NilError(t, got.err)
+					assert.Equal(t, got.status, http.StatusOK, "run %d: %q", i, got.body)
+					assert.Equal(t, got.body, body)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/httpstrict/doc.go
@@ -0,0 +1,3 @@
+// Package httpstrict detects broken HTTP/1.1 responses that net/http takes for valid ones: a
+// body that ends with its connection, which was reset.
+package httpstrict
--- /dev/null
+++ b/pkg/storage/remote/broken_reply_test.go
@@ -0,0 +1,58 @@
+package remote
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/rawserver"
+	"github.com/peppertrail/peppertrail/pkg/storage"
+)
+
+// resetRepeats is how often the tests repeat an exchange in which the order of a reset, a write
+// and a read varies.
+const resetRepeats = 20
+
+// newRawPlatform returns a client of a platform that answers each call with text as soon as it has
+// read its head.
+func newRawPlatform(t *testing.T, end rawserver.End, text string) *Client {
+	t.Helper()
+	server := rawserver.New(rawserver.Answer{End: end, Text: func(*http.Request) string { return text }})
+	t.Cleanup(server.Close)
+	client := New("http://"+server.Addr(), testTimeout)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// largeTxn is not written to its end before a platform answers early.
+func largeTxn() storage.Txn {
+	value := `"` + strings.Repeat("x", rawserver.UnreadBytes) + `"`
+	return storage.Txn{ID: "t1", Puts: []storage.Put{{Key: "a/1", Value: json.RawMessage(value)}}}
+}
+
+const committed = `{"committed":true,"revision":7}`
+
+// Guards against taking a reply without a length for complete whose connection was reset while the
+// transaction was written.
+func TestResetDuringCommitIsUnavailable(t *testing.T) {
+	client := newRawPlatform(t, rawserver.Reset, rawserver.Head{Status: "200 OK"}.Text()+committed)
+	for i := range resetRepeats {
+		_, err := client.Commit(t.Context(), largeTxn())
+		assert.ErrorIs(t, err, storage.ErrUnavailable, "run %d", i)
+	}
+}
+
+// Guards against losing a whole reply that arrives before the transaction is written.
+func TestEarlyReplyIsComplete(t *testing.T) {
+	for _, end := range []rawserver.End{rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread} {
+		client := newRawPlatform(t, end, rawserver.Head{Status: "200 OK"}.Text()+committed)
+		for i := range resetRepeats {
+			outcome, err := client.Commit(t.Context(), largeTxn())
+			assert.NilError(t, err, "%v, run %d", end, i)
+			assert.Assert(t, outcome.Committed)
+		}
+	}
+}
--- a/pkg/storage/remote/transport.go
+++ b/pkg/storage/remote/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/httpstrict"
 )
 
 // Settings of the transport. The default transport keeps only two idle connections
@@ -19,7 +21,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         httpstrict.DialContext(dialer),
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		MaxConnsPerHost:     maxConnsPerHost,
--- a/pkg/target/reportclient.go
+++ b/pkg/target/reportclient.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/peppertrail/peppertrail/pkg/httpstrict"
 )
 
 // errRedirected is returned when a target responds to a report request with a
@@ -23,7 +25,7 @@
 	return &http.Client{
 		Timeout: ReportTimeout,
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: ReportTimeout}).DialContext,
+			DialContext:            httpstrict.DialContext(&net.Dialer{Timeout: ReportTimeout}),
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        reportIdleTimeout,
 			MaxResponseHeaderBytes: MaxReportBytes,
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/peppertrail/peppertrail/pkg/bandwidth"
+	"github.com/peppertrail/peppertrail/pkg/httpstrict"
 )
 
 const (
@@ -127,7 +128,7 @@
 		p.removeConn()
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
 	}
-	return newConn(opened, c.Meter), nil
+	return newConn(httpstrict.NewConn(opened), c.Meter), nil
 }
 
 // Run periodically closes idle connections that can no longer be used, until ctx
@@ -182,8 +183,7 @@
 }
 
 func (e *exchange) write(head []byte) error {
-	buffers := net.Buffers{head, e.request.Body}
-	n, err := buffers.WriteTo(e.conn.Conn)
+	n, err := e.conn.WriteBuffers(&net.Buffers{head, e.request.Body})
 	e.conn.input.meter.AddSent(int(n))
 	return err
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -4,17 +4,16 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/peppertrail/peppertrail/pkg/bandwidth"
+	"github.com/peppertrail/peppertrail/pkg/httpstrict"
 )
 
 const (
@@ -38,7 +37,7 @@
 
 // conn is a connection to one target. One goroutine uses it at a time.
 type conn struct {
-	net.Conn
+	*httpstrict.Conn
 	input     *limitedInput
 	reader    *bufio.Reader // reads from input
 	idleSince time.Time
@@ -50,7 +49,7 @@
 	headStartedAt time.Time
 }
 
-func newConn(c net.Conn, meter *bandwidth.Meter) *conn {
+func newConn(c *httpstrict.Conn, meter *bandwidth.Meter) *conn {
 	input := &limitedInput{in: c, meter: meter}
 	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBufferSize), idleLimit: defaultIdleLimit}
 }
@@ -171,11 +170,7 @@
 // hasNoPendingData checks without blocking that the socket has neither unread
 // bytes nor an end of file or error pending.
 func (c *conn) hasNoPendingData() bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rawConn, err := socket.SyscallConn()
+	rawConn, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
