httpstrict: a response with a status code that HTTP does not have is invalid

A target in trouble sent an answer with status 000. Callers got no answer at all, since the daemon's handler panicked and their connections ended; 600 to 999 were passed on, also through another host.

Cause: net/http accepts every three-digit status in a response, and its server panics in WriteHeader below 100. The plain calls of engines were checked by the gateway alone; the platform's client returned "platform answered 0", which is not the error of a platform that is unavailable.

Evidence, without the check: callers got EOF for status 000 from a target or another host, and 600 from a target of another host; the client of engines and the platform's client fail the new tests as well. The store's client and the reader of reports rejected such replies already; their tests pass with and without the change.

Change: CheckHead accepts 100 to 599 (RFC 9110, section 15). upstream calls it for each head, and httpstrict.Transport does for the clients that use net/http's Transport; it also closes the connection, since what follows an invalid head may be read as the next response. The request may have run then: callers get 502, or the answer of another target if the request may be repeated.

Result: the new tests pass; each status from 200 to 599 still reaches the caller, except 408, 421, 429 and 503, which say that the request has not run and need the target's word for it.

--- a/pkg/engine/broken_response_test.go
+++ b/pkg/engine/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -31,6 +32,48 @@
 	return target.Target{ID: "raw", Addr: s.Addr()}
 }
 
+// checkInvalid checks that responses with these heads are errors after which the call may have
+// run, whatever is asked of the target.
+func checkInvalid(t *testing.T, heads []rawserver.Head) {
+	t.Helper()
+	ctx := context.Background()
+	for _, head := range heads {
+		to := startRawTarget(t, rawserver.Close, head.Text()+rawserver.Body)
+		c := newClient(t, Options{})
+		_, err := c.Do(ctx, serviceCall(to, http.MethodPost, "/", "x"))
+		checkInvalidResponse(t, err, head)
+		_, err = c.Open(ctx, newCall(to))
+		checkInvalidResponse(t, err, head)
+		_, err = c.Resume(ctx, to, "s.1", 0)
+		checkInvalidResponse(t, err, head)
+		_, err = c.Cancel(ctx, to, "s.1")
+		checkInvalidResponse(t, err, head)
+	}
+}
+
+func checkInvalidResponse(t *testing.T, err error, head rawserver.Head) {
+	t.Helper()
+	var failed *Error
+	assert.Assert(t, errors.As(err, &failed), "%q: %v", head, err)
+	assert.Equal(t, failed.Verdict, verdict.MayHaveRun, "%q", head)
+}
+
+// Guards against returning a response whose status code is none of HTTP.
+func TestInvalidStatusIsAnError(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
+
+// Guards against rejecting a response with an unusual status code.
+func TestDoReturnsEveryStatus(t *testing.T) {
+	for _, status := range rawserver.ValidStatuses() {
+		to := startRawTarget(t, rawserver.Close, rawserver.Head{Status: fmt.Sprint(status, " Some reason")}.Text()+"whole")
+		got, err := newClient(t, Options{}).Do(context.Background(), serviceCall(to, http.MethodPost, "/", "x"))
+		assert.NilError(t, err, "status %d", status)
+		assert.Equal(t, got.Status, status)
+		if status != http.StatusNoContent && status != http.StatusNotModified {
+			assert.Equal(t, string(got.Body), "whole")
+		}
+	}
+}
+
 // largeOptions permit requests with largeBody.
 var largeOptions = Options{MaxBody: rawserver.UnreadBytes, IdleTimeout: 3 * time.Second}
 
--- a/pkg/engine/exchange.go
+++ b/pkg/engine/exchange.go
@@ -49,7 +49,7 @@
 
 // roundTrip sends the request, waits for the response headers and stops the idle
 // timer. The caller must call end.
-func (x *exchange) roundTrip(transport *http.Transport, r *http.Request) (*http.Response, error) {
+func (x *exchange) roundTrip(transport http.RoundTripper, r *http.Request) (*http.Response, error) {
 	resp, err := transport.RoundTrip(r.WithContext(x.ctx))
 	if err != nil {
 		return nil, x.cause(err)
--- a/pkg/engine/httpclient.go
+++ b/pkg/engine/httpclient.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/peppertrail/peppertrail/pkg/httpstrict"
 	"github.com/peppertrail/peppertrail/pkg/target"
 	"github.com/peppertrail/peppertrail/pkg/verdict"
 )
@@ -42,7 +43,7 @@
 // allow. It is safe for concurrent use.
 type HTTPClient struct {
 	options   Options
-	transport *http.Transport
+	transport httpstrict.Transport
 }
 
 var _ Client = (*HTTPClient)(nil)
@@ -51,14 +52,14 @@
 func NewHTTPClient(o Options) *HTTPClient {
 	o = o.withDefaults()
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAliveInterval}
-	return &HTTPClient{options: o, transport: &http.Transport{
+	return &HTTPClient{options: o, transport: httpstrict.Transport{Transport: &http.Transport{
 		DialContext:         trackedDial(dialer),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 		IdleConnTimeout:     idleConnTimeout,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	}}}
 }
 
 // Close closes the idle connections.
--- a/pkg/forward/broken_response_test.go
+++ b/pkg/forward/broken_response_test.go
@@ -140,3 +140,66 @@
 		}
 	}
 }
+
+// Guards against passing on an answer whose status code is none of HTTP, and against a connection
+// to the caller that ends without an answer.
+func TestInvalidStatusIsNotAnAnswer(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
+
+// checkInvalid checks that callers get a refusal in place of answers with these heads, or the
+// answer of a sound target if the request may be repeated.
+func checkInvalid(t *testing.T, heads []rawserver.Head) {
+	t.Helper()
+	for name, newReceiver := range receivers {
+		t.Run(name, func(t *testing.T) {
+			for _, head := range heads {
+				addr := rawAnswer{head, rawserver.Body, rawserver.Close}.start(t)
+				for _, path := range []string{"/unsafe/x", "/stream/x"} {
+					r := newReceiver(t, addr)
+					got := r.post("r", path)
+					assert.NilError(t, got.err, "%q", head)
+					assert.Equal(t, got.status, http.StatusBadGateway, "%q: %v %q", head, got.header, got.body)
+					r.server.Close()
+				}
+			}
+		})
+	}
+	t.Run("repeated", func(t *testing.T) {
+		sound := rawAnswer{rawserver.Head{Status: "200 OK", Fields: []string{"Content-Length: 5"}}, "sound", rawserver.Close}.start(t)
+		for _, head := range heads {
+			r := newFixture(t, 0)
+			broken := rawAnswer{head, rawserver.Body, rawserver.Close}.start(t)
+			r.handler.Targets.Apply([]balance.Target{
+				{ID: "broken", Service: testService, Addr: broken, Slots: 8}, {ID: "sound", Service: testService, Addr: sound, Slots: 8},
+			})
+			for i := range 4 {
+				got := r.post(fmt.Sprint(i), "/safe/x")
+				assert.NilError(t, got.err, "%q", head)
+				assert.Equal(t, got.body, "sound", "%q: %d", head, got.status)
+			}
+			r.server.Close()
+		}
+	})
+}
+
+// Guards against losing an answer with an unusual status code.
+func TestEveryStatusReachesTheCaller(t *testing.T) {
+	r := newFixture(t, 0)
+	for _, status := range rawserver.ValidStatuses() {
+		head := rawserver.Head{Status: fmt.Sprint(status, " Some reason"), Fields: []string{"Connection: close"}}
+		addr := rawAnswer{head, "whole", rawserver.Close}.start(t)
+		r.handler.Targets.Apply([]balance.Target{{ID: addr, Service: testService, Addr: addr, Slots: 8}})
+		got := r.post(fmt.Sprint(status), "/unsafe/x")
+		assert.NilError(t, got.err)
+		switch {
+		case status == http.StatusMisdirectedRequest: // another process has taken the address
+			assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		case statusMeansNotRun(status): // without the header that confirms it
+			assert.Equal(t, got.status, http.StatusBadGateway)
+		default:
+			assert.Equal(t, got.status, status)
+			if status != http.StatusNoContent && status != http.StatusNotModified {
+				assert.Equal(t, got.body, "whole")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/httpstrict/transport_test.go
@@ -0,0 +1,69 @@
+package httpstrict
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/peppertrail/peppertrail/pkg/standin/rawserver"
+)
+
+// newClient returns a client with a Transport.
+func newClient(t *testing.T) *http.Client {
+	t.Helper()
+	c := &http.Client{Transport: Transport{&http.Transport{DialContext: DialContext(&net.Dialer{})}}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// Guards against a connection that is used again after an invalid response: what is left of it
+// would be the response to the next request.
+func TestTransportClosesConnectionOfInvalidResponse(t *testing.T) {
+	valid := rawserver.Head{Status: "200 OK", Fields: []string{"Content-Length: 5"}}.Text() + "whole"
+	for _, head := range rawserver.InvalidStatuses() {
+		s := rawserver.New(rawserver.Answer{Text: func(r *http.Request) string {
+			if r.URL.Path == "/valid" {
+				return valid
+			}
+			return head.Text() + valid
+		}})
+		c := newClient(t)
+		for i := range 3 {
+			response, err := c.Get(fmt.Sprintf("http://%s/invalid/%d", s.Addr(), i))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			assert.Assert(t, err != nil, "%q", head)
+			response, err = c.Get(fmt.Sprintf("http://%s/valid", s.Addr()))
+			assert.NilError(t, err, "%q", head)
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "whole")
+			_ = response.Body.Close()
+		}
+		s.Close()
+	}
+}
+
+// Guards against connections that are not used again after valid responses.
+func TestTransportReusesConnections(t *testing.T) {
+	s := rawserver.New(rawserver.Answer{Text: func(r *http.Request) string {
+		return rawserver.Head{Status: "200 OK", Fields: []string{fmt.Sprint("Content-Length: ", len(r.RemoteAddr))}}.Text() + r.RemoteAddr
+	}})
+	defer s.Close()
+	c := newClient(t)
+	addrs := map[string]bool{}
+	for range 10 {
+		response, err := c.Get("http://" + s.Addr())
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+		addrs[string(body)] = true
+	}
+	assert.Equal(t, len(addrs), 1)
+}
--- a/pkg/standin/rawserver/server.go
+++ b/pkg/standin/rawserver/server.go
@@ -89,6 +89,7 @@
 		if err != nil {
 			return
 		}
+		r.RemoteAddr = c.RemoteAddr().String()
 		run := s.requests.Add(1)
 		if _, err := io.WriteString(c, s.answer.Text(r)); err != nil {
 			return
--- a/pkg/storage/remote/broken_reply_test.go
+++ b/pkg/storage/remote/broken_reply_test.go
@@ -56,3 +56,18 @@
 		}
 	}
 }
+
+// Guards against taking a reply whose status code is none of HTTP for the platform's decision.
+func TestInvalidStatusIsUnavailable(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
+
+// checkInvalid checks that replies with these heads are no decisions.
+func checkInvalid(t *testing.T, heads []rawserver.Head) {
+	t.Helper()
+	for _, head := range heads {
+		client := newRawPlatform(t, rawserver.Close, head.Text()+committed)
+		_, err := client.Commit(t.Context(), insertTxn("t1", "a/1"))
+		assert.ErrorIs(t, err, storage.ErrUnavailable, "%q", head)
+		_, err = client.Objects().Get(t.Context(), "a")
+		assert.ErrorIs(t, err, storage.ErrUnavailable, "%q", head)
+	}
+}
--- a/pkg/storage/remote/transport.go
+++ b/pkg/storage/remote/transport.go
@@ -18,9 +18,9 @@
 	keepAliveInterval = 15 * time.Second
 )
 
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	return &http.Transport{
+	return httpstrict.Transport{Transport: &http.Transport{
 		DialContext:         httpstrict.DialContext(dialer),
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
@@ -28,5 +28,5 @@
 		IdleConnTimeout:     idleConnTimeout,
 		TLSHandshakeTimeout: dialTimeout,
 		DisableCompression:  true,
-	}
+	}}
 }
--- a/pkg/target/reportclient.go
+++ b/pkg/target/reportclient.go
@@ -24,12 +24,12 @@
 func reportClient() *http.Client {
 	return &http.Client{
 		Timeout: ReportTimeout,
-		Transport: &http.Transport{
+		Transport: httpstrict.Transport{Transport: &http.Transport{
 			DialContext:            httpstrict.DialContext(&net.Dialer{Timeout: ReportTimeout}),
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        reportIdleTimeout,
 			MaxResponseHeaderBytes: MaxReportBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return errRedirected },
 	}
 }
--- a/pkg/upstream/broken_response_test.go
+++ b/pkg/upstream/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -104,3 +105,16 @@
 	assert.Equal(t, body, "whole")
 	assert.Assert(t, time.Since(started) < time.Second, "ended after %v", time.Since(started))
 }
+
+// Guards against returning a response whose status code is none of HTTP.
+func TestInvalidStatusIsAnError(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
+
+// checkInvalid checks that responses with these heads are invalid.
+func checkInvalid(t *testing.T, heads []rawserver.Head) {
+	t.Helper()
+	for _, head := range heads {
+		_, err := send(t, New(), startRawServer(t, rawserver.Close, head, rawserver.Body), "1")
+		assert.Assert(t, errors.Is(err, ErrInvalidResponse), "%q: %v", head, err)
+		assert.Assert(t, MayHaveRun(err))
+	}
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -80,13 +80,14 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err != nil && c.input.exceeded {
-		return nil, errHeadTooLarge // net/http may report the truncated line instead
-	}
-	if err == nil {
-		c.headStartedAt = time.Time{}
+	if err != nil {
+		if c.input.exceeded {
+			return nil, errHeadTooLarge // net/http may report the truncated line instead
+		}
+		return nil, err
 	}
-	return response, err
+	c.headStartedAt = time.Time{}
+	return response, httpstrict.CheckHead(response)
 }
 
 // headOverdue reports whether the head that is being read began so long ago that it
