httpstrict: a response with an invalid field name is invalid

A target in trouble sent an answer in whose head the name of a field held a blank. Callers got it as an answer, without that field and with a body that was not the target's: with "Content-Length : 5" or "Transfer-Encoding : chunked" the body was what followed until the connection ended, with chunk sizes in it.

Cause: net/http accepts blanks in the names of a response's fields, and stores them under names that it does not know. Its server drops them when it writes. It also drops a line with an empty name, and joins a line that begins with a blank with the line before it. Names with control bytes were errors before; their tests are kept.

Evidence, without the checks: callers got the 200 of a target, another host and a target of another host, and a 404 in place of a sound target's answer; the clients of engines, store and platform and the reader of reports returned such responses as well. The store's client did so for "Store-Era : 5", which is a reply without an era.

Change: CheckHead accepts only tokens as names (RFC 9110, section 5.6.2), for interim responses of targets and other hosts too. These also reject lines without a name, as RFC 9112, section 5.2 permits a proxy; the clients that use net/http's Transport join a line that begins with a blank, as that section asks of a client.

--- a/pkg/engine/broken_response_test.go
+++ b/pkg/engine/broken_response_test.go
@@ -61,6 +61,21 @@
 // Guards against returning a response whose status code is none of HTTP.
 func TestInvalidStatusIsAnError(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
 
+// Guards against returning a response with a field whose name holds a blank or a control byte.
+func TestInvalidNameIsAnError(t *testing.T) { checkInvalid(t, rawserver.InvalidNames()) }
+
+// Guards against rejecting or changing an unusual field that HTTP permits.
+func TestDoReturnsEveryField(t *testing.T) {
+	for _, field := range rawserver.ValidFields() {
+		to := startRawTarget(t, rawserver.Close, rawserver.Head{Status: "200 OK", Fields: []string{field}}.Text()+"whole")
+		got, err := newClient(t, Options{}).Do(context.Background(), serviceCall(to, http.MethodPost, "/", "x"))
+		assert.NilError(t, err, "%q", field)
+		assert.Equal(t, string(got.Body), "whole")
+		name, value, _ := strings.Cut(field, ":")
+		assert.Equal(t, got.Header.Get(name), strings.Trim(value, " \t"), "%q", field)
+	}
+}
+
 // Guards against rejecting a response with an unusual status code.
 func TestDoReturnsEveryStatus(t *testing.T) {
 	for _, status := range rawserver.ValidStatuses() {
--- a/pkg/standin/rawserver/heads.go
+++ b/pkg/standin/rawserver/heads.go
@@ -33,6 +33,39 @@
 	return heads
 }
 
+// InvalidNames returns heads with a field whose name holds a blank or a control byte.
+func InvalidNames() []Head {
+	fields := []string{
+		"X Bad: 1", "X-Bad : 1", "X-Bad  : 1", "Bad X-Bad: 1", "Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked",
+		"Transfer Encoding: chunked", "Connection : close", "Content-Type : text/event-stream",
+	}
+	for b := range 0x20 {
+		if b != '\n' { // the end of a line
+			fields = append(fields, fmt.Sprintf("X%cBad: 1", b))
+		}
+	}
+	for _, b := range "\x00\t\v\r\x1f\x7f" {
+		fields = append(fields, fmt.Sprintf("X%cBad: 1", b), fmt.Sprintf("Content-Length%c: 5", b), fmt.Sprintf("Transfer-Encoding%c: chunked", b))
+	}
+	statuses := []string{"200 OK", "404 Not Found", "500 Failed"}
+	var heads []Head
+	for i, field := range fields {
+		for j, all := range [][]string{{field}, {"X-Good: 1", field, bodyLength}, {field, "Content-Length: 0"}} {
+			heads = append(heads, Head{statuses[(i+j)%len(statuses)], all})
+		}
+	}
+	return heads
+}
+
+// LinesWithoutName returns heads with a line that does not begin with the name of a field.
+func LinesWithoutName() []Head {
+	var heads []Head
+	for _, line := range []string{" X-Bad: 1", "\tX-Bad: 1", " Content-Length: 5", " ", "\t", " : 1", ": 1", ":"} {
+		heads = append(heads, Head{"200 OK", []string{"X-Good: 1", line, bodyLength}}, Head{"200 OK", []string{bodyLength, "X-Good: 1", line}})
+	}
+	return heads
+}
+
 // ValidStatuses returns all final status codes.
 func ValidStatuses() []int {
 	var all []int
@@ -41,3 +74,11 @@
 	}
 	return all
 }
+
+// ValidFields returns unusual fields that HTTP permits.
+func ValidFields() []string {
+	return []string{
+		"x-lower: 1", "X!#$%&'*+-.^_`|~9: 1", "9: 1", "X-Empty:", "X-Blank:  ", "X-Tight:1", "X-Trailing: 1 \t", "X-Tab: a\tb", "X-Quoted: \"a : b\"",
+		"X-Colon: a:b : c", "X-Latin: \xe9\xff", "X-List: a, b", "X-Twice: 1", "X-Twice: 2", "X-Long: " + strings.Repeat("v", 10_000),
+	}
+}
--- a/pkg/storage/remote/broken_reply_test.go
+++ b/pkg/storage/remote/broken_reply_test.go
@@ -60,6 +60,10 @@
 // Guards against taking a reply whose status code is none of HTTP for the platform's decision.
 func TestInvalidStatusIsUnavailable(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
 
+// Guards against taking a reply for the platform's decision in which the name of a field holds a
+// blank or a control byte.
+func TestInvalidNameIsUnavailable(t *testing.T) { checkInvalid(t, rawserver.InvalidNames()) }
+
 // checkInvalid checks that replies with these heads are no decisions.
 func checkInvalid(t *testing.T, heads []rawserver.Head) {
 	t.Helper()
--- a/pkg/target/broken_report_test.go
+++ b/pkg/target/broken_report_test.go
@@ -21,6 +21,10 @@
 // Guards against reading a report from a response whose status code is none of HTTP.
 func TestInvalidStatusIsNoReport(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
 
+// Guards against reading a report from a response in which the name of a field holds a blank or a
+// control byte.
+func TestInvalidNameIsNoReport(t *testing.T) { checkInvalid(t, rawserver.InvalidNames()) }
+
 // checkInvalid checks that responses with these heads are not read.
 func checkInvalid(t *testing.T, heads []rawserver.Head) {
 	t.Helper()
--- a/pkg/upstream/broken_response_test.go
+++ b/pkg/upstream/broken_response_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,6 +110,26 @@
 // Guards against returning a response whose status code is none of HTTP.
 func TestInvalidStatusIsAnError(t *testing.T) { checkInvalid(t, rawserver.InvalidStatuses()) }
 
+// Guards against returning a response with a field whose name holds a blank or a control byte.
+func TestInvalidNameIsAnError(t *testing.T) { checkInvalid(t, rawserver.InvalidNames()) }
+
+// Guards against joining a line with the one before it, and against dropping it.
+func TestLineWithoutNameIsAnError(t *testing.T) { checkInvalid(t, rawserver.LinesWithoutName()) }
+
+// Guards against checking the heads of a connection's first response only.
+func TestInvalidHeadAfterInterimResponseIsAnError(t *testing.T) {
+	const interim = "103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 "
+	var heads []rawserver.Head
+	for _, head := range slices.Concat(rawserver.InvalidNames(), rawserver.LinesWithoutName()) {
+		heads = append(heads, rawserver.Head{Status: interim + head.Status, Fields: head.Fields})
+	}
+	checkInvalid(t, heads)
+	valid := startRawServer(t, rawserver.Close, rawserver.Head{Status: interim + "200 OK"}, "whole")
+	body, err := send(t, New(), valid, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "whole")
+}
+
 // checkInvalid checks that responses with these heads are invalid.
 func checkInvalid(t *testing.T, heads []rawserver.Head) {
 	t.Helper()
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -74,7 +74,8 @@
 // number.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.headStartedAt = time.Time{}
-	c.input.limit(maxHeadBytes - c.reader.Buffered())
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
+	c.input.limit(maxHeadBytes, buffered)
 	defer c.input.unlimit()
 	if err := c.checkStatusLine(); err != nil {
 		return nil, err
@@ -87,7 +88,13 @@
 		return nil, err
 	}
 	c.headStartedAt = time.Time{}
-	return response, httpstrict.CheckHead(response)
+	if err := httpstrict.CheckHead(response); err != nil {
+		return nil, err
+	}
+	if err := httpstrict.CheckFieldLines(c.input.received); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // headOverdue reports whether the head that is being read began so long ago that it
@@ -117,18 +124,29 @@
 	return nil
 }
 
-// limitedInput reads from a connection, and fails with errHeadTooLarge beyond the limit
-// while one is set.
+// limitedInput reads from a connection. While a limit is set, it fails with errHeadTooLarge
+// beyond it, and keeps what it has read.
 type limitedInput struct {
 	in        io.Reader
 	meter     *bandwidth.Meter // counts what is read; may be nil
 	limited   bool
-	remaining int  // bytes until the limit
-	exceeded  bool // a read beyond the limit was attempted
+	remaining int    // bytes until the limit
+	exceeded  bool   // a read beyond the limit was attempted
+	received  []byte // what was read since the limit was set, and was buffered then
 }
 
-func (l *limitedInput) limit(n int) { l.limited, l.remaining, l.exceeded = true, n, false }
-func (l *limitedInput) unlimit()    { l.limited = false }
+// limit sets a limit of n bytes, which includes those that were read before and are buffered.
+func (l *limitedInput) limit(n int, buffered []byte) {
+	l.limited, l.remaining, l.exceeded = true, n-len(buffered), false
+	l.received = append(l.received[:0], buffered...)
+}
+
+func (l *limitedInput) unlimit() {
+	l.limited = false
+	if cap(l.received) > readBufferSize {
+		l.received = nil
+	}
+}
 
 // Read implements io.Reader.
 func (l *limitedInput) Read(p []byte) (int, error) {
@@ -143,6 +161,7 @@
 	}
 	n, err := l.in.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.received = append(l.received, p[:n]...)
 	l.meter.AddReceived(n)
 	return n, err
 }
