--- a/pkg/engine/broken_response_test.go
+++ b/pkg/engine/broken_response_test.go
@@ -112,8 +112,8 @@
 		head rawserver.Head
 		ends []rawserver.End
 	}{
-		"length":  {withLength, []rawserver.End{rawserver.Keep, rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread}},
-		"neither": {withoutLength, []rawserver.End{rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread}},
+		"length":  {withLength, []rawserver.End{rawserver.Keep, rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread, rawserver.HalfCloseReset, rawserver.Reset}},
+		"neither": {withoutLength, []rawserver.End{rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread, rawserver.HalfCloseReset}},
 	} {
 		for _, end := range response.ends {
 			t.Run(fmt.Sprintf("%s, %v", name, end), func(t *testing.T) {
--- a/pkg/httpstrict/conn.go
+++ b/pkg/httpstrict/conn.go
@@ -1,7 +1,6 @@
 package httpstrict
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -32,17 +31,6 @@
 	return conn
 }
 
-// DialContext returns a function for http.Transport that dials with d and returns a *Conn.
-func DialContext(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(c), nil
-	}
-}
-
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	socket, ok := c.Conn.(syscall.Conn)
--- a/pkg/httpstrict/conn_test.go
+++ b/pkg/httpstrict/conn_test.go
@@ -30,7 +30,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	dialed, err := DialContext(&net.Dialer{})(t.Context(), "tcp", l.Addr().String())
+	dialed, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	accepted, err := l.Accept()
 	assert.NilError(t, err)
@@ -40,7 +40,7 @@
 		_ = peer.Close()
 	})
 	assert.NilError(t, dialed.SetDeadline(time.Now().Add(testTimeout)))
-	return dialed.(*Conn), peer
+	return NewConn(dialed), peer
 }
 
 // resetAfter closes a connection after d so that its peer receives a reset.
--- a/pkg/httpstrict/transport_test.go
+++ b/pkg/httpstrict/transport_test.go
@@ -1,11 +1,13 @@
 package httpstrict
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -49,6 +51,56 @@
 	}
 }
 
+// Guards against losing a whole response whose server closes its side, or the connection, before it
+// has read the request.
+func TestTransportReturnsEarlyResponse(t *testing.T) {
+	withLength := rawserver.Head{Status: "200 OK", Fields: []string{"Content-Length: 5"}}
+	for _, answer := range []struct {
+		head rawserver.Head
+		end  rawserver.End
+	}{
+		{withLength, rawserver.HalfCloseReset}, {withLength, rawserver.Reset}, {rawserver.Head{Status: "200 OK"}, rawserver.HalfCloseReset},
+	} {
+		s := rawserver.New(rawserver.Answer{End: answer.end, Text: func(*http.Request) string { return answer.head.Text() + "whole" }})
+		c := newClient(t)
+		for i := range repeats / 4 {
+			response, err := c.Post("http://"+s.Addr(), "text/plain", bytes.NewReader(unread))
+			assert.NilError(t, err, "%v, run %d", answer, i)
+			if i%2 == 0 { // read after the write has failed as well
+				time.Sleep(5 * time.Millisecond)
+			}
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err, "%v, run %d", answer, i)
+			assert.Equal(t, string(body), "whole")
+			_ = response.Body.Close()
+		}
+		s.Close()
+	}
+}
+
+// Guards against a failed write that never returns.
+func TestFailedWriteReturnsAfterClose(t *testing.T) {
+	for range repeats {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		c, err := DialContext(&net.Dialer{})(t.Context(), "tcp", l.Addr().String())
+		assert.NilError(t, err)
+		peer, err := l.Accept()
+		assert.NilError(t, err)
+		resetAfter(peer.(*net.TCPConn), 0)
+		written := make(chan error, 1)
+		go func() {
+			_, err := c.Write(unread)
+			written <- err
+		}()
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, len(written), 0)
+		assert.NilError(t, c.Close())
+		assert.Assert(t, <-written != nil)
+		assert.NilError(t, l.Close())
+	}
+}
+
 // Guards against losing a response with a field that spans lines, which a client reads as one line
 // (RFC 9112, section 5.2).
 func TestTransportJoinsLines(t *testing.T) {
--- a/pkg/storage/remote/broken_reply_test.go
+++ b/pkg/storage/remote/broken_reply_test.go
@@ -47,7 +47,7 @@
 
 // Guards against losing a whole reply that arrives before the transaction is written.
 func TestEarlyReplyIsComplete(t *testing.T) {
-	for _, end := range []rawserver.End{rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread} {
+	for _, end := range []rawserver.End{rawserver.Close, rawserver.HalfClose, rawserver.HalfCloseUnread, rawserver.HalfCloseReset} {
 		client := newRawPlatform(t, end, rawserver.Head{Status: "200 OK"}.Text()+committed)
 		for i := range resetRepeats {
 			outcome, err := client.Commit(t.Context(), largeTxn())
