--- a/pkg/standin/rawserver/heads.go
+++ b/pkg/standin/rawserver/heads.go
@@ -66,6 +66,15 @@
 	return heads
 }
 
+// BrokenMessages returns answers to a JSON-RPC call that are a part of a message, or no message.
+func BrokenMessages() []string {
+	const begin = `{"jsonrpc":"2.0","id":0,"result":{`
+	return []string{
+		begin, begin + "}", begin + `"Rows":[]`, "", Head{"000 Unknown", []string{"Content-Length: 2"}}.Text() + "{}",
+		Head{"200 OK", []string{"Content-Length : 2"}}.Text() + "{}",
+	}
+}
+
 // ValidStatuses returns all final status codes.
 func ValidStatuses() []int {
 	var all []int
