forward: the sound target of a test keeps its connections

TestInvalidStatusIsNotAnAnswer/repeated and TestInvalidNameIsNotAnAnswer/repeated failed 6 times in 10 runs beside 12 busy processes: 502 in place of the sound target's answer.

Cause: the sound target of the test closed its connections without announcing it, so that the second request sometimes went out on one that was about to end; it may have run then, which is no fault. Change: that target keeps its connections, and one that closes its side after a body with a length says so. The checks are the same.

--- a/pkg/forward/broken_response_test.go
+++ b/pkg/forward/broken_response_test.go
@@ -116,12 +116,13 @@
 func TestEarlyAnswerReachesTheCaller(t *testing.T) {
 	const body = "whole answer"
 	withLength := rawserver.Head{Status: "200 OK", Fields: []string{fmt.Sprint("Content-Length: ", len(body))}}
+	lastWithLength := rawserver.Head{Status: "200 OK", Fields: append(withLength.Fields, "Connection: close")}
 	chunked := rawserver.Head{Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked"}}
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	for name, newReceiver := range receivers {
 		for _, answer := range []rawAnswer{
 			{withLength, body, rawserver.Keep}, {chunked, chunks, rawserver.Keep},
-			{withLength, body, rawserver.HalfClose}, {withoutLength, body, rawserver.HalfClose},
+			{lastWithLength, body, rawserver.HalfClose}, {withoutLength, body, rawserver.HalfClose},
 			{withoutLength, body, rawserver.Close}, {withoutLength, body, rawserver.HalfCloseUnread}, {withoutLength, body, rawserver.HalfCloseReset},
 			{withLength, body, rawserver.Reset}, {chunked, chunks, rawserver.Reset},
 		} {
@@ -178,7 +179,7 @@
 		})
 	}
 	t.Run("repeated", func(t *testing.T) {
-		sound := rawAnswer{rawserver.Head{Status: "200 OK", Fields: []string{"Content-Length: 5"}}, "sound", rawserver.Close}.start(t)
+		sound := rawAnswer{rawserver.Head{Status: "200 OK", Fields: []string{"Content-Length: 5"}}, "sound", rawserver.Keep}.start(t)
 		for _, head := range heads {
 			r := newFixture(t, 0)
 			broken := rawAnswer{head, rawserver.Body, rawserver.Close}.start(t)
