--- a/pkg/forward/broken_response_test.go
+++ b/pkg/forward/broken_response_test.go
@@ -36,9 +36,10 @@
 	return s.Addr()
 }
 
-// receivers are hosts that read the answer of the server at addr in different places.
-var receivers = map[string]func(t *testing.T, addr string) *fixture{
-	"target": newTargetReader,
+// answerReaders start a host that reads the answer of the server at addr, as that of its own target,
+// of another host, or of a target of another host.
+var answerReaders = map[string]func(t *testing.T, addr string) *fixture{
+	"target": newHostWithTarget,
 	"other host": func(t *testing.T, addr string) *fixture {
 		r := newCutOffFixture(t)
 		r.permitLargeBodies()
@@ -46,13 +47,14 @@
 		return r
 	},
 	"target of another host": func(t *testing.T, addr string) *fixture {
-		r := newCutOffFixture(t, newTargetReader(t, addr))
+		r := newCutOffFixture(t, newHostWithTarget(t, addr))
 		r.permitLargeBodies()
 		return r
 	},
 }
 
-func newTargetReader(t *testing.T, addr string) *fixture {
+// newHostWithTarget returns a host whose only target is at addr.
+func newHostWithTarget(t *testing.T, addr string) *fixture {
 	t.Helper()
 	r := newFixture(t, 0)
 	r.permitLargeBodies()
@@ -80,10 +82,10 @@
 // Guards against passing on as complete a part of an answer whose connection was reset while the
 // request was written.
 func TestResetDuringUploadIsNotAnAnswer(t *testing.T) {
-	for name, newReceiver := range receivers {
+	for name, newHost := range answerReaders {
 		t.Run(name, func(t *testing.T) {
 			for i := range rawserver.Repeats {
-				r := newReceiver(t, rawAnswer{withoutLength, "part", rawserver.Reset}.start(t))
+				r := newHost(t, rawAnswer{withoutLength, "part", rawserver.Reset}.start(t))
 				got := r.upload(fmt.Sprint(i), "/unsafe/x")
 				assert.NilError(t, got.err)
 				assert.Equal(t, got.status, http.StatusBadGateway, "run %d: %q", i, got.body)
@@ -95,10 +97,10 @@
 // Guards against ending an event stream regularly after a reset between two events.
 func TestResetDuringUploadBreaksEventStream(t *testing.T) {
 	head := rawserver.Head{Status: "200 OK", Fields: []string{"Content-Type: text/event-stream"}}
-	for name, newReceiver := range receivers {
+	for name, newHost := range answerReaders {
 		t.Run(name, func(t *testing.T) {
 			for i := range rawserver.Repeats {
-				r := newReceiver(t, rawAnswer{head, "id: 1\ndata: a\n\n", rawserver.Reset}.start(t))
+				r := newHost(t, rawAnswer{head, "id: 1\ndata: a\n\n", rawserver.Reset}.start(t))
 				got := r.upload(fmt.Sprint(i), "/stream/x")
 				if got.status == http.StatusOK {
 					assert.Assert(t, got.err != nil, "run %d: the stream looks complete: %q", i, got.body)
@@ -119,7 +121,7 @@
 	lastWithLength := rawserver.Head{Status: "200 OK", Fields: append(withLength.Fields, "Connection: close")}
 	chunked := rawserver.Head{Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked"}}
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
-	for name, newReceiver := range receivers {
+	for name, newHost := range answerReaders {
 		for _, answer := range []rawAnswer{
 			{withLength, body, rawserver.Keep}, {chunked, chunks, rawserver.Keep},
 			{lastWithLength, body, rawserver.HalfClose}, {withoutLength, body, rawserver.HalfClose},
@@ -127,7 +129,7 @@
 			{withLength, body, rawserver.Reset}, {chunked, chunks, rawserver.Reset},
 		} {
 			t.Run(fmt.Sprintf("%s, %v, %v", name, answer.head.Fields, answer.end), func(t *testing.T) {
-				r := newReceiver(t, answer.start(t))
+				r := newHost(t, answer.start(t))
 				for i := range rawserver.Repeats {
 					got := r.upload(fmt.Sprint(i), "/unsafe/x")
 					assert.NilError(t, got.err)
@@ -167,10 +169,10 @@
 // answer of a sound target if the request may be repeated.
 func checkInvalid(t *testing.T, heads []rawserver.Head) {
 	t.Helper()
-	for name, newReceiver := range receivers {
+	for name, newHost := range answerReaders {
 		t.Run(name, func(t *testing.T) {
 			for i, head := range heads {
-				r := newReceiver(t, rawAnswer{head, rawserver.Body, rawserver.Close}.start(t))
+				r := newHost(t, rawAnswer{head, rawserver.Body, rawserver.Close}.start(t))
 				got := r.post("r", []string{"/unsafe/x", "/stream/x"}[i%2])
 				assert.NilError(t, got.err, "%q", head)
 				assert.Equal(t, got.status, http.StatusBadGateway, "%q: %v %q", head, got.header, got.body)
