--- a/pkg/engine/broken_response_test.go
+++ b/pkg/engine/broken_response_test.go
@@ -23,7 +23,7 @@
 // head.
 func startRawTarget(t *testing.T, end rawserver.End, text string) target.Target {
 	t.Helper()
-	s := rawserver.New(rawserver.Answer{End: end, Text: func(*http.Request) string { return text }})
+	s := rawserver.New(rawserver.Answer{End: end, Text: rawserver.Always(text)})
 	t.Cleanup(s.Close)
 	return target.Target{ID: "raw", Addr: s.Addr()}
 }
--- a/pkg/forward/broken_response_test.go
+++ b/pkg/forward/broken_response_test.go
@@ -30,8 +30,7 @@
 // start starts a server that gives the answer, and returns its address.
 func (a rawAnswer) start(t *testing.T) string {
 	t.Helper()
-	name := dialect.Default().RequestID
-	s := rawserver.New(rawserver.Answer{End: a.end, Text: func(r *http.Request) string { return a.head.Text(name+": "+r.Header.Get(name)) + a.body }})
+	s := rawserver.New(rawserver.Answer{End: a.end, Text: rawserver.Echo(dialect.Default().RequestID, a.head, a.body)})
 	t.Cleanup(s.Close)
 	return s.Addr()
 }
--- a/pkg/standin/rawserver/heads.go
+++ b/pkg/standin/rawserver/heads.go
@@ -18,6 +18,17 @@
 	return strings.Join(append(lines, h.Fields...), "\r\n") + "\r\n\r\n"
 }
 
+// Always returns the text of an answer that is the same for each request.
+func Always(text string) func(*http.Request) string {
+	return func(*http.Request) string { return text }
+}
+
+// Echo returns the text of an answer with a head and a body, to whose head the request's field with
+// a name is added.
+func Echo(name string, head Head, body string) func(*http.Request) string {
+	return func(r *http.Request) string { return head.Text(name+": "+r.Header.Get(name)) + body }
+}
+
 // Body is the body of the answers with these heads, if their status has one.
 const Body = "5\r\nhello\r\n0\r\n\r\n"
 
--- a/pkg/storage/remote/broken_reply_test.go
+++ b/pkg/storage/remote/broken_reply_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -16,7 +15,7 @@
 // read its head.
 func newRawPlatform(t *testing.T, end rawserver.End, text string) *Client {
 	t.Helper()
-	server := rawserver.New(rawserver.Answer{End: end, Text: func(*http.Request) string { return text }})
+	server := rawserver.New(rawserver.Answer{End: end, Text: rawserver.Always(text)})
 	t.Cleanup(server.Close)
 	client := New("http://"+server.Addr(), testTimeout)
 	t.Cleanup(client.Close)
--- a/pkg/target/broken_report_test.go
+++ b/pkg/target/broken_report_test.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,7 +11,7 @@
 // fetchRaw requests a report from a target that answers with text and closes the connection.
 func fetchRaw(t *testing.T, text string) (string, error) {
 	t.Helper()
-	server := rawserver.New(rawserver.Answer{End: rawserver.Close, Text: func(*http.Request) string { return text }})
+	server := rawserver.New(rawserver.Answer{End: rawserver.Close, Text: rawserver.Always(text)})
 	defer server.Close()
 	body, err := fetch(t.Context(), reportClient(), server.Addr(), "/report")
 	return string(body), err
--- a/pkg/upstream/broken_response_test.go
+++ b/pkg/upstream/broken_response_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -21,7 +20,7 @@
 // with a head and a body.
 func startRawServer(t *testing.T, end rawserver.End, head rawserver.Head, body string) string {
 	t.Helper()
-	s := rawserver.New(rawserver.Answer{End: end, Text: func(r *http.Request) string { return head.Text("X-Id: "+r.Header.Get("X-Id")) + body }})
+	s := rawserver.New(rawserver.Answer{End: end, Text: rawserver.Echo("X-Id", head, body)})
 	t.Cleanup(s.Close)
 	return s.Addr()
 }
